--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+.PHONY: trial test matrix check generate docs build
+
+trial:
+	@go run ./cmd/crocus-trial --out out/trial.json
+
+test:
+	@go test ./...
+
+# PAIRS=all runs every pair of faults; the default is a seeded sample.
+matrix:
+	@PAIRS=$(PAIRS) go test ./pkg/dispatch -run 'TestMatrix' -count=1 -v
+
+check:
+	@./scripts/check.sh
+
+generate:
+	@./scripts/generate.sh
+
+build:
+	@go build -o out/bin/ ./cmd/...
--- /dev/null
+++ b/pkg/cmds/trial.go
@@ -0,0 +1,64 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"crocusseam/pkg/routing"
+	"crocusseam/pkg/trial"
+)
+
+type trialOptions struct {
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the load"`
+	Length   time.Duration `long:"length" default:"25s" description:"how long jobs are submitted"`
+	Share    float64       `long:"share" default:"0.7" description:"offered work as a part of the speed of all slots"`
+	Policy   string        `long:"policy" default:"EarliestCompletion" choice:"EarliestCompletion" choice:"Random" choice:"RoundRobin" description:"routing policy"`
+	NoFaults bool          `long:"no-faults" description:"crash, stop and drain nothing"`
+	Out      string        `long:"out" default:"out/trial.json" description:"file for the report"`
+	Log      string        `long:"log" default:"off" description:"log level of the instances: off, debug, info, warn, error"`
+}
+
+// Trial runs a whole environment in this process and judges it.
+func Trial(args []string) int {
+	var o trialOptions
+	if status, proceed := parse(&o, "crocus-trial", args); !proceed {
+		return status
+	}
+	logger, err := newLogger(o.Log)
+	if err != nil {
+		return fail(ExitUsage, err)
+	}
+	load := trial.DefaultLoad()
+	load.Seed, load.Length, load.Share = o.Seed, o.Length, o.Share
+	report, err := trial.Run(context.Background(), trial.Config{
+		Load: load, Policy: routing.PolicyName(o.Policy), Faults: !o.NoFaults, Progress: os.Stderr, Logger: logger,
+	})
+	if err != nil {
+		return fail(ExitFailed, err)
+	}
+	report.Print(os.Stdout)
+	if err := writeReport(o.Out, report); err != nil {
+		return fail(ExitFailed, err)
+	}
+	fmt.Println("The report is in", o.Out)
+	if report.Broken() {
+		fmt.Println("An invariant broke.")
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func writeReport(path string, report any) error {
+	text, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
--- /dev/null
+++ b/pkg/dispatch/admission.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"crocusseam/pkg/document"
+	"crocusseam/pkg/routing"
+	"crocusseam/pkg/slots"
+	"crocusseam/pkg/submission"
+)
+
+// admit refuses a submission that this instance should not accept: early, so
+// that the caller can act, and before any claim, so that it costs no write.
+func (c *Control) admit(h Handle, s *submission.Submission) bool {
+	class, known := c.classOf(s)
+	switch {
+	case c.stop != running:
+		c.refuse(h, s, submission.Leaving, time.Second, "the instance is leaving; ask another one")
+	case c.document == nil || c.roster.state == Joining:
+		c.refuse(h, s, submission.NotServing, time.Second, "the instance has no document in force yet")
+	case !c.knowsTeam(s.Team):
+		c.refuse(h, s, submission.Invalid, 0, fmt.Sprintf("Team is %q; allowed: a team of the document", s.Team))
+	case !known:
+		c.refuse(h, s, submission.Invalid, 0, fmt.Sprintf("Class is %q; allowed: a class of the document", s.Class))
+	case !s.Deadline.After(c.now.Round(0)):
+		c.refuse(h, s, submission.DeadlinePassed, 0, fmt.Sprintf("Deadline is %s; allowed: a time that has not passed", s.Deadline.Format(time.RFC3339Nano)))
+	case c.isHomedElsewhere(s, class):
+		c.refuse(h, s, submission.NotServing, 0, fmt.Sprintf("HomeDomain is %q; only instances of that domain run it", s.HomeDomain))
+	default:
+		return c.admitSize(h, s) && c.admitLoad(h, s, class) && c.admitPlatform(h, s)
+	}
+	return false
+}
+
+func (c *Control) knowsTeam(name string) bool {
+	_, ok := c.team(name)
+	return ok
+}
+
+// admitSize refuses tasks that no endpoint of the document can ever hold.
+func (c *Control) admitSize(h Handle, s *submission.Submission) bool {
+	for i := range s.Tasks {
+		if !c.someEndpointFits(&s.Tasks[i]) {
+			t := &s.Tasks[i]
+			c.refuse(h, s, submission.NoWorkerFits, 0, fmt.Sprintf(
+				"Tasks[%d] needs Kind %q, Processors %d, MemoryBytes %d, Accelerators %d; no endpoint of the document has them",
+				i, t.Kind, t.Processors, t.MemoryBytes, t.Accelerators))
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Control) someEndpointFits(t *submission.Task) bool {
+	d := routing.Demand{Kind: t.Kind, Processors: t.Processors, MemoryBytes: t.MemoryBytes, Accelerators: t.Accelerators}
+	var last *routing.Shape
+	for _, shape := range c.shapes.All() {
+		if shape == last {
+			continue
+		}
+		if shape.Fits(&d) {
+			return true
+		}
+		last = shape
+	}
+	return false
+}
+
+// admitLoad refuses what would wait longer than its class allows, or could not
+// be complete by its deadline.
+func (c *Control) admitLoad(h Handle, s *submission.Submission, class document.Class) bool {
+	wait := c.expectedWait(class.Priority)
+	if limit := time.Duration(class.MaxQueueWait); wait > limit {
+		c.counted.Shed++
+		c.refuse(h, s, submission.Overloaded, wait-limit/2, fmt.Sprintf("new work of class %q waits %s; allowed: %s", class.Name, wait.Round(time.Millisecond), limit))
+		return false
+	}
+	var longest time.Duration
+	for i := range s.Tasks {
+		longest = max(longest, c.model(s.Team, s.Tasks[i].Kind).Predict(s.Tasks[i].DeclaredRunTime))
+	}
+	fastest := time.Duration(float64(longest) / c.fastest())
+	if c.now.Add(wait + fastest).After(c.now.Add(s.Deadline.Sub(c.now))) {
+		c.counted.Shed++
+		c.refuse(h, s, submission.Overloaded, wait, fmt.Sprintf("it would wait %s and run %s, past its deadline", wait.Round(time.Millisecond), fastest.Round(time.Millisecond)))
+		return false
+	}
+	return true
+}
+
+// fastest is the speed of the fastest endpoint that this instance knows of.
+func (c *Control) fastest() float64 {
+	best := 1.0
+	for _, e := range c.owner.endpoints.All() {
+		best = max(best, e.speed.Speed())
+	}
+	return best
+}
+
+// expectedWait is what the lead last said of this priority, plus this home's
+// own work since then.
+func (c *Control) expectedWait(priority int) time.Duration {
+	var wait time.Duration
+	for _, w := range c.home.waits {
+		if w.Priority >= priority {
+			wait = w.Wait
+		}
+	}
+	return wait
+}
+
+// admitPlatform refuses work that needs a claim while no claim can be made.
+func (c *Control) admitPlatform(h Handle, s *submission.Submission) bool {
+	if !c.commitsHeld() || c.checks.noClaim {
+		return true
+	}
+	if c.unclaimedAllowed(s) {
+		return true
+	}
+	c.refuse(h, s, submission.PlatformUnavailable, c.config.Timing.BreakerBackoff, "no claim can be made now")
+	return false
+}
+
+func (c *Control) mayServeUnclaimed(j *job) bool {
+	return c.platformAway() && !c.relayWorks() && c.unclaimedAllowed(j.sub)
+}
+
+// unclaimedAllowed reports whether a job may start without a claim while the
+// platform is away. No other instance may run the same submission then: the
+// caller has named this domain as its home, and within the domain the id maps
+// to this instance by rendezvous over the last members that the table showed.
+// All of those must have sessions with this instance, so that a resubmission
+// that reaches one of them is refused there.
+func (c *Control) unclaimedAllowed(s *submission.Submission) bool {
+	class, _ := c.classOf(s)
+	if !class.UnclaimedService || !s.Repeatable || s.HomeDomain != c.config.Domain || s.Attempt != 1 {
+		return false
+	}
+	members := c.domainMembers()
+	for _, m := range members {
+		if m.Instance != c.self.Instance && !c.instanceLinked(m.Instance) {
+			return false
+		}
+	}
+	return rendezvous(s.Key.String(), members) == c.self.Instance
+}
+
+// isHomed reports whether a submission may start without a claim in its home
+// domain.
+func isHomed(s *submission.Submission, class document.Class) bool {
+	return class.UnclaimedService && s.Repeatable && s.HomeDomain != ""
+}
+
+// isHomedElsewhere reports whether another domain may be running a submission
+// without a claim; then this one must not claim it.
+func (c *Control) isHomedElsewhere(s *submission.Submission, class document.Class) bool {
+	return isHomed(s, class) && s.HomeDomain != c.config.Domain
+}
+
+// unclaimedRisk reports whether a resubmission without a row may have been
+// started without a claim by an instance that died before it wrote the row. The
+// risk lasts as long as any deadline of that time.
+func (c *Control) unclaimedRisk(j *job) bool {
+	if !isHomed(j.sub, j.class) {
+		return false
+	}
+	horizon := c.config.Timing.MaxDeadline
+	return c.now.Sub(c.roster.began) < horizon || c.now.Sub(c.claims.lastAway) < horizon
+}
+
+// domainMembers are the live instances of this domain as the table last showed
+// them.
+func (c *Control) domainMembers() []slots.Member {
+	members := []slots.Member{{Instance: c.self.Instance, Capacity: c.config.Capacity}}
+	for id, m := range c.roster.members.All() {
+		if m.row.Domain == c.config.Domain && c.alive(m) {
+			members = append(members, slots.Member{Instance: id, Capacity: m.row.Capacity})
+		}
+	}
+	return members
+}
+
+func (c *Control) instanceLinked(instance string) bool {
+	for id, l := range c.roster.links.All() {
+		if id.Instance == instance && l.up {
+			return true
+		}
+	}
+	return false
+}
+
+func rendezvous(key string, members []slots.Member) string {
+	best := ""
+	var top uint64
+	for _, m := range members {
+		if score := slots.Score(key, m.Instance); best == "" || score > top {
+			best, top = m.Instance, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/dispatch/claims.go
@@ -0,0 +1,496 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"crocusseam/pkg/platform"
+	"crocusseam/pkg/submission"
+	"crocusseam/pkg/table"
+)
+
+// ClaimState is the state of a submission in the table.
+type ClaimState string
+
+// States of a claim row. Claimed and Running rows have no outcome yet. A NotRun
+// row may be taken over; the others are final, except that the claim's own home
+// may replace Unknown by what it knows.
+const (
+	StateClaimed  ClaimState = "Claimed"
+	StateNotRun   ClaimState = "NotRun"
+	StateComplete ClaimState = "Complete"
+	StateFailed   ClaimState = "Failed"
+	StateUnknown  ClaimState = "Unknown"
+)
+
+// ClaimRow is the row of a submission in the table. Whoever inserted it, and
+// nobody else, may start the submission's tasks.
+type ClaimRow struct {
+	Team        string
+	ID          string
+	Digest      submission.Digest
+	Home        string
+	Incarnation uint64
+	Token       string
+	State       ClaimState
+	Reason      submission.Reason   `json:",omitempty"`
+	Detail      string              `json:",omitempty"`
+	Results     []submission.Result `json:",omitempty"`
+	Deadline    time.Time
+	Expires     time.Time
+}
+
+// ClaimKey returns the key of a submission's row in the table.
+func ClaimKey(k submission.Key) string { return "claim/" + k.Team + "/" + k.ID }
+
+// ParseClaimRow reads the value of a claim row.
+func ParseClaimRow(value []byte) (ClaimRow, error) {
+	var row ClaimRow
+	err := json.Unmarshal(value, &row)
+	return row, err
+}
+
+// pendingWrite is a row that waits for a commit, with what to do afterwards.
+type pendingWrite struct {
+	write   platform.Write
+	urgent  bool // a caller waits for it
+	expires time.Time
+	queued  time.Time
+	// done is called once the row is known to have been written (conflict
+	// nil), or to have another content (conflict is the present row), or when
+	// the bound of the wait has passed (err is set).
+	done func(version platform.Version, conflict *platform.Row, err error)
+}
+
+// batch is a commit in flight. It is repeated with the same rows until it is
+// known whether it took effect.
+type batch struct {
+	writes   []*pendingWrite
+	retryAt  time.Time // zero while a call is out
+	attempts int
+	relayed  bool
+}
+
+// claimWriter writes claims and outcomes in groups: while calls are out or the
+// budget is used up, rows gather for the next commit.
+type claimWriter struct {
+	pending   []*pendingWrite
+	batches   *table.Table[uint64, *batch]
+	nextID    uint64
+	nextFlush time.Time
+	tokens    float64 // of the write budget
+	refilled  time.Time
+
+	fails     int
+	openUntil time.Time // the breaker is open until then
+	backoff   time.Duration
+	lastAway  time.Time // the platform was away then
+
+	relayVia   PeerID
+	relayUntil time.Time
+	probes     int
+
+	gets *table.Table[uint64, func(platform.Row, error)]
+}
+
+// maxCommitsInFlight bounds the concurrent commits of an instance. A second and
+// third keep a slow table from holding up claims behind each other.
+const (
+	maxCommitsInFlight = 3
+	maxBudgetBurst     = 10 // commits
+	maxBreakerBackoff  = 4 * time.Second
+	maxRetryBackoff    = time.Second
+	firstRetryBackoff  = 20 * time.Millisecond
+	relayTrust         = 2 * time.Second
+)
+
+var errClaimWait = errors.New("no answer within the bound")
+
+func newClaimWriter() claimWriter {
+	return claimWriter{
+		batches: table.New[uint64, *batch](),
+		gets:    table.New[uint64, func(platform.Row, error)](),
+		tokens:  maxBudgetBurst,
+	}
+}
+
+func (w *claimWriter) busy() bool { return len(w.pending) > 0 || w.batches.Len() > 0 }
+
+// breakerOpen reports whether the platform is taken to be away.
+func (c *Control) breakerOpen() bool {
+	w := &c.claims
+	return w.fails >= c.config.Timing.BreakerFails && c.now.Before(w.openUntil)
+}
+
+// commitsHeld reports whether commits wait for the next probe.
+func (c *Control) commitsHeld() bool { return c.breakerOpen() && !c.relayWorks() }
+
+func (c *Control) platformAway() bool {
+	return c.claims.fails >= c.config.Timing.BreakerFails
+}
+
+func (c *Control) write(p *pendingWrite) {
+	p.queued = c.now
+	c.claims.pending = append(c.claims.pending, p)
+}
+
+// get reads one row of the table.
+func (c *Control) get(key string, done func(platform.Row, error)) {
+	c.claims.nextID++
+	c.claims.gets.Put(c.claims.nextID, done)
+	c.emit(Get{ID: c.claims.nextID, Key: key})
+}
+
+func (c *Control) getDone(m GetDone) {
+	done, ok := c.claims.gets.Get(m.ID)
+	if !ok {
+		return
+	}
+	c.claims.gets.Delete(m.ID)
+	c.notePlatform(m.Err)
+	done(m.Row, m.Err)
+}
+
+// notePlatform counts failures in a row; enough of them open the breaker, and
+// then calls go out only as jittered probes.
+func (c *Control) notePlatform(err error) {
+	w := &c.claims
+	var conflict *platform.ErrConflict
+	if err == nil || errors.As(err, &conflict) {
+		w.fails = 0
+		w.backoff = 0
+		return
+	}
+	w.fails++
+	if w.fails >= c.config.Timing.BreakerFails {
+		w.lastAway = c.now
+	}
+	if w.fails < c.config.Timing.BreakerFails || c.now.Before(w.openUntil) {
+		return
+	}
+	c.delayProbe()
+}
+
+// delayProbe puts the next probe off by a jittered, growing back-off.
+func (c *Control) delayProbe() {
+	w := &c.claims
+	w.backoff = min(max(2*w.backoff, c.config.Timing.BreakerBackoff), maxBreakerBackoff)
+	w.openUntil = c.now.Add(w.backoff/2 + c.jitter(w.backoff/2))
+}
+
+// runClaims expires rows that waited too long, repeats commits whose answers
+// were lost, and sends the next groups.
+func (c *Control) runClaims() {
+	c.refillBudget()
+	c.expireWrites()
+	c.retryBatches()
+	c.flushClaims()
+}
+
+func (c *Control) refillBudget() {
+	w := &c.claims
+	if !w.refilled.IsZero() {
+		w.tokens += c.now.Sub(w.refilled).Seconds() * c.config.Timing.WritesPerSec
+	}
+	w.tokens = min(w.tokens, maxBudgetBurst)
+	w.refilled = c.now
+}
+
+// expireWrites gives up rows that were never sent and whose wait has ended.
+func (c *Control) expireWrites() {
+	w := &c.claims
+	var expired []*pendingWrite
+	kept := w.pending[:0]
+	for _, p := range w.pending {
+		if !p.expires.IsZero() && c.now.After(p.expires) {
+			expired = append(expired, p)
+			continue
+		}
+		kept = append(kept, p)
+	}
+	w.pending = kept
+	for _, p := range expired {
+		p.done(0, nil, errClaimWait)
+	}
+}
+
+func (c *Control) retryBatches() {
+	w := &c.claims
+	w.nextFlush = time.Time{}
+	for id, b := range w.batches.All() {
+		if b.retryAt.IsZero() {
+			continue
+		}
+		if c.now.Before(b.retryAt) || c.commitsHeld() {
+			w.nextFlush = earlier(later(b.retryAt, w.openUntil), w.nextFlush)
+			continue
+		}
+		b.retryAt = time.Time{}
+		c.counted.RepeatedWrites++
+		c.sendBatch(id, b)
+	}
+}
+
+func (c *Control) flushClaims() {
+	w := &c.claims
+	for len(w.pending) > 0 {
+		due := c.flushDue()
+		if c.now.Before(due) {
+			w.nextFlush = earlier(due, w.nextFlush)
+			return
+		}
+		if c.commitsHeld() || w.batches.Len() >= maxCommitsInFlight {
+			return
+		}
+		c.flushBatch()
+	}
+}
+
+// flushDue returns when the next group may go. Claims go at once while the
+// budget lasts; outcomes wait for company, because nobody waits for them.
+func (c *Control) flushDue() time.Time {
+	w := &c.claims
+	due := w.pending[0].queued.Add(c.config.Timing.OutcomeLinger)
+	if len(w.pending) >= c.config.Timing.RowsPerCommit {
+		due = c.now
+	}
+	for _, p := range w.pending {
+		if p.urgent {
+			due = c.now
+			break
+		}
+	}
+	if w.tokens < 1 {
+		wait := time.Duration((1 - w.tokens) / c.config.Timing.WritesPerSec * float64(time.Second))
+		due = later(due, c.now.Add(wait))
+	}
+	return due
+}
+
+func (c *Control) flushBatch() {
+	w := &c.claims
+	b := &batch{}
+	taken := make(map[string]bool)
+	rest := w.pending[:0:0]
+	for _, p := range w.pending {
+		if len(b.writes) >= c.config.Timing.RowsPerCommit || taken[p.write.Key] {
+			rest = append(rest, p)
+			continue
+		}
+		taken[p.write.Key] = true
+		b.writes = append(b.writes, p)
+	}
+	w.pending = rest
+	w.tokens--
+	w.nextID++
+	w.batches.Put(w.nextID, b)
+	c.counted.Commits++
+	c.counted.CommittedRows += uint64(len(b.writes))
+	c.sendBatch(w.nextID, b)
+}
+
+func (c *Control) sendBatch(id uint64, b *batch) {
+	writes := make([]platform.Write, len(b.writes))
+	for i, p := range b.writes {
+		writes[i] = p.write
+	}
+	b.attempts++
+	b.relayed = false
+	if c.platformAway() {
+		if sibling, ok := c.relayPeer(); ok {
+			b.relayed = true
+			c.counted.Relays++
+			c.send(sibling, &Relay{ID: id, Writes: writes})
+			return
+		}
+	}
+	c.emit(Commit{ID: id, Writes: writes})
+}
+
+func (c *Control) commitDone(m CommitDone) {
+	if c.rosterCommitDone(m) {
+		return
+	}
+	if c.relayCommitDone(m) {
+		return
+	}
+	c.notePlatform(m.Err)
+	c.batchDone(m.ID, m.Version, m.Err)
+}
+
+// batchDone applies the answer to a commit. A lost answer leads to the same
+// commit again: rows that the first one wrote are told by their content, which
+// carries this home's token.
+func (c *Control) batchDone(id uint64, version platform.Version, err error) {
+	b, ok := c.claims.batches.Get(id)
+	if !ok || !b.retryAt.IsZero() {
+		return
+	}
+	var conflict *platform.ErrConflict
+	switch {
+	case err == nil:
+		c.claims.batches.Delete(id)
+		for _, p := range b.writes {
+			p.done(version, nil, nil)
+		}
+	case errors.As(err, &conflict):
+		c.claims.batches.Delete(id)
+		c.settleConflict(b, conflict)
+	case c.checks.noReadBack && isUncertain(err):
+		c.claims.batches.Delete(id)
+		for _, p := range b.writes {
+			p.done(version, nil, nil)
+		}
+	default:
+		c.batchFailed(id, b, err)
+	}
+}
+
+func isUncertain(err error) bool {
+	var uncertain *platform.ErrUncertain
+	return errors.As(err, &uncertain)
+}
+
+// batchFailed schedules the repetition of a commit. If it certainly had no
+// effect and was never uncertain before, its rows go back to the queue, where
+// their waits are bounded.
+func (c *Control) batchFailed(id uint64, b *batch, err error) {
+	if !isUncertain(err) && b.attempts == 1 {
+		c.claims.batches.Delete(id)
+		c.claims.pending = append(b.writes, c.claims.pending...)
+		return
+	}
+	backoff := firstRetryBackoff << min(b.attempts, 6)
+	b.retryAt = c.now.Add(min(backoff, maxRetryBackoff)/2 + c.jitter(min(backoff, maxRetryBackoff)/2))
+	c.expireCallers(b)
+}
+
+// expireCallers tells the waiting side of an uncertain commit when its bound
+// has passed. The commit itself goes on until it is known.
+func (c *Control) expireCallers(b *batch) {
+	for _, p := range b.writes {
+		if !p.expires.IsZero() && c.now.After(p.expires) {
+			p.expires = time.Time{}
+			p.done(0, nil, errClaimWait)
+		}
+	}
+}
+
+func (c *Control) settleConflict(b *batch, conflict *platform.ErrConflict) {
+	present := make(map[string]*platform.Row, len(conflict.Rows))
+	for i := range conflict.Rows {
+		present[conflict.Rows[i].Key] = &conflict.Rows[i]
+	}
+	var again []*pendingWrite
+	for _, p := range b.writes {
+		row, differs := present[p.write.Key]
+		switch {
+		case !differs:
+			again = append(again, p)
+		case string(row.Value) == string(p.write.Value):
+			p.done(row.Version, nil, nil)
+		default:
+			c.counted.LostRaces++
+			p.done(0, row, nil)
+		}
+	}
+	c.claims.pending = append(again, c.claims.pending...)
+}
+
+// relayPeer returns the sibling to commit through while the platform is away.
+// It is the one that served last, or else, on every other probe, the next one
+// in turn; the probes between them go to the platform itself.
+func (c *Control) relayPeer() (PeerID, bool) {
+	w := &c.claims
+	if c.relayWorks() {
+		return w.relayVia, true
+	}
+	w.probes++
+	if w.probes%2 == 0 {
+		return PeerID{}, false
+	}
+	var peers []PeerID
+	for id, l := range c.roster.links.All() {
+		if l.up && !l.leaving {
+			peers = append(peers, id)
+		}
+	}
+	if len(peers) == 0 {
+		return PeerID{}, false
+	}
+	return peers[(w.probes/2)%len(peers)], true
+}
+
+// relayWorks reports whether a sibling has lately committed for this instance.
+func (c *Control) relayWorks() bool {
+	w := &c.claims
+	return c.now.Before(w.relayUntil) && c.linkUp(w.relayVia)
+}
+
+// relayedCommit remembers for whom a commit was sent.
+type relayedCommit struct {
+	from PeerID
+	id   uint64
+}
+
+func (c *Control) relay(from PeerID, m *Relay) {
+	if c.platformAway() {
+		c.send(from, &RelayDone{ID: m.ID, Outcome: Unavailable})
+		return
+	}
+	c.claims.nextID++
+	c.roster.relayed.Put(c.claims.nextID, relayedCommit{from, m.ID})
+	c.emit(Commit{ID: c.claims.nextID, Writes: m.Writes})
+}
+
+func (c *Control) relayCommitDone(m CommitDone) bool {
+	r, ok := c.roster.relayed.Get(m.ID)
+	if !ok {
+		return false
+	}
+	c.roster.relayed.Delete(m.ID)
+	c.notePlatform(m.Err)
+	done := &RelayDone{ID: r.id, Version: m.Version, Outcome: Committed}
+	var conflict *platform.ErrConflict
+	switch {
+	case m.Err == nil:
+	case errors.As(m.Err, &conflict):
+		done.Outcome = Conflicted
+		done.Rows = conflict.Rows
+	case isUncertain(m.Err):
+		done.Outcome = Uncertain
+	default:
+		done.Outcome = Unavailable
+	}
+	c.send(r.from, done)
+	return true
+}
+
+func (c *Control) relayDone(from PeerID, m *RelayDone) {
+	w := &c.claims
+	if m.Outcome == Committed || m.Outcome == Conflicted {
+		w.relayVia = from
+		w.relayUntil = c.now.Add(relayTrust)
+	} else {
+		w.relayUntil = time.Time{}
+		c.delayProbe()
+	}
+	switch m.Outcome {
+	case Committed:
+		c.batchDone(m.ID, m.Version, nil)
+	case Conflicted:
+		c.batchDone(m.ID, 0, &platform.ErrConflict{Rows: m.Rows})
+	case Uncertain, Unavailable:
+		c.batchDone(m.ID, 0, &platform.ErrUncertain{Step: "relay", Cause: errClaimWait})
+	}
+}
+
+// failRelayed repeats the commits whose relay was lost with the session.
+func (c *Control) failRelayed() {
+	for id, b := range c.claims.batches.All() {
+		if b.relayed && b.retryAt.IsZero() {
+			c.batchFailed(id, b, &platform.ErrUncertain{Step: "relay", Cause: errClaimWait})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/rollout.go
@@ -0,0 +1,339 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"crocusseam/pkg/document"
+	"crocusseam/pkg/platform"
+	"crocusseam/pkg/routing"
+	"crocusseam/pkg/submission"
+	"crocusseam/pkg/table"
+)
+
+// Revision names one version of the document.
+type Revision struct {
+	Version uint64
+	Digest  string
+	By      string
+	At      time.Time
+	// StartAt is when the version comes into force.
+	StartAt time.Time
+}
+
+// Rollout is the row that says which document is in force and which one is
+// being brought into force. All changes to it are conditional on its version.
+type Rollout struct {
+	Active   Revision
+	Staged   *Revision  `json:",omitempty"`
+	Rejected *Rejection `json:",omitempty"`
+	// History lists the versions that were in force, the newest last.
+	History []Revision
+}
+
+// Rejection says which instance could not accept a staged version, and why.
+type Rejection struct {
+	Revision Revision
+	Instance string
+	Reason   string
+}
+
+// DocumentKey is the key of a document's bytes in the table.
+func DocumentKey(digest string) string { return "document/" + digest }
+
+const historyLength = 50
+
+// stagedDocument is a version that this instance has been asked to check.
+type stagedDocument struct {
+	revision Revision
+	document *document.Document
+	fault    string
+	reading  bool
+}
+
+// rolloutState is what this instance knows of the rollout.
+type rolloutState struct {
+	row      Rollout
+	version  platform.Version
+	active   Revision
+	staged   *stagedDocument
+	next     *stagedDocument // activated, not yet in force
+	commitID uint64
+	sent     time.Time
+	turns    int // scans for which the staged version was ready to go on
+}
+
+func (c *Control) readRollout(row *platform.Row) {
+	s := &c.roster.rollout
+	if row.Version < s.version && !c.checks.noVersionCheck {
+		c.counted.OldReads++
+		return
+	}
+	var rollout Rollout
+	if err := json.Unmarshal(row.Value, &rollout); err != nil {
+		c.counted.BadRows++
+		return
+	}
+	s.row, s.version = rollout, row.Version
+}
+
+// runRollout carries the rollout as far as this instance can.
+func (c *Control) runRollout() {
+	s := &c.roster.rollout
+	c.stageActive()
+	c.stageNext()
+	c.activateDue()
+	if s.row.Staged != nil {
+		c.advanceRollout()
+	} else {
+		s.turns = 0
+	}
+}
+
+// stageActive prepares the active version if this instance does not serve it.
+func (c *Control) stageActive() {
+	s := &c.roster.rollout
+	active := s.row.Active
+	newer := active.Version > s.active.Version || (c.checks.noVersionCheck && active.Version != s.active.Version)
+	if !newer || (s.next != nil && s.next.revision.Version == active.Version) {
+		return
+	}
+	if s.staged != nil && s.staged.revision.Digest == active.Digest && s.staged.document != nil {
+		s.next = &stagedDocument{revision: active, document: s.staged.document}
+		return
+	}
+	s.next = &stagedDocument{revision: active, reading: true}
+	c.readDocument(s.next)
+}
+
+// stageNext checks a staged version.
+func (c *Control) stageNext() {
+	s := &c.roster.rollout
+	if s.row.Staged == nil {
+		if s.staged != nil && s.staged.revision.Version <= s.row.Active.Version {
+			s.staged = nil
+		}
+		return
+	}
+	staged := *s.row.Staged
+	if s.staged != nil && s.staged.revision.Version == staged.Version && (s.staged.document != nil || s.staged.fault != "" || s.staged.reading) {
+		return
+	}
+	s.staged = &stagedDocument{revision: staged, reading: true}
+	c.readDocument(s.staged)
+}
+
+func (c *Control) readDocument(d *stagedDocument) {
+	c.get(DocumentKey(d.revision.Digest), func(row platform.Row, err error) {
+		d.reading = false
+		if err != nil {
+			return
+		}
+		if document.Digest(row.Value) != d.revision.Digest {
+			d.fault = "the document's bytes do not have its digest"
+			return
+		}
+		parsed, err := document.Parse(row.Value)
+		if err != nil {
+			d.fault = err.Error()
+			return
+		}
+		d.document = parsed
+		c.roster.nextBeat = c.now
+		c.activateDue()
+	})
+}
+
+// activateDue brings an activated version into force once its time has come.
+// A version never comes into force after a higher one.
+func (c *Control) activateDue() {
+	s := &c.roster.rollout
+	if s.next == nil {
+		return
+	}
+	if s.next.document == nil {
+		if !s.next.reading {
+			s.next = nil // read again with the next scan
+		}
+		return
+	}
+	wait := s.next.revision.StartAt.Sub(c.now)
+	if wait > 0 && s.active.Version > 0 {
+		c.roster.nextBeat = earlier(c.now.Add(wait), c.roster.nextBeat)
+		return
+	}
+	c.adoptDocument(s.next.document, s.next.revision.Version)
+	s.active = s.next.revision
+	s.next = nil
+}
+
+// advanceRollout moves a staged version on when every live instance is ready,
+// or rejects it when one cannot accept it. Any instance may do so; the one with
+// the lowest name goes first, the others only if it does not.
+func (c *Control) advanceRollout() {
+	s := &c.roster.rollout
+	if s.commitID != 0 && c.now.Sub(s.sent) < platformTimeout {
+		return
+	}
+	next := s.row
+	next.Staged = nil
+	instance, fault, ready := c.stagedState(*s.row.Staged)
+	switch {
+	case fault != "":
+		next.Rejected = &Rejection{Revision: *s.row.Staged, Instance: instance, Reason: fault}
+	case ready:
+		next.Active = *s.row.Staged
+		next.Active.StartAt = c.now.Round(0).Add(c.config.Timing.Term)
+		next.History = append(append([]Revision(nil), s.row.History...), next.Active)
+		if len(next.History) > historyLength {
+			next.History = next.History[len(next.History)-historyLength:]
+		}
+	default:
+		s.turns = 0
+		return
+	}
+	s.turns++
+	if s.turns <= 2*c.rank() {
+		return
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		panic("a rollout row cannot be encoded: " + err.Error())
+	}
+	c.claims.nextID++
+	s.commitID, s.sent = c.claims.nextID, c.now
+	c.emit(Commit{ID: s.commitID, Writes: []platform.Write{{Key: RolloutKey, Value: value, Expect: s.version}}})
+}
+
+// stagedState asks the rows of all live instances whether they are ready.
+func (c *Control) stagedState(staged Revision) (instance, fault string, ready bool) {
+	own := c.roster.rollout.staged
+	if own == nil || own.revision.Version != staged.Version || (own.document == nil && own.fault == "") {
+		return "", "", false
+	}
+	if own.fault != "" {
+		return c.self.Instance, own.fault, false
+	}
+	for id, m := range c.roster.members.All() {
+		if !c.alive(m) || m.gone {
+			continue
+		}
+		if m.row.StagedVersion != staged.Version {
+			return "", "", false
+		}
+		if m.row.StagedFault != "" {
+			return id, m.row.StagedFault, false
+		}
+	}
+	return "", "", true
+}
+
+// rank is how many live instances have a lower name.
+func (c *Control) rank() int {
+	rank := 0
+	for id, m := range c.roster.members.All() {
+		if c.alive(m) && id < c.self.Instance {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (c *Control) rolloutCommitDone(m CommitDone) bool {
+	s := &c.roster.rollout
+	if s.commitID == 0 || m.ID != s.commitID {
+		return false
+	}
+	s.commitID = 0
+	c.notePlatform(m.Err)
+	var conflict *platform.ErrConflict
+	if errors.As(m.Err, &conflict) {
+		c.counted.LostRaces++
+	}
+	c.roster.nextBeat = c.now
+	return true
+}
+
+// adoptDocument brings a document into force on this instance.
+func (c *Control) adoptDocument(d *document.Document, version uint64) {
+	c.document = d
+	c.roster.rollout.active.Version = version
+	c.hedging = false
+	for _, class := range d.Classes {
+		c.hedging = c.hedging || class.Hedge.Enabled
+	}
+	shapes := table.New[netip.AddrPort, *routing.Shape]()
+	kept := make(map[netip.AddrPort]bool)
+	for i := range d.Domains {
+		for _, g := range d.Domains[i].Groups {
+			shape := &routing.Shape{Kinds: g.Kinds, Processors: g.Processors, MemoryBytes: g.MemoryBytes, Accelerators: g.Accelerators}
+			for _, a := range g.Endpoints {
+				shapes.Put(a, shape)
+				if d.Domains[i].Name == c.config.Domain {
+					kept[a] = true
+					c.adoptEndpoint(a, min(g.Slots, g.Connections))
+				}
+			}
+		}
+	}
+	c.shapes = shapes
+	for a, e := range c.owner.endpoints.All() {
+		if !kept[a] {
+			e.leaving = true
+			if e.running == 0 && len(e.queue) == 0 {
+				c.owner.endpoints.Delete(a)
+			}
+		}
+	}
+	c.redivide()
+	c.owner.wholeDue = c.now
+}
+
+func (c *Control) adoptEndpoint(a netip.AddrPort, count int) {
+	e, ok := c.owner.endpoints.Get(a)
+	if !ok {
+		e = &endpoint{address: a}
+		c.owner.endpoints.Put(a, e)
+	}
+	e.slots = count
+	e.leaving = c.roster.listed[a] || c.roster.drains[a.String()]
+	e.dirty = true
+}
+
+func (c *Control) team(name string) (document.Team, bool) {
+	if c.document == nil {
+		return document.Team{}, false
+	}
+	for _, t := range c.document.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return document.Team{}, false
+}
+
+func (c *Control) teamWeight(name string) int {
+	t, _ := c.team(name)
+	return max(t.Weight, 1)
+}
+
+// classOf returns the class of a submission and whether the document has it.
+func (c *Control) classOf(s *submission.Submission) (document.Class, bool) {
+	name := s.Class
+	if name == "" {
+		name = document.DefaultClass().Name
+	}
+	if c.document != nil {
+		for _, class := range c.document.Classes {
+			if class.Name == name {
+				return class, true
+			}
+		}
+	}
+	return document.DefaultClass(), s.Class == ""
+}
+
+func (id PeerID) String() string { return fmt.Sprintf("%s.%d", id.Instance, id.Incarnation) }
--- /dev/null
+++ b/pkg/dispatch/roster.go
@@ -0,0 +1,462 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"time"
+
+	"crocusseam/pkg/platform"
+	"crocusseam/pkg/slots"
+	"crocusseam/pkg/table"
+)
+
+// InstanceState is the state of an instance in its row.
+type InstanceState string
+
+// States of an instance. A joining instance holds no endpoints yet.
+const (
+	Joining InstanceState = "Joining"
+	Live    InstanceState = "Live"
+	Leaving InstanceState = "Leaving"
+)
+
+// Keys of the control rows. One scan of ControlPrefix reads all of them.
+const (
+	ControlPrefix  = "control/"
+	InstancePrefix = ControlPrefix + "instance/"
+	DrainPrefix    = ControlPrefix + "drain/"
+	RolloutKey     = ControlPrefix + "rollout"
+	scanLimit      = 2000
+)
+
+// ScanLimit is how many control rows one scan returns at most.
+const ScanLimit = scanLimit
+
+// InstanceRow is the heartbeat row of an instance.
+type InstanceRow struct {
+	Instance    string
+	Incarnation uint64
+	Domain      string
+	Peers       netip.AddrPort
+	Callers     netip.AddrPort
+	Capacity    int
+	State       InstanceState
+	Sequence    uint64
+	// ActiveVersion is the version of the document that the instance serves.
+	ActiveVersion uint64
+	// StagedVersion is the version that the instance has checked and is ready
+	// to serve, StagedFault why it cannot.
+	StagedVersion uint64 `json:",omitempty"`
+	StagedFault   string `json:",omitempty"`
+}
+
+// member is another instance as this one sees it.
+type member struct {
+	row    InstanceRow
+	seen   time.Time // when a scan last showed a new sequence
+	gone   bool      // said goodbye or shows Leaving
+	absent bool      // its row was deleted
+}
+
+// link is the session with a peer.
+type link struct {
+	up         bool
+	lost       time.Time
+	leaving    bool
+	heard      time.Time
+	distrusted time.Time
+}
+
+// roster is what this instance knows of the others.
+type roster struct {
+	members   *table.Table[string, *member]
+	links     *table.Table[PeerID, *link]
+	relayed   *table.Table[uint64, relayedCommit]
+	began     time.Time
+	state     InstanceState
+	sequence  uint64
+	nextBeat  time.Time
+	beatID    uint64 // commit in flight
+	beatSent  time.Time
+	written   bool // the row has been written in this incarnation
+	scanID    uint64
+	scanSent  time.Time
+	lastScan  time.Time
+	scans     int
+	nextList  time.Time
+	listed    map[netip.AddrPort]bool // leaving endpoints
+	drains    map[string]bool
+	division  map[netip.AddrPort]string
+	connected string
+	rollout   rolloutState
+}
+
+func newRoster() roster {
+	return roster{
+		members: table.New[string, *member](),
+		links:   table.New[PeerID, *link](),
+		relayed: table.New[uint64, relayedCommit](),
+		state:   Joining,
+		listed:  make(map[netip.AddrPort]bool),
+		drains:  make(map[string]bool),
+	}
+}
+
+// platformTimeout bounds the roster's own calls.
+const platformTimeout = 3 * time.Second
+
+// runRoster renews the instance's row, reads the others', and keeps the
+// division of endpoints up to date.
+func (c *Control) runRoster() {
+	r := &c.roster
+	if r.began.IsZero() {
+		r.began = c.now
+	}
+	if c.now.Before(r.nextBeat) {
+		return
+	}
+	r.nextBeat = c.now.Add(c.config.Timing.Heartbeat - c.jitter(c.config.Timing.Heartbeat/5))
+	if c.stop == stopped {
+		return
+	}
+	if r.beatID == 0 || c.now.Sub(r.beatSent) > platformTimeout {
+		c.sendHeartbeat()
+	}
+	if r.scanID == 0 || c.now.Sub(r.scanSent) > platformTimeout {
+		c.claims.nextID++
+		r.scanID, r.scanSent = c.claims.nextID, c.now
+		c.emit(Scan{ID: r.scanID, Prefix: ControlPrefix})
+	}
+	if !c.now.Before(r.nextList) {
+		r.nextList = c.now.Add(c.config.Timing.ListPeriod)
+		c.emit(List{})
+	}
+}
+
+func (c *Control) sendHeartbeat() {
+	r := &c.roster
+	r.sequence++
+	state := r.state
+	if c.stop != running {
+		state = Leaving
+	}
+	row := InstanceRow{
+		Instance: c.self.Instance, Incarnation: c.self.Incarnation, Domain: c.config.Domain,
+		Peers: c.config.Address, Callers: c.config.Callers, Capacity: c.config.Capacity,
+		State: state, Sequence: r.sequence, ActiveVersion: r.rollout.active.Version,
+	}
+	if s := r.rollout.staged; s != nil {
+		row.StagedVersion, row.StagedFault = s.revision.Version, s.fault
+		if s.document == nil && s.fault == "" {
+			row.StagedVersion = 0
+		}
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		panic("an instance row cannot be encoded: " + err.Error())
+	}
+	c.claims.nextID++
+	r.beatID, r.beatSent = c.claims.nextID, c.now
+	c.emit(Commit{ID: r.beatID, Writes: []platform.Write{{
+		Key: InstancePrefix + c.self.Instance, Value: value, Expect: platform.AnyVersion,
+	}}})
+}
+
+func (c *Control) rosterCommitDone(m CommitDone) bool {
+	if c.rolloutCommitDone(m) {
+		return true
+	}
+	if m.ID != c.roster.beatID {
+		return false
+	}
+	c.roster.beatID = 0
+	c.notePlatform(m.Err)
+	if m.Err == nil {
+		c.roster.written = true
+	}
+	return true
+}
+
+func (c *Control) scanDone(m ScanDone) {
+	r := &c.roster
+	if m.ID != r.scanID {
+		return
+	}
+	r.scanID = 0
+	c.notePlatform(m.Err)
+	if m.Err != nil {
+		c.counted.FailedScans++
+		return
+	}
+	if c.now.Sub(r.lastScan) > 2*c.config.Timing.Heartbeat {
+		c.forgiveSilence()
+	}
+	r.lastScan = c.now
+	r.drains = make(map[string]bool)
+	present := make(map[string]bool)
+	for i := range m.Rows {
+		c.readControlRow(&m.Rows[i], present)
+	}
+	for id, other := range r.members.All() {
+		other.absent = !present[id]
+	}
+	if r.written {
+		r.scans++
+		if r.state == Joining {
+			r.state = Live
+			r.nextBeat = c.now
+		}
+	}
+	c.runRollout()
+	c.redivide()
+	c.connectPeers()
+}
+
+// forgiveSilence starts the terms of all instances anew after this one could
+// not read the table for a while: their silence may have been its own.
+func (c *Control) forgiveSilence() {
+	for _, m := range c.roster.members.All() {
+		m.seen = c.now
+	}
+}
+
+func (c *Control) rosterAfterPause() {
+	c.forgiveSilence()
+	c.roster.lastScan = time.Time{}
+}
+
+func (c *Control) readControlRow(row *platform.Row, present map[string]bool) {
+	switch {
+	case row.Key == RolloutKey:
+		c.readRollout(row)
+	case strings.HasPrefix(row.Key, DrainPrefix):
+		c.roster.drains[strings.TrimPrefix(row.Key, DrainPrefix)] = true
+	case strings.HasPrefix(row.Key, InstancePrefix):
+		var other InstanceRow
+		if err := json.Unmarshal(row.Value, &other); err != nil || InstancePrefix+other.Instance != row.Key {
+			c.counted.BadRows++
+			return
+		}
+		present[other.Instance] = true
+		c.readInstance(other)
+	}
+}
+
+func (c *Control) readInstance(row InstanceRow) {
+	if row.Instance == c.self.Instance {
+		return
+	}
+	m, ok := c.roster.members.Get(row.Instance)
+	if !ok || m.row.Incarnation != row.Incarnation {
+		m = &member{seen: c.now}
+		c.roster.members.Put(row.Instance, m)
+	}
+	if row.Sequence != m.row.Sequence {
+		m.seen = c.now
+	}
+	m.row = row
+	if row.State == Leaving {
+		m.gone = true
+	}
+}
+
+// alive reports whether an instance has renewed its row within the term. While
+// the table cannot be read nobody dies: the last view stands.
+func (c *Control) alive(m *member) bool {
+	return !m.absent && c.roster.lastScan.Sub(m.seen) < c.config.Timing.Term
+}
+
+// isDead reports whether an incarnation is gone for good or has not renewed its
+// row for a term.
+func (c *Control) isDead(id PeerID) bool {
+	if id == c.self {
+		return false
+	}
+	if id.Instance == c.self.Instance {
+		return id.Incarnation < c.self.Incarnation
+	}
+	m, ok := c.roster.members.Get(id.Instance)
+	if !ok {
+		return c.roster.scans > 0
+	}
+	if m.row.Incarnation != id.Incarnation {
+		return m.row.Incarnation > id.Incarnation
+	}
+	return !c.alive(m)
+}
+
+func (c *Control) linkUp(id PeerID) bool {
+	l, ok := c.roster.links.Get(id)
+	return ok && l.up
+}
+
+func (c *Control) domainOf(id PeerID) string {
+	if id.Instance == c.self.Instance {
+		return c.config.Domain
+	}
+	if m, ok := c.roster.members.Get(id.Instance); ok {
+		return m.row.Domain
+	}
+	return ""
+}
+
+// siblings are the live instances of this domain whose grant is needed before
+// an endpoint is held: also those that leave, until their rows have lapsed.
+func (c *Control) siblings() []PeerID {
+	var list []PeerID
+	for _, m := range c.roster.members.All() {
+		if m.row.Domain == c.config.Domain && c.alive(m) {
+			list = append(list, PeerID{m.row.Instance, m.row.Incarnation})
+		}
+	}
+	return list
+}
+
+// redivide computes who should hold which endpoint of this domain, and asks for
+// those that this instance should hold and does not.
+func (c *Control) redivide() {
+	r := &c.roster
+	if r.state == Joining || c.document == nil {
+		return
+	}
+	var members []slots.Member
+	if c.stop == running {
+		members = append(members, slots.Member{Instance: c.self.Instance, Capacity: c.config.Capacity})
+	}
+	for _, m := range r.members.All() {
+		if m.row.Domain == c.config.Domain && c.alive(m) && !m.gone && m.row.State == Live {
+			members = append(members, slots.Member{Instance: m.row.Instance, Capacity: m.row.Capacity})
+		}
+	}
+	r.division = c.divide(members)
+	for a, e := range c.owner.endpoints.All() {
+		e.leaving = r.listed[a] || r.drains[a.String()]
+		if r.division[a] == c.self.Instance && e.state == notHeld {
+			e.foreign = 0
+			c.want(e)
+		}
+	}
+}
+
+// divide divides each group of endpoints on its own, so that every instance
+// gets its share of every kind.
+func (c *Control) divide(members []slots.Member) map[netip.AddrPort]string {
+	all := make(map[netip.AddrPort]string)
+	for i := range c.document.Domains {
+		d := &c.document.Domains[i]
+		if d.Name != c.config.Domain {
+			continue
+		}
+		for _, g := range d.Groups {
+			for a, holder := range slots.Divide(g.Endpoints, members) {
+				all[a] = holder
+			}
+		}
+	}
+	return all
+}
+
+func (c *Control) divisionHolder(a netip.AddrPort) PeerID {
+	holder := c.roster.division[a]
+	if holder == c.self.Instance {
+		return c.self
+	}
+	if m, ok := c.roster.members.Get(holder); ok {
+		return PeerID{holder, m.row.Incarnation}
+	}
+	return PeerID{}
+}
+
+func (c *Control) listDone(m ListDone) {
+	if m.Err != nil {
+		return
+	}
+	listed := make(map[netip.AddrPort]bool)
+	for _, i := range m.Instances {
+		if i.Leaving {
+			listed[i.Address] = true
+		}
+	}
+	c.roster.listed = listed
+	for a, e := range c.owner.endpoints.All() {
+		e.leaving = listed[a] || c.roster.drains[a.String()]
+	}
+}
+
+// connectPeers names the peers to keep sessions with, when they have changed.
+func (c *Control) connectPeers() {
+	var peers []Peer
+	var names strings.Builder
+	for _, m := range c.roster.members.All() {
+		if !c.alive(m) {
+			continue
+		}
+		id := PeerID{m.row.Instance, m.row.Incarnation}
+		peers = append(peers, Peer{ID: id, Domain: m.row.Domain, Address: m.row.Peers})
+		names.WriteString(id.String() + " " + m.row.Peers.String() + ";")
+	}
+	if names.String() == c.roster.connected {
+		return
+	}
+	c.roster.connected = names.String()
+	c.emit(Connect{Peers: peers})
+}
+
+func (c *Control) peerUp(id PeerID) {
+	l, ok := c.roster.links.Get(id)
+	if !ok {
+		l = &link{}
+		c.roster.links.Put(id, l)
+	}
+	l.up = true
+	l.lost = time.Time{}
+	l.heard = c.now
+	if c.owner.reportTo == id {
+		c.owner.reportTo = PeerID{}
+	}
+	c.resendPlaced(id)
+	c.resendResults(id)
+	c.reannounceTo(id)
+	if c.stop != running {
+		c.send(id, &Goodbye{})
+	}
+}
+
+// reannounceTo tells a lead again what waits, after a new session with it.
+func (c *Control) reannounceTo(id PeerID) {
+	if c.home.leadID != id {
+		return
+	}
+	for j := range c.jobsWithWaitingTasks().All() {
+		c.announce(j)
+	}
+}
+
+func (c *Control) peerDown(id PeerID) {
+	l, ok := c.roster.links.Get(id)
+	if !ok || !l.up {
+		return
+	}
+	l.up = false
+	l.lost = c.now
+	c.leadPeerDown(id)
+	c.failRelayed()
+	c.chooseLead()
+}
+
+func (c *Control) heardFrom(id PeerID) {
+	if l, ok := c.roster.links.Get(id); ok {
+		l.heard = c.now
+	}
+}
+
+func (c *Control) saidGoodbye(id PeerID) {
+	if l, ok := c.roster.links.Get(id); ok {
+		l.leaving = true
+	}
+	if m, ok := c.roster.members.Get(id.Instance); ok && m.row.Incarnation == id.Incarnation {
+		m.gone = true
+	}
+	c.redivide()
+}
--- /dev/null
+++ b/pkg/dispatch/status.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"crocusseam/pkg/document"
+)
+
+// Status is what an instance reports of itself and of what it sees.
+type Status struct {
+	Instance      string
+	Incarnation   uint64
+	Domain        string
+	State         string
+	Lead          string
+	PlatformAway  bool
+	Stale         bool
+	ActiveVersion uint64
+	StagedVersion uint64
+	OpenJobs      int
+	WaitingTasks  int
+	OccupiedSlots int
+	Endpoints     []EndpointStatus
+	Members       []MemberStatus
+	Counters      Counters
+	Document      *document.Document `json:"-"`
+}
+
+// EndpointStatus is an endpoint of the instance's domain.
+type EndpointStatus struct {
+	Address  netip.AddrPort
+	Held     bool
+	Leaving  bool
+	Drained  bool
+	Ejected  bool
+	Slots    int
+	Running  int
+	Queued   int
+	Speed    float64
+	Failures int
+}
+
+// MemberStatus is another instance as this one sees it.
+type MemberStatus struct {
+	Instance      string
+	Incarnation   uint64
+	Domain        string
+	State         string
+	Alive         bool
+	Linked        bool
+	ActiveVersion uint64
+	SinceSeen     time.Duration
+}
+
+// Status returns the present state.
+func (c *Control) Status() Status {
+	s := Status{
+		Instance: c.self.Instance, Incarnation: c.self.Incarnation, Domain: c.config.Domain,
+		State: c.stateName(), Lead: c.home.leadID.Instance, PlatformAway: c.platformAway(),
+		Stale:         c.now.Sub(c.roster.lastScan) > c.config.Timing.Term,
+		ActiveVersion: c.roster.rollout.active.Version, OpenJobs: c.home.open,
+		WaitingTasks: c.waitingTasks(), OccupiedSlots: c.owner.occupied,
+		Counters: c.counted, Document: c.document,
+	}
+	if staged := c.roster.rollout.row.Staged; staged != nil {
+		s.StagedVersion = staged.Version
+	}
+	for a, e := range c.owner.endpoints.All() {
+		s.Endpoints = append(s.Endpoints, EndpointStatus{
+			Address: a, Held: e.state == held, Leaving: c.roster.listed[a], Drained: c.roster.drains[a.String()],
+			Ejected: e.health.ejected, Slots: e.slots, Running: e.running, Queued: len(e.queue),
+			Speed: e.speed.Speed(), Failures: e.health.failures,
+		})
+	}
+	for _, m := range c.roster.members.All() {
+		id := PeerID{m.row.Instance, m.row.Incarnation}
+		s.Members = append(s.Members, MemberStatus{
+			Instance: id.Instance, Incarnation: id.Incarnation, Domain: m.row.Domain, State: string(m.row.State),
+			Alive: c.alive(m), Linked: c.linkUp(id), ActiveVersion: m.row.ActiveVersion, SinceSeen: c.now.Sub(m.seen),
+		})
+	}
+	return s
+}
+
+func (c *Control) stateName() string {
+	if c.stop != running {
+		return string(Leaving)
+	}
+	return string(c.roster.state)
+}
+
+func (c *Control) waitingTasks() int {
+	count := 0
+	for _, a := range c.home.attempts.All() {
+		if a.placed.IsZero() {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/pkg/dispatch/tasks.go
@@ -0,0 +1,594 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+
+	"crocusseam/pkg/platform"
+	"crocusseam/pkg/routing"
+	"crocusseam/pkg/submission"
+)
+
+// deadlineQueue holds jobs by deadline.
+type deadlineQueue struct {
+	jobs []*job
+}
+
+func (q *deadlineQueue) Len() int           { return len(q.jobs) }
+func (q *deadlineQueue) Less(i, j int) bool { return q.jobs[i].deadline.Before(q.jobs[j].deadline) }
+func (q *deadlineQueue) Swap(i, j int)      { q.jobs[i], q.jobs[j] = q.jobs[j], q.jobs[i] }
+func (q *deadlineQueue) Push(x any)         { q.jobs = append(q.jobs, x.(*job)) }
+
+func (q *deadlineQueue) Pop() any {
+	last := q.jobs[len(q.jobs)-1]
+	q.jobs = q.jobs[:len(q.jobs)-1]
+	return last
+}
+
+func (q *deadlineQueue) push(j *job) { heap.Push(q, j) }
+
+// startJob makes the tasks of a job that this home has claimed startable.
+func (c *Control) startJob(j *job) {
+	if c.now.After(j.deadline) {
+		c.passDeadline(j)
+		return
+	}
+	j.phase = inProgress
+	for i := range j.tasks {
+		c.newAttempt(j, i)
+	}
+	c.announce(j)
+}
+
+// newAttempt makes a task wait for a slot.
+func (c *Control) newAttempt(j *job, task int) *attempt {
+	c.home.nextTry++
+	t := &j.tasks[task]
+	t.phase = taskWaiting
+	t.try++
+	t.attempts = append(t.attempts, c.home.nextTry)
+	a := &attempt{job: j, task: task, try: t.try, work: t.work}
+	c.home.attempts.Put(c.home.nextTry, a)
+	return a
+}
+
+// announce tells the lead of all the job's tasks that wait.
+func (c *Control) announce(j *job) {
+	c.chooseLead()
+	m := &Announce{
+		Job: j.number, Team: j.key.Team, Priority: j.class.Priority,
+		Waited: c.now.Sub(j.arrived), Remaining: j.remainingWork(),
+	}
+	for i := range j.tasks {
+		if j.tasks[i].phase == taskWaiting {
+			m.Demands = append(m.Demands, c.demand(j, i))
+			c.home.ownWork += j.tasks[i].work
+		}
+	}
+	c.send(c.home.leadID, m)
+}
+
+// remainingWork is the work of the job's tasks that have no slot yet.
+func (j *job) remainingWork() time.Duration {
+	var sum time.Duration
+	for i := range j.tasks {
+		if j.tasks[i].phase == taskWaiting || j.tasks[i].phase == taskBackingOff {
+			sum += j.tasks[i].work
+		}
+	}
+	return sum
+}
+
+func (c *Control) demand(j *job, i int) routing.Demand {
+	t := &j.sub.Tasks[i]
+	state := &j.tasks[i]
+	return routing.Demand{
+		Attempt: c.attemptID(state.attempts[len(state.attempts)-1]),
+		Team:    j.key.Team, Kind: t.Kind, Work: state.work, Repeatable: j.sub.Repeatable,
+		Processors: t.Processors, MemoryBytes: t.MemoryBytes, Accelerators: t.Accelerators,
+		Avoid: state.avoid,
+	}
+}
+
+func (c *Control) attemptID(number uint64) routing.Attempt {
+	return routing.Attempt{Home: c.self.Instance, Incarnation: c.self.Incarnation, Number: number}
+}
+
+// assigned places a waiting task where the lead says.
+func (c *Control) assigned(from PeerID, m *Assign) {
+	a, ok := c.home.attempts.Get(m.Number)
+	if !ok || !a.placed.IsZero() || a.job.phase != inProgress || (m.Owner != c.self && !c.linkUp(m.Owner)) {
+		c.counted.UnusedAssignments++
+		c.send(from, &Return{Attempt: c.attemptID(m.Number), Endpoint: m.Endpoint})
+		if ok && a.placed.IsZero() && a.job.phase == inProgress {
+			c.backOff(a, maxBounceDelay)
+		}
+		return
+	}
+	j := a.job
+	t := &j.sub.Tasks[a.task]
+	a.owner, a.endpoint, a.placed = m.Owner, m.Endpoint, c.now
+	j.tasks[a.task].phase = taskPlaced
+	j.started = true
+	c.home.ownWork = max(0, c.home.ownWork-a.work)
+	c.countStart(a.try)
+	a.place = &Place{
+		Attempt: c.attemptID(m.Number), Key: j.key, Task: t.Name, Try: a.try, Kind: t.Kind,
+		Payload: t.Payload, Token: j.token, Left: j.deadline.Sub(c.now), Work: a.work, Endpoint: m.Endpoint,
+	}
+	c.send(m.Owner, a.place)
+}
+
+func (c *Control) countStart(try int) {
+	h := &c.home
+	if try > 1 {
+		h.retries++
+	} else {
+		h.starts++
+	}
+	if h.starts > budgetMemory {
+		h.starts /= 2
+		h.retries /= 2
+		h.hedges /= 2
+	}
+}
+
+// mayRetry reports whether the budget has room for a further attempt.
+func (c *Control) mayRetry() bool {
+	percent := 10.0
+	if c.document != nil && c.document.Routing.RetryBudgetPercent > 0 {
+		percent = c.document.Routing.RetryBudgetPercent
+	}
+	return c.home.retries < minRetryAllowance+c.home.starts*percent/100
+}
+
+// resulted takes the end of an attempt. Each result is acknowledged, however
+// often it comes; only the first one counts.
+func (c *Control) resulted(from PeerID, m *Result) {
+	c.acknowledge(from, m.Attempt.Number)
+	a, ok := c.home.attempts.Get(m.Attempt.Number)
+	if !ok || a.placed.IsZero() {
+		c.counted.StrayAnswers++
+		return
+	}
+	c.home.attempts.Delete(m.Attempt.Number)
+	j := a.job
+	t := &j.tasks[a.task]
+	t.attempts = slices.DeleteFunc(t.attempts, func(n uint64) bool { return n == m.Attempt.Number })
+	if j.phase != inProgress || t.phase == taskDone {
+		c.counted.StrayAnswers++
+		return
+	}
+	c.settle(a, m)
+}
+
+func (c *Control) acknowledge(owner PeerID, number uint64) {
+	if owner == c.self {
+		c.send(owner, &Acknowledge{Numbers: []uint64{number}})
+		return
+	}
+	numbers, _ := c.home.acks.Get(owner)
+	if c.home.acks.Len() == 0 {
+		c.home.ackDue = c.now.Add(ackLinger)
+	}
+	c.home.acks.Put(owner, append(numbers, number))
+}
+
+func (c *Control) flushAcks() {
+	if c.home.acks.Len() == 0 {
+		return
+	}
+	if c.now.Before(c.home.ackDue) && c.stop == running {
+		c.home.nextDue = earlier(c.home.ackDue, c.home.nextDue)
+		return
+	}
+	for owner, numbers := range c.home.acks.All() {
+		if c.linkUp(owner) {
+			c.send(owner, &Acknowledge{Numbers: numbers})
+		}
+		c.home.acks.Delete(owner)
+	}
+}
+
+// settle decides what the end of an attempt means for its task and job. The
+// three kinds of failure differ in what is known: not started may go elsewhere
+// at once; a task's own failure and an unknown end are attempts, and only a
+// Repeatable job has more than one.
+func (c *Control) settle(a *attempt, m *Result) {
+	j := a.job
+	t := &j.tasks[a.task]
+	switch m.Outcome {
+	case Done:
+		declared := j.sub.Tasks[a.task].DeclaredRunTime
+		c.model(j.key.Team, j.sub.Tasks[a.task].Kind).Observe(declared, m.RunTime, m.Speed)
+		c.completeTask(j, a.task, m.Output)
+	case NotStarted:
+		c.counted.Bounces++
+		t.try--
+		t.bounces++
+		c.requeue(a, firstBounceDelay<<min(t.bounces, 8), maxBounceDelay)
+	case TaskFailed:
+		c.failedAttempt(a, submission.TaskFailed, m.Detail)
+	case Unknown:
+		c.failedAttempt(a, submission.OutcomeUnknown, m.Detail)
+	}
+}
+
+func (c *Control) completeTask(j *job, task int, output []byte) {
+	t := &j.tasks[task]
+	t.phase = taskDone
+	t.output = output
+	j.left--
+	for _, n := range t.attempts {
+		c.dropAttempt(n)
+	}
+	t.attempts = nil
+	if j.left > 0 {
+		return
+	}
+	results := make([]submission.Result, len(j.tasks))
+	for i := range j.tasks {
+		results[i] = submission.Result{Name: j.sub.Tasks[i].Name, Output: j.tasks[i].output}
+	}
+	c.answer(j, submission.Answer{Status: submission.Complete, Results: results})
+}
+
+func (c *Control) failedAttempt(a *attempt, reason submission.Reason, detail string) {
+	j := a.job
+	t := &j.tasks[a.task]
+	detail = fmt.Sprintf("task %q at %s: %s", j.sub.Tasks[a.task].Name, a.endpoint, detail)
+	if len(t.attempts) > 0 {
+		return // a hedge is still in flight
+	}
+	mayRepeat := j.sub.Repeatable && t.try < max(j.class.MaxAttempts, 1) && c.mayRetry()
+	if !mayRepeat && !c.checks.noAttemptLimit {
+		c.failJob(j, reason, detail)
+		return
+	}
+	c.counted.Retries++
+	t.avoid = append(t.avoid, a.endpoint)
+	c.requeue(a, firstTryDelay<<min(t.try, 8), maxTryDelay)
+}
+
+// requeue makes a task wait again, after a back-off with full jitter.
+func (c *Control) requeue(a *attempt, backoff, limit time.Duration) {
+	c.backOff(c.newAttempt(a.job, a.task), c.jitter(min(backoff, limit)))
+}
+
+func (c *Control) backOff(a *attempt, delay time.Duration) {
+	t := &a.job.tasks[a.task]
+	t.phase = taskBackingOff
+	t.retryAt = c.now.Add(delay)
+	c.home.backoffs.Put(t.attempts[len(t.attempts)-1], a)
+}
+
+func (c *Control) runBackoffs() {
+	for number, a := range c.home.backoffs.All() {
+		t := &a.job.tasks[a.task]
+		if a.job.phase != inProgress || t.phase != taskBackingOff {
+			c.home.backoffs.Delete(number)
+			continue
+		}
+		if c.now.Before(t.retryAt) {
+			c.home.nextDue = earlier(t.retryAt, c.home.nextDue)
+			continue
+		}
+		c.home.backoffs.Delete(number)
+		t.phase = taskWaiting
+		c.chooseLead()
+		c.send(c.home.leadID, &Announce{
+			Job: a.job.number, Team: a.job.key.Team, Priority: a.job.class.Priority,
+			Waited: c.now.Sub(a.job.arrived), Remaining: a.job.remainingWork(),
+			Demands: []routing.Demand{c.demand(a.job, a.task)},
+		})
+	}
+}
+
+// dropAttempt ends an attempt that nobody needs any more.
+func (c *Control) dropAttempt(number uint64) {
+	a, ok := c.home.attempts.Get(number)
+	if !ok {
+		return
+	}
+	c.home.attempts.Delete(number)
+	if a.placed.IsZero() {
+		c.send(c.home.leadID, &Withdraw{Numbers: []uint64{number}})
+		return
+	}
+	c.send(a.owner, &Drop{Attempt: c.attemptID(number)})
+}
+
+// failJob ends a job without a complete answer. Its waiting tasks are dropped
+// and its running ones interrupted.
+func (c *Control) failJob(j *job, reason submission.Reason, detail string) {
+	var withdrawn []uint64
+	for i := range j.tasks {
+		for _, n := range j.tasks[i].attempts {
+			a, ok := c.home.attempts.Get(n)
+			if ok && a.placed.IsZero() {
+				withdrawn = append(withdrawn, n)
+				c.home.attempts.Delete(n)
+				continue
+			}
+			c.dropAttempt(n)
+		}
+		j.tasks[i].attempts = nil
+	}
+	if len(withdrawn) > 0 {
+		c.send(c.home.leadID, &Withdraw{Numbers: withdrawn})
+	}
+	c.answer(j, submission.Answer{Status: submission.Failed, Reason: reason, Detail: detail})
+}
+
+// answer gives the answer to everyone who waits and then records it.
+func (c *Control) answer(j *job, a submission.Answer) {
+	j.reply = submission.Reply{Answer: &a}
+	if a.Status == submission.Complete {
+		c.counted.Completed++
+	} else {
+		c.counted.Failed++
+	}
+	c.countObjective(j, a)
+	c.closeJob(j)
+	for i := range j.tasks {
+		j.tasks[i].output = nil
+	}
+	if !c.checks.noClaim && (!j.unclaimed || j.version != 0) {
+		c.recordOutcome(j, c.outcomeState(j))
+	}
+}
+
+func (c *Control) outcomeState(j *job) ClaimState {
+	a := j.reply.Answer
+	switch {
+	case a.Status == submission.Complete:
+		return StateComplete
+	case a.Reason == submission.OutcomeUnknown:
+		return StateUnknown
+	}
+	return StateFailed
+}
+
+// recordOutcome writes the end of a job that this home has claimed. It may
+// replace Unknown, which others record when they believe this home dead.
+func (c *Control) recordOutcome(j *job, state ClaimState) {
+	c.write(&pendingWrite{
+		write: platform.Write{Key: ClaimKey(j.key), Value: c.claimValue(j, state), Expect: j.version},
+		done: func(version platform.Version, present *platform.Row, _ error) {
+			if present == nil {
+				j.version = version
+				j.recorded = true
+				return
+			}
+			row, err := ParseClaimRow(present.Value)
+			if err == nil && row.Token == j.token && row.State == StateUnknown && state != StateUnknown {
+				j.version = present.Version
+				c.recordOutcome(j, state)
+				return
+			}
+			j.recorded = true
+		},
+	})
+}
+
+// passDeadline ends a job whose deadline has passed. If nothing of it can have
+// started, it says so.
+func (c *Control) passDeadline(j *job) {
+	switch {
+	case j.phase == following || j.phase == reading:
+		c.refuseFollowed(j)
+	case j.started:
+		c.failJob(j, submission.DeadlineExceeded, "not complete by its deadline")
+	case j.phase == claiming && j.version == 0:
+		j.abandoned = true
+		c.finishRefused(j, submission.Refusal{Reason: submission.DeadlinePassed, NotRun: j.sub.Attempt == 1, Detail: "its claim was not confirmed by its deadline"})
+	default:
+		c.notRun(j)
+	}
+}
+
+// notRun ends a job that was claimed here and of which no task was placed. The
+// claim makes the statement true for every copy of the submission.
+func (c *Control) notRun(j *job) {
+	var withdrawn []uint64
+	for i := range j.tasks {
+		withdrawn = append(withdrawn, j.tasks[i].attempts...)
+		for _, n := range j.tasks[i].attempts {
+			c.home.attempts.Delete(n)
+		}
+		j.tasks[i].attempts = nil
+	}
+	if len(withdrawn) > 0 {
+		c.send(c.home.leadID, &Withdraw{Numbers: withdrawn})
+	}
+	j.abandoned = true
+	c.finishRefused(j, submission.Refusal{Reason: submission.DeadlinePassed, NotRun: true, Detail: "no slot was free by its deadline"})
+	if !c.checks.noClaim {
+		c.recordOutcome(j, StateNotRun)
+	}
+}
+
+// runHome runs the systems of the home: deadlines, lead, lost peers, back-offs,
+// followed jobs and retention.
+func (c *Control) runHome() {
+	c.home.nextDue = time.Time{}
+	c.watchLead()
+	c.expireJobs()
+	c.failLostAttempts()
+	c.runBackoffs()
+	c.runHedges()
+	c.pollFollowed()
+	c.forgetJobs()
+	c.flushAcks()
+}
+
+func (c *Control) expireJobs() {
+	q := &c.home.dueJobs
+	for len(q.jobs) > 0 {
+		j := q.jobs[0]
+		if j.phase != finished && c.now.Before(j.deadline) {
+			c.home.nextDue = earlier(j.deadline, c.home.nextDue)
+			return
+		}
+		heap.Pop(q)
+		if j.phase != finished {
+			c.passDeadline(j)
+		}
+	}
+}
+
+// failLostAttempts gives up attempts whose owner cannot be asked any more.
+func (c *Control) failLostAttempts() {
+	for id, l := range c.roster.links.All() {
+		if l.up || l.lost.IsZero() {
+			continue
+		}
+		if !c.isDead(id) && c.now.Sub(l.lost) < c.config.Timing.PeerLoss {
+			continue
+		}
+		l.lost = time.Time{}
+		c.forgetPeer(id)
+		c.loseAttempts(id)
+	}
+}
+
+func (c *Control) loseAttempts(owner PeerID) {
+	for number, a := range c.home.attempts.All() {
+		if a.owner != owner || a.placed.IsZero() {
+			continue
+		}
+		c.resulted(c.self, &Result{
+			Attempt: c.attemptID(number), Endpoint: a.endpoint, Outcome: Unknown,
+			Detail: "instance " + owner.Instance + ", which held the endpoint, is gone",
+		})
+	}
+}
+
+// resendPlaced repeats the open placements after a new session with the same
+// incarnation of an owner. The owner knows which of them it has seen.
+func (c *Control) resendPlaced(owner PeerID) {
+	for _, a := range c.home.attempts.All() {
+		if a.owner == owner && !a.placed.IsZero() {
+			again := *a.place
+			again.Again = true
+			again.Left = a.job.deadline.Sub(c.now)
+			c.counted.RepeatedPlaces++
+			c.send(owner, &again)
+		}
+	}
+}
+
+// pollFollowed looks after the jobs whose rows are read or followed.
+func (c *Control) pollFollowed() {
+	for j := range c.home.followed.All() {
+		switch {
+		case j.phase != reading && j.phase != following:
+			c.home.followed.Delete(j)
+		case j.phase == following && c.now.Sub(j.arrived) > c.followBound(j):
+			c.refuseFollowed(j)
+		case j.phase == following && !j.nextPoll.IsZero() && !c.now.Before(j.nextPoll):
+			c.poll(j)
+		case j.phase == reading && c.now.Sub(j.arrived) > c.config.Timing.ClaimWait:
+			c.readTimedOut(j)
+		}
+	}
+}
+
+// forgetJobs drops answered jobs from memory once their rows tell the rest.
+func (c *Control) forgetJobs() {
+	h := &c.home
+	for len(h.answered) > 0 {
+		j := h.answered[0]
+		if !j.recorded || c.now.Sub(j.finished) < c.config.Timing.Retain {
+			return
+		}
+		h.answered = h.answered[1:]
+		if current, ok := h.jobs.Get(j.key); ok && current == j {
+			h.jobs.Delete(j.key)
+		}
+	}
+}
+
+// followBound is how long a request waits for another home's answer: without
+// bound while that home can be asked, since the job's deadline ends it.
+func (c *Control) followBound(j *job) time.Duration {
+	if c.linkUp(PeerID{j.row.Home, j.row.Incarnation}) {
+		return max(j.row.Deadline.Sub(j.arrived), 0) + followWait
+	}
+	return followWait
+}
+
+func (c *Control) readTimedOut(j *job) {
+	if j.sub == nil {
+		c.finishRefused(j, submission.Refusal{Reason: submission.PlatformUnavailable, Detail: "the table did not answer in time"})
+		return
+	}
+	j.phase = claiming
+	c.claimTimedOut(j)
+}
+
+// poll looks at the row of a followed job, unless its home can be asked: then
+// the home answers by itself.
+func (c *Control) poll(j *job) {
+	homeID := PeerID{j.row.Home, j.row.Incarnation}
+	if c.linkUp(homeID) && j.pollWait < maxPollDelay {
+		j.pollWait = min(2*j.pollWait, maxPollDelay)
+		j.nextPoll = c.now.Add(j.pollWait)
+		return
+	}
+	if c.platformAway() {
+		j.nextPoll = c.now.Add(maxPollDelay)
+		return
+	}
+	j.nextPoll = time.Time{}
+	c.get(ClaimKey(j.key), func(row platform.Row, err error) {
+		if j.phase != following {
+			return
+		}
+		if err != nil || row.Version == j.version || row.Version == 0 {
+			c.counted.IdlePolls++
+			c.follow(j)
+			return
+		}
+		c.lostClaim(j, &row)
+	})
+}
+
+// runHedges starts second attempts at Repeatable tasks that take much longer
+// than expected, where the class allows it and the budget has room.
+func (c *Control) runHedges() {
+	if !c.hedging || c.now.Before(c.home.nextHedge) {
+		return
+	}
+	c.home.nextHedge = c.now.Add(hedgePeriod)
+	for _, a := range c.home.attempts.All() {
+		if c.shouldHedge(a) {
+			c.hedge(a)
+		}
+	}
+}
+
+func (c *Control) shouldHedge(a *attempt) bool {
+	policy := a.job.class.Hedge
+	if !policy.Enabled || a.placed.IsZero() || !a.job.sub.Repeatable || a.job.phase != inProgress {
+		return false
+	}
+	t := &a.job.tasks[a.task]
+	if t.hedged || len(t.attempts) != 1 || t.try >= a.job.class.MaxAttempts {
+		return false
+	}
+	late := time.Duration(float64(a.work) * max(policy.After, 1))
+	return c.now.Sub(a.placed) > late && c.home.hedges < 1+c.home.starts*policy.BudgetPercent/100
+}
+
+func (c *Control) hedge(a *attempt) {
+	t := &a.job.tasks[a.task]
+	t.hedged = true
+	t.avoid = append(t.avoid, a.endpoint)
+	c.home.hedges++
+	c.counted.Hedges++
+	again := c.newAttempt(a.job, a.task)
+	c.backOff(again, 0)
+}
--- /dev/null
+++ b/pkg/dispatch/world_test.go
@@ -0,0 +1,730 @@
+package dispatch_test
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sort"
+	"time"
+
+	"crocusseam/pkg/dispatch"
+	"crocusseam/pkg/document"
+	"crocusseam/pkg/platform"
+	"crocusseam/pkg/routing"
+	"crocusseam/pkg/submission"
+)
+
+// world drives several controls against fakes at their interfaces, in virtual
+// time. It keeps the ledgers that the invariants are judged by.
+type world struct {
+	now    time.Time
+	events eventHeap
+	seq    int
+	random *rand.Rand
+
+	nodes      map[string]*node
+	names      []string
+	endpoints  map[netip.AddrPort]*fakeEndpoint
+	sessions   map[[2]dispatch.PeerID]*session
+	store      *platform.Memory
+	cuts       map[[2]string]bool // one way, by domain or "platform"
+	away       bool
+	slowBy     time.Duration
+	loseAnswer int // of the next commits
+	loseWrite  int // of the next commits, with their answers
+	switchOff  []dispatch.Rule
+	timing     dispatch.Timing
+	document   *document.Document
+	hop        time.Duration
+
+	ledger ledger
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+type node struct {
+	id       dispatch.PeerID
+	domain   string
+	control  *dispatch.Control
+	inbox    []dispatch.Input
+	stepping bool
+	wake     int
+	up       bool
+	paused   bool
+	stopped  bool
+	peers    []dispatch.Peer
+	running  map[routing.Attempt]*fakeRun
+	clock    time.Duration // step of the node's clock
+}
+
+type session struct {
+	up    bool
+	epoch int
+}
+
+type fakeEndpoint struct {
+	address      netip.AddrPort
+	domain       string
+	slots        int
+	speed        float64
+	running      int
+	failing      bool
+	dead         bool
+	leavingSince time.Time
+	peak         int
+}
+
+type fakeRun struct {
+	endpoint *fakeEndpoint
+	ended    bool
+}
+
+type start struct {
+	token string
+	try   int
+	at    time.Time
+}
+
+// ledger is what the endpoints and callers saw.
+type ledger struct {
+	starts             map[string][]start // by team/id/task
+	startCount         int
+	byEndpoint         map[netip.AddrPort]int
+	doubleStarts       int
+	busy               int
+	startsAfterLeaving int
+	replies            map[dispatch.Handle]replyRecord
+	requests           map[dispatch.Handle]*request
+	cutOff             int
+	messages           map[string]int
+	repeatable         map[submission.Key]bool
+}
+
+type replyRecord struct {
+	reply submission.Reply
+	at    time.Time
+}
+
+type request struct {
+	sub  *submission.Submission
+	node string
+	at   time.Time
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type worldConfig struct {
+	seed      uint64
+	instances map[string][]string // domain -> names
+	perDomain int
+	slots     int
+	speeds    func(i int) float64
+	policy    routing.PolicyName
+	classes   []document.Class
+	timing    *dispatch.Timing
+	switchOff []dispatch.Rule
+	hop       time.Duration
+}
+
+func defaultWorld(seed uint64) worldConfig {
+	return worldConfig{
+		seed:      seed,
+		instances: map[string][]string{"a": {"a1", "a2"}, "b": {"b1", "b2"}, "c": {"c1", "c2"}, "d": {"d1"}},
+		perDomain: 12, slots: 8, speeds: spreadSpeeds, hop: 500 * time.Microsecond,
+	}
+}
+
+// spreadSpeeds spreads speeds over a factor of 8 in the same way in each domain.
+func spreadSpeeds(i int) float64 {
+	steps := []float64{1, 2, 0.5, 4, 1, 2, 0.5, 1, 2, 4, 1, 2}
+	return steps[i%len(steps)]
+}
+
+func newWorld(config worldConfig) *world {
+	w := &world{
+		now: epoch, random: rand.New(rand.NewPCG(config.seed, 77)),
+		nodes: map[string]*node{}, endpoints: map[netip.AddrPort]*fakeEndpoint{},
+		sessions: map[[2]dispatch.PeerID]*session{}, store: platform.NewMemory(),
+		cuts: map[[2]string]bool{}, switchOff: config.switchOff, timing: dispatch.DefaultTiming(), hop: config.hop,
+		ledger: ledger{
+			starts: map[string][]start{}, byEndpoint: map[netip.AddrPort]int{},
+			replies: map[dispatch.Handle]replyRecord{}, requests: map[dispatch.Handle]*request{}, messages: map[string]int{}, repeatable: map[submission.Key]bool{},
+		},
+	}
+	if config.timing != nil {
+		w.timing = *config.timing
+	}
+	w.document = &document.Document{
+		Environment: "test", Classes: config.classes,
+		Teams:   []document.Team{{Name: "capstone"}, {Name: "ciclo"}},
+		Routing: document.Routing{Policy: config.policy},
+	}
+	domains := make([]string, 0, len(config.instances))
+	for d := range config.instances {
+		domains = append(domains, d)
+	}
+	sort.Strings(domains)
+	for di, d := range domains {
+		group := document.Group{Name: "workers", Slots: config.slots, Connections: 64, Processors: 64, MemoryBytes: 256 << 30}
+		for i := range config.perDomain {
+			a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(di), 0, byte(i + 1)}), 9000)
+			group.Endpoints = append(group.Endpoints, a)
+			w.endpoints[a] = &fakeEndpoint{address: a, domain: d, slots: config.slots, speed: config.speeds(i)}
+		}
+		w.document.Domains = append(w.document.Domains, document.Domain{Name: d, Groups: []document.Group{group}})
+	}
+	for di, d := range domains {
+		for i, name := range config.instances[d] {
+			w.addNode(name, d, di*10+i)
+		}
+	}
+	return w
+}
+
+func (w *world) addNode(name, domain string, index int) {
+	incarnation := uint64(1)
+	if old, ok := w.nodes[name]; ok {
+		incarnation = old.id.Incarnation + 1
+	} else {
+		w.names = append(w.names, name)
+	}
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 99, 0, byte(index)}), 7000)
+	n := &node{id: dispatch.PeerID{Instance: name, Incarnation: incarnation}, domain: domain, up: true, running: map[routing.Attempt]*fakeRun{}}
+	n.control = dispatch.New(dispatch.Config{
+		Instance: name, Incarnation: incarnation, Domain: domain, Address: address, Callers: address,
+		Capacity: 1, Seed: uint64(index) + 1, Timing: w.timing, Document: w.document, DocumentVersion: 1,
+	})
+	for _, r := range w.switchOff {
+		n.control.SwitchOff(r)
+	}
+	w.nodes[name] = n
+	w.deliver(n, dispatch.Tick{})
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.now.Add(d), w.seq, do})
+}
+
+func (w *world) run(d time.Duration) { w.runUntil(w.now.Add(d)) }
+
+func (w *world) runUntil(end time.Time) {
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *world) deliver(n *node, in dispatch.Input) {
+	if !n.up {
+		return
+	}
+	n.inbox = append(n.inbox, in)
+	w.scheduleStep(n)
+}
+
+func (w *world) scheduleStep(n *node) {
+	if n.stepping || n.paused {
+		return
+	}
+	n.stepping = true
+	w.after(0, func() { w.step(n) })
+}
+
+func (w *world) step(n *node) {
+	n.stepping = false
+	if !n.up || n.paused {
+		return
+	}
+	inputs := n.inbox
+	n.inbox = nil
+	effects, wake := n.control.Step(w.now.Add(n.clock), inputs)
+	n.wake++
+	turn := n.wake
+	w.after(wake.Sub(w.now.Add(n.clock)), func() {
+		if n.wake == turn {
+			w.scheduleStep(n)
+		}
+	})
+	for _, e := range effects {
+		w.perform(n, e)
+	}
+}
+
+func (w *world) perform(n *node, e dispatch.Effect) {
+	switch m := e.(type) {
+	case dispatch.Reply:
+		w.replied(n, m)
+	case dispatch.Commit:
+		w.commit(n, m)
+	case dispatch.Get:
+		w.call(n, time.Millisecond, func(err error) dispatch.Input {
+			row, _ := w.store.Get(context.Background(), m.Key)
+			return dispatch.GetDone{ID: m.ID, Row: row, Err: err}
+		})
+	case dispatch.Scan:
+		w.call(n, time.Millisecond, func(err error) dispatch.Input {
+			if err != nil {
+				return dispatch.ScanDone{ID: m.ID, Err: err}
+			}
+			rows, _ := w.store.Scan(context.Background(), m.Prefix, dispatch.ScanLimit)
+			return dispatch.ScanDone{ID: m.ID, Rows: rows}
+		})
+	case dispatch.List:
+		w.call(n, time.Millisecond, func(err error) dispatch.Input { return dispatch.ListDone{Instances: w.list(), Err: err} })
+	case dispatch.Start:
+		w.startTask(n, m.Place)
+	case dispatch.Interrupt:
+		w.interrupt(n, m.Attempt)
+	case dispatch.Send:
+		w.sendMessage(n, m)
+	case dispatch.Connect:
+		n.peers = m.Peers
+		w.connect(n)
+	case dispatch.Stopped:
+		n.stopped = true
+		w.crash(n.id.Instance)
+	}
+}
+
+const listLag = time.Second
+
+func (w *world) list() []platform.ListedInstance {
+	var list []platform.ListedInstance
+	for _, d := range w.document.Domains {
+		for _, a := range d.Groups[0].Endpoints {
+			e := w.endpoints[a]
+			leaving := !e.leavingSince.IsZero() && w.now.Sub(e.leavingSince) > listLag
+			list = append(list, platform.ListedInstance{Address: a, Leaving: leaving})
+		}
+	}
+	return list
+}
+
+var errAway = errors.New("away")
+
+const callTimeout = time.Second
+
+func (w *world) reaches(from, to string) bool { return !w.cuts[[2]string{from, to}] }
+
+// call makes a read of the platform.
+func (w *world) call(n *node, d time.Duration, answer func(error) dispatch.Input) {
+	if !w.reaches(n.domain, "platform") || !w.reaches("platform", n.domain) {
+		w.after(callTimeout, func() { w.deliver(n, answer(&platform.ErrUnavailable{Step: "read", Cause: errAway})) })
+		return
+	}
+	if w.away {
+		w.after(d, func() { w.deliver(n, answer(&platform.ErrUnavailable{Step: "read", Cause: errAway})) })
+		return
+	}
+	w.after(d+w.slowBy, func() { w.deliver(n, answer(nil)) })
+}
+
+func (w *world) commit(n *node, m dispatch.Commit) {
+	latency := 3*time.Millisecond + time.Duration(w.random.Int64N(int64(3*time.Millisecond))) + w.slowBy
+	fail := func(d time.Duration, err error) {
+		w.after(d, func() { w.deliver(n, dispatch.CommitDone{ID: m.ID, Err: err}) })
+	}
+	uncertain := &platform.ErrUncertain{Step: "commit", Cause: errAway}
+	switch {
+	case !w.reaches(n.domain, "platform"):
+		fail(callTimeout, uncertain)
+		return
+	case w.away:
+		fail(time.Millisecond, &platform.ErrUnavailable{Step: "commit", Cause: errAway})
+		return
+	case w.loseWrite > 0:
+		w.loseWrite--
+		fail(callTimeout, uncertain)
+		return
+	}
+	lost := w.loseAnswer > 0
+	if lost {
+		w.loseAnswer--
+	}
+	w.after(latency/2, func() {
+		version, err := w.store.Commit(context.Background(), m.Writes)
+		if lost || !w.reaches("platform", n.domain) {
+			fail(callTimeout, uncertain)
+			return
+		}
+		w.after(latency/2, func() { w.deliver(n, dispatch.CommitDone{ID: m.ID, Version: version, Err: err}) })
+	})
+}
+
+func (w *world) pairKey(a, b dispatch.PeerID) [2]dispatch.PeerID {
+	if a.String() > b.String() {
+		a, b = b, a
+	}
+	return [2]dispatch.PeerID{a, b}
+}
+
+// connect brings sessions up between nodes that want each other and reach each
+// other.
+func (w *world) connect(n *node) {
+	for _, p := range n.peers {
+		other := w.nodes[p.ID.Instance]
+		if other == nil || other.id != p.ID || !other.up || other.id == n.id {
+			continue
+		}
+		key := w.pairKey(n.id, other.id)
+		s := w.sessions[key]
+		if s == nil {
+			s = &session{}
+			w.sessions[key] = s
+		}
+		if s.up || !w.reaches(n.domain, other.domain) || !w.reaches(other.domain, n.domain) || n.paused || other.paused {
+			continue
+		}
+		s.up = true
+		s.epoch++
+		w.after(time.Millisecond, func() {
+			w.deliver(n, dispatch.PeerUp{Peer: other.id})
+			w.deliver(other, dispatch.PeerUp{Peer: n.id})
+		})
+	}
+}
+
+func (w *world) sendMessage(n *node, m dispatch.Send) {
+	w.ledger.messages[fmt.Sprintf("%T", m.Message)]++
+	other := w.nodes[m.Peer.Instance]
+	s := w.sessions[w.pairKey(n.id, m.Peer)]
+	if other == nil || other.id != m.Peer || s == nil || !s.up {
+		return
+	}
+	epoch := s.epoch
+	hop := 100 * time.Microsecond
+	if other.domain != n.domain {
+		hop = w.hop
+	}
+	if !w.reaches(n.domain, other.domain) {
+		return
+	}
+	w.after(hop, func() {
+		if s.up && s.epoch == epoch {
+			w.deliver(other, dispatch.Received{From: n.id, Message: m.Message})
+		}
+	})
+}
+
+const sessionTimeout = 1500 * time.Millisecond
+
+// dropSession ends a session and tells both sides after a delay.
+func (w *world) dropSession(key [2]dispatch.PeerID, delay time.Duration) {
+	s := w.sessions[key]
+	if s == nil || !s.up {
+		return
+	}
+	w.after(delay, func() {
+		if !s.up {
+			return
+		}
+		s.up = false
+		for i := range key {
+			if n := w.nodes[key[i].Instance]; n != nil && n.id == key[i] {
+				w.deliver(n, dispatch.PeerDown{Peer: key[1-i]})
+				w.retryConnect(n)
+			}
+		}
+	})
+}
+
+func (w *world) retryConnect(n *node) {
+	w.after(300*time.Millisecond, func() {
+		if !n.up {
+			return
+		}
+		w.connect(n)
+		for _, p := range n.peers {
+			other := w.nodes[p.ID.Instance]
+			if other != nil && other.id == p.ID && other.up && !w.sessions[w.pairKey(n.id, other.id)].up {
+				w.retryConnect(n)
+				return
+			}
+		}
+	})
+}
+
+// cut cuts the way from one domain (or the platform) to another, one way.
+func (w *world) cut(from, to string) {
+	w.cuts[[2]string{from, to}] = true
+	for key := range w.sessions {
+		a, b := w.nodes[key[0].Instance], w.nodes[key[1].Instance]
+		if a == nil || b == nil {
+			continue
+		}
+		if (a.domain == from && b.domain == to) || (b.domain == from && a.domain == to) {
+			w.dropSession(key, sessionTimeout)
+		}
+	}
+}
+
+func (w *world) heal(from, to string) { delete(w.cuts, [2]string{from, to}) }
+
+func (w *world) sortedSessions() [][2]dispatch.PeerID {
+	keys := make([][2]dispatch.PeerID, 0, len(w.sessions))
+	for k := range w.sessions {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return fmt.Sprint(keys[i]) < fmt.Sprint(keys[j]) })
+	return keys
+}
+
+func (w *world) crash(name string) {
+	n := w.nodes[name]
+	if !n.up {
+		return
+	}
+	n.up = false
+	for _, r := range n.running {
+		if !r.ended {
+			r.ended = true
+			if n.stopped {
+				w.ledger.cutOff++
+			}
+			r.endpoint.running--
+		}
+	}
+	for _, key := range w.sortedSessions() {
+		if key[0] == n.id || key[1] == n.id {
+			w.dropSession(key, time.Millisecond)
+		}
+	}
+	handles := make([]int, 0)
+	for h, r := range w.ledger.requests {
+		if _, done := w.ledger.replies[h]; !done && r.node == name {
+			handles = append(handles, int(h))
+		}
+	}
+	if n.stopped {
+		w.ledger.cutOff += len(handles)
+	}
+}
+
+func (w *world) pause(name string, d time.Duration) {
+	n := w.nodes[name]
+	n.paused = true
+	for _, key := range w.sortedSessions() {
+		if key[0] == n.id || key[1] == n.id {
+			if d > sessionTimeout {
+				w.dropSession(key, sessionTimeout)
+			}
+		}
+	}
+	w.after(d, func() {
+		n.paused = false
+		w.scheduleStep(n)
+		w.retryConnect(n)
+	})
+}
+
+func (w *world) startTask(n *node, p dispatch.Place) {
+	e := w.endpoints[p.Endpoint]
+	done := func(d time.Duration, outcome dispatch.Outcome, detail string) {
+		w.after(d, func() {
+			w.deliver(n, dispatch.AttemptDone{Attempt: p.Attempt, Outcome: outcome, Detail: detail, Output: []byte(p.Task)})
+		})
+	}
+	const oneWay = 100 * time.Microsecond
+	if e.dead {
+		done(2*oneWay, dispatch.NotStarted, "connection refused")
+		return
+	}
+	if e.running >= e.slots {
+		w.ledger.busy++
+		done(2*oneWay, dispatch.NotStarted, "busy")
+		return
+	}
+	w.ledger.record(w, p, e)
+	if e.failing {
+		done(5*time.Millisecond, dispatch.TaskFailed, "failed")
+		return
+	}
+	work, err := time.ParseDuration(string(p.Payload))
+	if err != nil {
+		panic(err)
+	}
+	e.running++
+	e.peak = max(e.peak, e.running)
+	run := &fakeRun{endpoint: e}
+	n.running[p.Attempt] = run
+	w.after(2*oneWay+time.Duration(float64(work)/e.speed), func() {
+		if run.ended {
+			return
+		}
+		run.ended = true
+		delete(n.running, p.Attempt)
+		e.running--
+		outcome := dispatch.Done
+		if e.dead {
+			outcome = dispatch.Unknown
+		}
+		w.deliver(n, dispatch.AttemptDone{Attempt: p.Attempt, Outcome: outcome, Output: []byte(p.Key.ID + "/" + p.Task)})
+	})
+}
+
+func (w *world) interrupt(n *node, id routing.Attempt) {
+	run, ok := n.running[id]
+	if !ok || run.ended {
+		return
+	}
+	run.ended = true
+	delete(n.running, id)
+	run.endpoint.running--
+	w.after(200*time.Microsecond, func() {
+		w.deliver(n, dispatch.AttemptDone{Attempt: id, Outcome: dispatch.Unknown, Detail: "interrupted"})
+	})
+}
+
+// record notes a start in the endpoints' ledger. A task starts twice if the
+// same attempt starts again, if another claim starts it, or if the submission
+// is not Repeatable and any attempt had started before.
+func (l *ledger) record(w *world, p dispatch.Place, e *fakeEndpoint) {
+	key := p.Key.String() + "/" + p.Task
+	repeatable := l.repeatable[p.Key]
+	for _, s := range l.starts[key] {
+		if s.token != p.Token || s.try == p.Try || !repeatable {
+			l.doubleStarts++
+			break
+		}
+	}
+	l.starts[key] = append(l.starts[key], start{p.Token, p.Try, w.now})
+	l.startCount++
+	l.byEndpoint[e.address]++
+	if !e.leavingSince.IsZero() && w.now.Sub(e.leavingSince) > 3*time.Second {
+		l.startsAfterLeaving++
+	}
+}
+
+var nextHandle dispatch.Handle
+
+func (w *world) submit(name string, s *submission.Submission) dispatch.Handle {
+	nextHandle++
+	h := nextHandle
+	w.ledger.requests[h] = &request{sub: s, node: name, at: w.now}
+	w.ledger.repeatable[s.Key] = s.Repeatable
+	w.deliver(w.nodes[name], dispatch.Submit{Handle: h, Submission: s})
+	return h
+}
+
+func (w *world) await(name string, key submission.Key) dispatch.Handle {
+	nextHandle++
+	h := nextHandle
+	w.ledger.requests[h] = &request{node: name, at: w.now}
+	w.deliver(w.nodes[name], dispatch.Await{Handle: h, Key: key})
+	return h
+}
+
+func (w *world) replied(n *node, m dispatch.Reply) {
+	if _, twice := w.ledger.replies[m.Handle]; twice {
+		panic("a request was answered twice")
+	}
+	w.ledger.replies[m.Handle] = replyRecord{m.Reply, w.now}
+}
+
+func (w *world) answered(h dispatch.Handle) *submission.Reply {
+	r, ok := w.ledger.replies[h]
+	if !ok {
+		return nil
+	}
+	return &r.reply
+}
+
+// violations lists what broke the invariants, judged by the ledgers.
+func (w *world) violations() []string {
+	var list []string
+	l := &w.ledger
+	if l.doubleStarts > 0 {
+		list = append(list, fmt.Sprintf("%d double starts", l.doubleStarts))
+	}
+	if l.startsAfterLeaving > 0 {
+		list = append(list, fmt.Sprintf("%d starts after leaving", l.startsAfterLeaving))
+	}
+	if l.cutOff > 0 {
+		list = append(list, fmt.Sprintf("%d cut off by a planned stop", l.cutOff))
+	}
+	handles := make([]int, 0, len(l.replies))
+	for h := range l.replies {
+		handles = append(handles, int(h))
+	}
+	sort.Ints(handles)
+	for _, h := range handles {
+		if v := w.judge(dispatch.Handle(h)); v != "" {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+func (w *world) judge(h dispatch.Handle) string {
+	r := w.ledger.requests[h]
+	reply := w.ledger.replies[h].reply
+	if r.sub == nil {
+		return ""
+	}
+	if refusal := reply.Refusal; refusal != nil {
+		if refusal.NotRun && w.startsOf(r.sub) > 0 {
+			return fmt.Sprintf("%s: said to be not run, but it ran (%s)", r.sub.Key, refusal.Reason)
+		}
+		return ""
+	}
+	if reply.Answer.Status != submission.Complete {
+		if len(reply.Answer.Results) > 0 {
+			return fmt.Sprintf("%s: a failed answer with results", r.sub.Key)
+		}
+		return ""
+	}
+	if len(reply.Answer.Results) != len(r.sub.Tasks) {
+		return fmt.Sprintf("%s: a partial answer", r.sub.Key)
+	}
+	for i, t := range r.sub.Tasks {
+		got := reply.Answer.Results[i]
+		if got.Name != t.Name || string(got.Output) != r.sub.ID+"/"+t.Name {
+			return fmt.Sprintf("%s: task %s has the result of another: %s", r.sub.Key, t.Name, got.Output)
+		}
+	}
+	return ""
+}
+
+func (w *world) startsOf(s *submission.Submission) int {
+	count := 0
+	for _, t := range s.Tasks {
+		count += len(w.ledger.starts[s.Key.String()+"/"+t.Name])
+	}
+	return count
+}
+
+func (w *world) job(id string, tasks int, work time.Duration) *submission.Submission {
+	s := &submission.Submission{Key: submission.Key{Team: "capstone", ID: id}, Deadline: w.now.Add(30 * time.Second), Attempt: 1}
+	for i := range tasks {
+		s.Tasks = append(s.Tasks, submission.Task{Name: fmt.Sprint("t", i), Kind: "hold", Payload: []byte(work.String()), DeclaredRunTime: work})
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/platform/memory.go
@@ -0,0 +1,99 @@
+package platform
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+)
+
+// Memory is a table and an object store in memory. It never fails: callers
+// that need delays or faults wrap it. It is safe for concurrent use.
+type Memory struct {
+	mu      sync.Mutex
+	version Version
+	rows    map[string]Row
+	objects map[string][]byte
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{rows: make(map[string]Row), objects: make(map[string][]byte)}
+}
+
+// Get returns the row under key.
+func (m *Memory) Get(_ context.Context, key string) (Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.row(key), nil
+}
+
+func (m *Memory) row(key string) Row {
+	if r, ok := m.rows[key]; ok {
+		return r
+	}
+	return Row{Key: key}
+}
+
+// Scan returns the rows whose keys begin with prefix, in key order.
+func (m *Memory) Scan(_ context.Context, prefix string, limit int) ([]Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []Row
+	for k, r := range m.rows {
+		if strings.HasPrefix(k, prefix) {
+			found = append(found, r)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	if len(found) > limit {
+		found = found[:limit]
+	}
+	return found, nil
+}
+
+// Commit applies all writes or none.
+func (m *Memory) Commit(_ context.Context, writes []Write) (Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var differing []Row
+	for _, w := range writes {
+		if w.Expect == AnyVersion {
+			continue
+		}
+		if r := m.row(w.Key); r.Version != w.Expect {
+			differing = append(differing, r)
+		}
+	}
+	if len(differing) > 0 {
+		return 0, &ErrConflict{Rows: differing}
+	}
+	m.version++
+	for _, w := range writes {
+		if w.Delete {
+			delete(m.rows, w.Key)
+			continue
+		}
+		m.rows[w.Key] = Row{Key: w.Key, Value: w.Value, Version: m.version}
+	}
+	return m.version, nil
+}
+
+// Put stores an object.
+func (m *Memory) Put(_ context.Context, name string, content []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects[name] = content
+	return nil
+}
+
+// GetObject returns an object.
+func (m *Memory) GetObject(_ context.Context, name string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	content, ok := m.objects[name]
+	if !ok {
+		return nil, &ErrAbsent{Name: name}
+	}
+	return content, nil
+}
--- /dev/null
+++ b/pkg/slots/slots.go
@@ -0,0 +1,105 @@
+// Package slots divides the endpoints of a failure domain, and with them their
+// slots and connections, among the domain's live instances.
+package slots
+
+import (
+	"hash/fnv"
+	"net/netip"
+	"sort"
+)
+
+// Member is an instance that takes part in a division.
+type Member struct {
+	Instance string
+	Capacity int // relative size, at least 1
+}
+
+// Divide assigns each endpoint to exactly one member. The numbers of endpoints
+// are in proportion to the capacities, exact to one endpoint, and which
+// endpoints a member gets is chosen by rendezvous hashing, so that a change of
+// members moves few of them. The result depends only on the sets given, not on
+// their order. Without members it is empty.
+func Divide(endpoints []netip.AddrPort, members []Member) map[netip.AddrPort]string {
+	division := make(map[netip.AddrPort]string, len(endpoints))
+	if len(members) == 0 {
+		return division
+	}
+	members = append([]Member(nil), members...)
+	sort.Slice(members, func(i, j int) bool { return members[i].Instance < members[j].Instance })
+	left := quotas(len(endpoints), members)
+	for _, p := range preferences(endpoints, members) {
+		if _, taken := division[p.endpoint]; taken || left[p.member] == 0 {
+			continue
+		}
+		division[p.endpoint] = members[p.member].Instance
+		left[p.member]--
+	}
+	return division
+}
+
+// quotas splits a count in proportion to the capacities by largest remainders.
+func quotas(count int, members []Member) []int {
+	total := 0
+	for _, m := range members {
+		total += max(m.Capacity, 1)
+	}
+	quota := make([]int, len(members))
+	rest := count
+	order := make([]int, len(members))
+	for i, m := range members {
+		quota[i] = count * max(m.Capacity, 1) / total
+		rest -= quota[i]
+		order[i] = i
+	}
+	remainder := func(i int) int { return count * max(members[i].Capacity, 1) % total }
+	sort.SliceStable(order, func(a, b int) bool { return remainder(order[a]) > remainder(order[b]) })
+	for _, i := range order[:rest] {
+		quota[i]++
+	}
+	return quota
+}
+
+type preference struct {
+	endpoint netip.AddrPort
+	member   int
+	score    uint64
+}
+
+// preferences lists all pairs of endpoint and member, the strongest first.
+func preferences(endpoints []netip.AddrPort, members []Member) []preference {
+	list := make([]preference, 0, len(endpoints)*len(members))
+	for _, e := range endpoints {
+		for i, m := range members {
+			list = append(list, preference{e, i, Score(e.String(), m.Instance)})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if a.score != b.score {
+			return a.score > b.score
+		}
+		if c := a.endpoint.Compare(b.endpoint); c != 0 {
+			return c < 0
+		}
+		return a.member < b.member
+	})
+	return list
+}
+
+// Score is the rendezvous weight of an instance for a key.
+func Score(key, instance string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	h.Write([]byte{0})
+	h.Write([]byte(instance))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/service/entry/routes.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"crypto/subtle"
+	"errors"
+	"expvar"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/dispatch"
+	"crocusseam/pkg/document"
+	"crocusseam/pkg/submission"
+	"crocusseam/service/api"
+)
+
+func (s *Server) routes() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.POST(api.PathSubmissions, s.postSubmission)
+	e.GET(api.PathSubmission, s.getSubmission)
+	e.DELETE(api.PathSubmission, s.deleteSubmission)
+	e.GET(api.PathHealth, func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET(api.PathReady, s.getReady)
+	e.GET(api.PathStatus, s.getStatus)
+	e.GET("/debug/vars", s.getVars)
+	return e
+}
+
+// getReady tells the balancer whether to send new requests here.
+func (s *Server) getReady(c echo.Context) error {
+	if status := s.Status(); status.State != string(dispatch.Live) || status.Document == nil {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) getStatus(c echo.Context) error {
+	if !s.isOperator(c) {
+		return refuse(c, submission.Key{}, &submission.Refusal{Reason: submission.Unauthorized, Detail: "an operator's token is needed"})
+	}
+	return c.JSON(http.StatusOK, s.Status())
+}
+
+// getVars shows the process's expvar metrics and the instance's counters.
+func (s *Server) getVars(c echo.Context) error {
+	if !s.isOperator(c) {
+		return refuse(c, submission.Key{}, &submission.Refusal{Reason: submission.Unauthorized, Detail: "an operator's token is needed"})
+	}
+	expvar.Handler().ServeHTTP(c.Response(), c.Request())
+	return nil
+}
+
+func bearer(c echo.Context) string {
+	return strings.TrimPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+}
+
+// isOperator compares the token's hash with every operator's. A document
+// without operators, as on a developer's machine, lets everyone look.
+func (s *Server) isOperator(c echo.Context) bool {
+	d := s.documentInForce()
+	if d == nil || len(d.Operators) == 0 {
+		return true
+	}
+	found := 0
+	hash := document.TokenHash(bearer(c))
+	for _, o := range d.Operators {
+		found |= subtle.ConstantTimeCompare([]byte(hash), []byte(o))
+	}
+	return found == 1
+}
+
+// mayActFor checks the caller's token against the team's. An unknown team and a
+// wrong token get the same refusal.
+func (s *Server) mayActFor(c echo.Context, team string) bool {
+	d := s.documentInForce()
+	if d == nil {
+		return true // the control refuses everything until it has a document
+	}
+	hash := document.TokenHash(bearer(c))
+	for _, t := range d.Teams {
+		if t.Name == team {
+			return t.TokenHash == "" || subtle.ConstantTimeCompare([]byte(hash), []byte(t.TokenHash)) == 1
+		}
+	}
+	return false
+}
+
+func (s *Server) postSubmission(c echo.Context) error {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.config.MaxBodyBytes))
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return c.JSON(http.StatusRequestEntityTooLarge, &api.Refusal{
+			Reason: submission.Invalid, NotRun: true, Field: "body",
+			Value: "longer than " + strconv.FormatInt(tooLong.Limit, 10) + " bytes", Detail: "the body is too long",
+		})
+	case err != nil:
+		return c.JSON(http.StatusBadRequest, &api.Refusal{Reason: submission.Invalid, NotRun: true, Field: "body", Detail: err.Error()})
+	}
+	sub, err := api.DecodeSubmission(body)
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, &api.Refusal{Reason: submission.Invalid, NotRun: true, Field: "body", Detail: err.Error()})
+	}
+	var invalid *submission.ErrInvalid
+	if errors.As(s.config.Limits.Validate(sub, time.Now()), &invalid) {
+		return c.JSON(http.StatusBadRequest, api.EncodeInvalid(sub.Key, invalid))
+	}
+	if !s.mayActFor(c, sub.Team) {
+		return refuseToken(c)
+	}
+	h, answer := s.expect()
+	s.deliver(dispatch.Submit{Handle: h, Submission: sub})
+	return s.answer(c, sub.Key, h, answer)
+}
+
+func refuseToken(c echo.Context) error {
+	return refuse(c, submission.Key{}, &submission.Refusal{Reason: submission.Unauthorized, Detail: "the token does not belong to the team"})
+}
+
+func pathKey(c echo.Context) submission.Key {
+	return submission.Key{Team: c.Param("team"), ID: c.Param("id")}
+}
+
+func (s *Server) getSubmission(c echo.Context) error {
+	key := pathKey(c)
+	if !s.mayActFor(c, key.Team) {
+		return refuseToken(c)
+	}
+	h, answer := s.expect()
+	s.deliver(dispatch.Await{Handle: h, Key: key})
+	return s.answer(c, key, h, answer)
+}
+
+func (s *Server) deleteSubmission(c echo.Context) error {
+	key := pathKey(c)
+	if !s.mayActFor(c, key.Team) {
+		return refuseToken(c)
+	}
+	h, answer := s.expect()
+	s.deliver(dispatch.Cancel{Handle: h, Key: key})
+	return s.answer(c, key, h, answer)
+}
+
+// answer waits for the control's reply to a request.
+func (s *Server) answer(c echo.Context, key submission.Key, h dispatch.Handle, answer chan submission.Reply) error {
+	select {
+	case <-c.Request().Context().Done():
+		s.forget(h)
+		return nil
+	case r := <-answer:
+		if r.Answer != nil {
+			return c.JSON(http.StatusOK, api.EncodeAnswer(key, r.Answer))
+		}
+		if r.Refusal == nil {
+			return errNoReply
+		}
+		s.config.Logger.Named("callers").Debug("refused",
+			zap.String("Team", key.Team), zap.String("Id", key.ID), zap.String("Reason", string(r.Refusal.Reason)))
+		return refuse(c, key, r.Refusal)
+	}
+}
+
+var errNoReply = errors.New("the control gave no reply")
+
+func refuse(c echo.Context, key submission.Key, r *submission.Refusal) error {
+	if seconds := int(r.RetryAfter.Seconds() + 0.999); seconds > 0 {
+		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	return c.JSON(api.StatusOf(r.Reason), api.EncodeRefusal(key, r))
+}
--- /dev/null
+++ b/service/entry/server.go
@@ -0,0 +1,371 @@
+// Package entry is an entry instance: the control state with the traffic around
+// it.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"crocusseam/pkg/burn"
+	"crocusseam/pkg/dispatch"
+	"crocusseam/pkg/document"
+	"crocusseam/pkg/platform"
+	"crocusseam/pkg/submission"
+	"crocusseam/pkg/timer"
+	"crocusseam/service/endpoint"
+	"crocusseam/service/peer"
+)
+
+// Platform is everything that an instance needs of the platform.
+type Platform interface {
+	platform.Table
+	platform.Objects
+	platform.Listing
+}
+
+// Config constructs a Server.
+type Config struct {
+	Instance    string
+	Incarnation uint64
+	Domain      string
+	Capacity    int
+	// Callers and Peers are the addresses to listen at; port 0 picks one.
+	Callers netip.AddrPort
+	Peers   netip.AddrPort
+	// Platform is the client of the platform's services.
+	Platform Platform
+	Limits   submission.Limits
+	Timing   dispatch.Timing
+	// MaxBodyBytes bounds a caller's request.
+	MaxBodyBytes int64
+	// CallersTLS and PeersTLS are nil for plain listeners.
+	CallersTLS *tls.Config
+	PeersTLS   *tls.Config
+	Logger     *zap.Logger
+	Seed       uint64
+}
+
+// Server is one entry instance.
+type Server struct {
+	config   Config
+	control  *dispatch.Control
+	mailbox  *mailbox
+	links    *peer.Links
+	runner   *endpoint.Runner
+	timers   *timer.Service
+	group    *errgroup.Group
+	cancel   context.CancelFunc
+	listener net.Listener
+	http     *http.Server
+	burn     *burn.Recorder
+	stopped  chan struct{}
+	stopOnce sync.Once
+	exited   chan struct{}
+
+	nextHandle atomic.Uint64
+	mu         sync.Mutex
+	waiting    map[dispatch.Handle]chan submission.Reply
+	status     atomic.Pointer[dispatch.Status]
+}
+
+// Bounds of the server.
+const (
+	platformCallTimeout = 3 * time.Second
+	maxOutputBytes      = 1 << 20
+	// An endpoint's holder and its former holder stay below its connections
+	// together.
+	maxEndpointConnections = 32
+	endpointDialTimeout    = time.Second
+	defaultMaxBody         = 8 << 20
+	headerTimeout          = 5 * time.Second
+	maxHeaderBytes         = 16 << 10
+	stopGrace              = 2 * time.Second
+	statusPeriod           = 100 * time.Millisecond
+)
+
+// New binds the addresses of an instance.
+func New(config Config) (*Server, error) {
+	if config.MaxBodyBytes == 0 {
+		config.MaxBodyBytes = defaultMaxBody
+	}
+	s := &Server{
+		config: config, mailbox: newMailbox(), timers: timer.New(), stopped: make(chan struct{}),
+		exited: make(chan struct{}), waiting: make(map[dispatch.Handle]chan submission.Reply),
+	}
+	listener, err := net.Listen("tcp", config.Callers.String())
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for callers at %s", config.Callers)
+	}
+	if config.CallersTLS != nil {
+		listener = tls.NewListener(listener, config.CallersTLS)
+	}
+	s.listener = listener
+	s.links, err = peer.Listen(peer.Config{
+		Self: dispatch.PeerID{Instance: config.Instance, Incarnation: config.Incarnation}, Domain: config.Domain,
+		Listen: config.Peers, TLS: config.PeersTLS, Deliver: s.deliver, Logger: config.Logger.Named("peers"),
+	})
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	s.runner = endpoint.NewRunner(endpoint.Config{
+		MaxConnections: maxEndpointConnections, MaxOutputBytes: maxOutputBytes, DialTimeout: endpointDialTimeout, Deliver: s.deliver,
+	})
+	s.burn = burn.NewRecorder(config.Instance, config.Incarnation)
+	s.control = dispatch.New(dispatch.Config{
+		Instance: config.Instance, Incarnation: config.Incarnation, Domain: config.Domain, Capacity: config.Capacity,
+		Address: s.links.Address(), Callers: s.Address(), Seed: config.Seed, Timing: config.Timing,
+	})
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return s, nil
+}
+
+// Address returns the address that callers reach.
+func (s *Server) Address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// PeerAddress returns the address that peers reach.
+func (s *Server) PeerAddress() netip.AddrPort { return s.links.Address() }
+
+func (s *Server) deliver(in dispatch.Input) { s.mailbox.put(in) }
+
+// Run serves until Stop has finished, the context ends, or a part fails.
+func (s *Server) Run(ctx context.Context) error {
+	defer close(s.exited)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	s.group = group
+	s.cancel = cancel
+	group.Go(func() error { return s.timers.Run(ctx) })
+	group.Go(func() error { return s.runControl(ctx) })
+	group.Go(func() error { return s.links.Run(ctx) })
+	group.Go(s.serveCallers)
+	group.Go(func() error { return s.recordBurn(ctx) })
+	group.Go(func() error {
+		s.awaitStop(ctx)
+		cancel()
+		return nil
+	})
+	err := group.Wait()
+	s.runner.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) serveCallers() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "serve callers")
+	}
+	return nil
+}
+
+// awaitStop waits for the end of the control's planned stop, lets the last
+// answers reach their callers, and then closes the listeners.
+func (s *Server) awaitStop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		_ = s.http.Close()
+	case <-s.stopped:
+		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
+		defer cancel()
+		_ = s.http.Shutdown(grace)
+	}
+}
+
+// Stop begins a planned stop and waits for its end or the context's.
+func (s *Server) Stop(ctx context.Context) error {
+	s.deliver(dispatch.Stop{})
+	select {
+	case <-s.exited:
+		return nil
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "stop the instance")
+	}
+}
+
+// Crash ends the instance at once, as if its process had been killed.
+func (s *Server) Crash() {
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+// runControl is the one goroutine that owns the control state. It takes all
+// inputs that have come and lets one step handle them together.
+func (s *Server) runControl(ctx context.Context) error {
+	wake := s.timers.Once()
+	defer wake.Stop()
+	var statusDue time.Time
+	for {
+		inputs := s.mailbox.take()
+		now := s.timers.Now()
+		effects, next := s.control.Step(now, inputs)
+		wake.WakeAt(next)
+		for _, e := range effects {
+			s.perform(ctx, e)
+		}
+		if !now.Before(statusDue) {
+			statusDue = now.Add(statusPeriod)
+			status := s.control.Status()
+			s.status.Store(&status)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.mailbox.signal:
+		case <-wake.C:
+		}
+	}
+}
+
+// perform carries out an effect. Nothing here blocks the control goroutine.
+func (s *Server) perform(ctx context.Context, e dispatch.Effect) {
+	switch m := e.(type) {
+	case dispatch.Reply:
+		s.reply(m)
+	case dispatch.Start:
+		attempt := s.runner.Prepare(&m.Place)
+		s.group.Go(func() error {
+			stop := context.AfterFunc(ctx, func() { s.runner.Interrupt(m.Place.Attempt) })
+			defer stop()
+			s.runner.Run(attempt, &m.Place)
+			return nil
+		})
+	case dispatch.Interrupt:
+		s.runner.Interrupt(m.Attempt)
+	case dispatch.Send:
+		s.links.Send(m.Peer, m.Message)
+	case dispatch.Connect:
+		s.links.SetPeers(m.Peers)
+	case dispatch.Observation:
+		s.burn.Observe(m.Team, m.Class, m.Elapsed, m.Met, s.timers.Now())
+	case dispatch.Stopped:
+		s.stopOnce.Do(func() { close(s.stopped) })
+	default:
+		s.group.Go(func() error {
+			s.callPlatform(ctx, e)
+			return nil
+		})
+	}
+}
+
+func (s *Server) callPlatform(ctx context.Context, e dispatch.Effect) {
+	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
+	defer cancel()
+	p := s.config.Platform
+	switch m := e.(type) {
+	case dispatch.Commit:
+		version, err := p.Commit(ctx, m.Writes)
+		s.logPlatform("commit", err)
+		s.deliver(dispatch.CommitDone{ID: m.ID, Version: version, Err: err})
+	case dispatch.Get:
+		row, err := p.Get(ctx, m.Key)
+		s.logPlatform("get", err)
+		s.deliver(dispatch.GetDone{ID: m.ID, Row: row, Err: err})
+	case dispatch.Scan:
+		rows, err := p.Scan(ctx, m.Prefix, dispatch.ScanLimit)
+		s.logPlatform("scan", err)
+		s.deliver(dispatch.ScanDone{ID: m.ID, Rows: rows, Err: err})
+	case dispatch.List:
+		list, err := p.Instances(ctx)
+		s.logPlatform("list", err)
+		s.deliver(dispatch.ListDone{Instances: list, Err: err})
+	}
+}
+
+func (s *Server) logPlatform(step string, err error) {
+	var conflict *platform.ErrConflict
+	if err != nil && !errors.As(err, &conflict) && !errors.Is(err, context.Canceled) {
+		s.config.Logger.Named("platform").Warn("call failed", zap.String("Step", step), zap.Error(err))
+	}
+}
+
+// expect registers a request that waits for a reply.
+func (s *Server) expect() (dispatch.Handle, chan submission.Reply) {
+	h := dispatch.Handle(s.nextHandle.Add(1))
+	answer := make(chan submission.Reply, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[h] = answer
+	return h, answer
+}
+
+func (s *Server) reply(m dispatch.Reply) {
+	s.mu.Lock()
+	answer, ok := s.waiting[m.Handle]
+	delete(s.waiting, m.Handle)
+	s.mu.Unlock()
+	if ok {
+		answer <- m.Reply
+	}
+}
+
+// forget drops a request whose caller has gone.
+func (s *Server) forget(h dispatch.Handle) {
+	s.mu.Lock()
+	_, ok := s.waiting[h]
+	delete(s.waiting, h)
+	s.mu.Unlock()
+	if ok {
+		s.deliver(dispatch.Abandon{Handle: h})
+	}
+}
+
+// Status returns the state that the instance last reported.
+func (s *Server) Status() dispatch.Status {
+	if status := s.status.Load(); status != nil {
+		return *status
+	}
+	return dispatch.Status{}
+}
+
+// Traffic returns the counts of the traffic with peers.
+func (s *Server) Traffic() *peer.Stats { return &s.links.Stats }
+
+// documentInForce returns the document that the instance serves, or nil.
+func (s *Server) documentInForce() *document.Document {
+	if status := s.status.Load(); status != nil {
+		return status.Document
+	}
+	return nil
+}
+
+// mailbox holds the inputs that the control has not taken yet.
+type mailbox struct {
+	mu     sync.Mutex
+	inputs []dispatch.Input
+	signal chan struct{}
+}
+
+func newMailbox() *mailbox { return &mailbox{signal: make(chan struct{}, 1)} }
+
+func (m *mailbox) put(in dispatch.Input) {
+	m.mu.Lock()
+	m.inputs = append(m.inputs, in)
+	m.mu.Unlock()
+	select {
+	case m.signal <- struct{}{}:
+	default:
+	}
+}
+
+func (m *mailbox) take() []dispatch.Input {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	taken := m.inputs
+	m.inputs = nil
+	return taken
+}
--- /dev/null
+++ b/service/peer/links.go
@@ -0,0 +1,434 @@
+// Package peer keeps the sessions between entry instances: yamux over TCP,
+// protobuf frames, mutual TLS where the settings say so.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"crocusseam/pkg/dispatch"
+	"crocusseam/service/peer/wire"
+)
+
+// ProtocolVersion is the version of the protocol between instances. Instances
+// with another version are refused.
+const ProtocolVersion = 1
+
+// Bounds of sessions and frames.
+const (
+	maxFrameBytes    = 8 << 20
+	maxQueued        = 200_000 // messages that wait for one peer
+	maxFrameMessages = 2000
+	helloTimeout     = 2 * time.Second
+	dialTimeout      = time.Second
+	keepAlive        = 500 * time.Millisecond
+	writeTimeout     = time.Second
+	firstRedial      = 50 * time.Millisecond
+	maxRedial        = time.Second
+	streamWindow     = 4 << 20
+)
+
+// Config constructs Links.
+type Config struct {
+	Self   dispatch.PeerID
+	Domain string
+	// Listen is the address for peers; port 0 picks one.
+	Listen netip.AddrPort
+	// TLS is nil for plain sessions.
+	TLS *tls.Config
+	// Deliver takes what comes from peers. It must not block.
+	Deliver func(dispatch.Input)
+	Logger  *zap.Logger
+}
+
+// Stats counts the traffic with peers, in both directions.
+type Stats struct {
+	SentBytes     atomic.Int64
+	ReceivedBytes atomic.Int64
+	SentMessages  atomic.Int64
+	SentFrames    atomic.Int64
+	BadMessages   atomic.Int64
+}
+
+// Links keeps a session with every peer that it is told of.
+type Links struct {
+	Stats Stats
+
+	config   Config
+	listener net.Listener
+	mu       sync.Mutex
+	wanted   map[dispatch.PeerID]context.CancelFunc
+	sessions map[dispatch.PeerID]*session
+	dials    chan dispatch.Peer
+}
+
+// session is one yamux session with its single stream of frames.
+type session struct {
+	peer   dispatch.PeerID
+	stream net.Conn
+	closer io.Closer
+	mu     sync.Mutex
+	queue  []dispatch.Message
+	signal chan struct{}
+}
+
+// Listen binds the address for peers.
+func Listen(config Config) (*Links, error) {
+	listener, err := net.Listen("tcp", config.Listen.String())
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for peers at %s", config.Listen)
+	}
+	return &Links{
+		config: config, listener: listener, wanted: make(map[dispatch.PeerID]context.CancelFunc),
+		sessions: make(map[dispatch.PeerID]*session), dials: make(chan dispatch.Peer, 1024),
+	}, nil
+}
+
+// Address returns the address that peers reach.
+func (l *Links) Address() netip.AddrPort {
+	return l.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Run serves sessions until the context ends.
+func (l *Links) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return l.accept(ctx, group) })
+	group.Go(func() error { return l.dialWanted(ctx, group) })
+	group.Go(func() error {
+		<-ctx.Done()
+		l.close()
+		return nil
+	})
+	return group.Wait()
+}
+
+func (l *Links) close() {
+	_ = l.listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.sessions {
+		_ = s.closer.Close()
+	}
+}
+
+func (l *Links) accept(ctx context.Context, group *errgroup.Group) error {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return eris.Wrap(err, "accept a peer")
+		}
+		group.Go(func() error {
+			if err := l.serve(ctx, l.secure(conn, false), false); err != nil {
+				l.config.Logger.Debug("session ended", zap.String("Peer", conn.RemoteAddr().String()), zap.Error(err))
+			}
+			return nil
+		})
+	}
+}
+
+func (l *Links) secure(conn net.Conn, dialed bool) net.Conn {
+	switch {
+	case l.config.TLS == nil:
+		return conn
+	case dialed:
+		return tls.Client(conn, l.config.TLS)
+	}
+	return tls.Server(conn, l.config.TLS)
+}
+
+// SetPeers names the peers to keep sessions with. Of two instances the one with
+// the lower name dials.
+func (l *Links) SetPeers(peers []dispatch.Peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	named := make(map[dispatch.PeerID]bool, len(peers))
+	for _, p := range peers {
+		named[p.ID] = true
+		if _, known := l.wanted[p.ID]; known || l.config.Self.Instance >= p.ID.Instance {
+			continue
+		}
+		l.wanted[p.ID] = func() {}
+		select {
+		case l.dials <- p:
+		default:
+			delete(l.wanted, p.ID)
+		}
+	}
+	for id, cancel := range l.wanted {
+		if !named[id] {
+			cancel()
+			delete(l.wanted, id)
+		}
+	}
+}
+
+func (l *Links) dialWanted(ctx context.Context, group *errgroup.Group) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case p := <-l.dials:
+			dialCtx, cancel := context.WithCancel(ctx)
+			l.mu.Lock()
+			l.wanted[p.ID] = cancel
+			l.mu.Unlock()
+			group.Go(func() error {
+				l.keep(dialCtx, p)
+				cancel()
+				return nil
+			})
+		}
+	}
+}
+
+// keep dials a peer again and again, with jittered back-off.
+func (l *Links) keep(ctx context.Context, p dispatch.Peer) {
+	backoff := firstRedial
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := l.dial(ctx, p)
+		l.config.Logger.Debug("session ended", zap.String("Peer", p.ID.String()), zap.Error(err))
+		if time.Since(began) > maxRedial {
+			backoff = firstRedial
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(rand.N(backoff)):
+		}
+		backoff = min(2*backoff, maxRedial)
+	}
+}
+
+func (l *Links) dial(ctx context.Context, p dispatch.Peer) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", p.Address.String())
+	if err != nil {
+		return eris.Wrapf(err, "dial peer %s", p.ID)
+	}
+	return l.serve(ctx, l.secure(conn, true), true)
+}
+
+func yamuxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = keepAlive
+	c.ConnectionWriteTimeout = writeTimeout
+	c.MaxStreamWindowSize = streamWindow
+	c.LogOutput = io.Discard
+	return c
+}
+
+// serve runs one session until it ends.
+func (l *Links) serve(ctx context.Context, conn net.Conn, dialed bool) error {
+	defer func() { _ = conn.Close() }()
+	counted := &countingConn{Conn: conn, stats: &l.Stats}
+	mux, stream, err := openStream(counted, dialed)
+	if err != nil {
+		return eris.Wrap(err, "open a session")
+	}
+	defer func() { _ = mux.Close() }()
+	reader := bufio.NewReader(stream)
+	hello, err := l.greet(stream, reader)
+	if err != nil {
+		return eris.Wrap(err, "greet")
+	}
+	s := &session{
+		peer:   dispatch.PeerID{Instance: hello.GetInstance(), Incarnation: hello.GetIncarnation()},
+		stream: stream, closer: mux, signal: make(chan struct{}, 1),
+	}
+	l.register(s)
+	defer l.unregister(s)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return l.readFrames(s, reader) })
+	group.Go(func() error { return l.writeFrames(ctx, s) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return mux.Close()
+	})
+	return group.Wait()
+}
+
+func openStream(conn net.Conn, dialed bool) (*yamux.Session, net.Conn, error) {
+	if dialed {
+		mux, err := yamux.Client(conn, yamuxConfig())
+		if err != nil {
+			return nil, nil, err
+		}
+		stream, err := mux.Open()
+		return mux, stream, err
+	}
+	mux, err := yamux.Server(conn, yamuxConfig())
+	if err != nil {
+		return nil, nil, err
+	}
+	stream, err := mux.Accept()
+	return mux, stream, err
+}
+
+// greet exchanges greetings. Both sides must speak the same version.
+func (l *Links) greet(stream net.Conn, reader *bufio.Reader) (*wire.Hello, error) {
+	_ = stream.SetDeadline(time.Now().Add(helloTimeout))
+	own := &wire.Hello{
+		Version: ProtocolVersion, Instance: l.config.Self.Instance,
+		Incarnation: l.config.Self.Incarnation, Domain: l.config.Domain,
+	}
+	if _, err := protodelim.MarshalTo(stream, own); err != nil {
+		return nil, err
+	}
+	hello := &wire.Hello{}
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}).UnmarshalFrom(reader, hello); err != nil {
+		return nil, err
+	}
+	if hello.GetVersion() != ProtocolVersion {
+		return nil, fmt.Errorf("peer %s speaks version %d, not %d", hello.GetInstance(), hello.GetVersion(), ProtocolVersion)
+	}
+	if hello.GetInstance() == "" || hello.GetInstance() == l.config.Self.Instance {
+		return nil, fmt.Errorf("peer calls itself %q", hello.GetInstance())
+	}
+	return hello, stream.SetDeadline(time.Time{})
+}
+
+func (l *Links) register(s *session) {
+	l.mu.Lock()
+	old := l.sessions[s.peer]
+	l.sessions[s.peer] = s
+	l.mu.Unlock()
+	if old != nil {
+		_ = old.closer.Close()
+		l.config.Deliver(dispatch.PeerDown{Peer: s.peer})
+	}
+	l.config.Logger.Info("session up", zap.String("Peer", s.peer.String()))
+	l.config.Deliver(dispatch.PeerUp{Peer: s.peer})
+}
+
+func (l *Links) unregister(s *session) {
+	l.mu.Lock()
+	current := l.sessions[s.peer] == s
+	if current {
+		delete(l.sessions, s.peer)
+	}
+	l.mu.Unlock()
+	if current {
+		l.config.Logger.Info("session down", zap.String("Peer", s.peer.String()))
+		l.config.Deliver(dispatch.PeerDown{Peer: s.peer})
+	}
+}
+
+// Send queues a message for a peer. Without a session it is lost, as the
+// control state expects.
+func (l *Links) Send(to dispatch.PeerID, m dispatch.Message) {
+	l.mu.Lock()
+	s := l.sessions[to]
+	l.mu.Unlock()
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	s.queue = append(s.queue, m)
+	overfull := len(s.queue) > maxQueued
+	s.mu.Unlock()
+	if overfull {
+		_ = s.closer.Close()
+		return
+	}
+	select {
+	case s.signal <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) take() []dispatch.Message {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := min(len(s.queue), maxFrameMessages)
+	taken := s.queue[:n:n]
+	s.queue = s.queue[n:]
+	return taken
+}
+
+func (l *Links) writeFrames(ctx context.Context, s *session) error {
+	writer := bufio.NewWriterSize(s.stream, 64<<10)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.signal:
+		}
+		for taken := s.take(); len(taken) > 0; taken = s.take() {
+			if err := l.writeFrame(writer, taken); err != nil {
+				return eris.Wrapf(err, "write to peer %s", s.peer)
+			}
+		}
+		if err := writer.Flush(); err != nil {
+			return eris.Wrapf(err, "write to peer %s", s.peer)
+		}
+	}
+}
+
+func (l *Links) writeFrame(w io.Writer, messages []dispatch.Message) error {
+	frame := &wire.Frame{Messages: make([]*wire.Message, len(messages))}
+	for i, m := range messages {
+		frame.Messages[i] = ToWire(m)
+	}
+	l.Stats.SentMessages.Add(int64(len(messages)))
+	l.Stats.SentFrames.Add(1)
+	_, err := protodelim.MarshalTo(w, frame)
+	return err
+}
+
+func (l *Links) readFrames(s *session, reader *bufio.Reader) error {
+	options := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
+	for {
+		frame := &wire.Frame{}
+		if err := options.UnmarshalFrom(reader, frame); err != nil {
+			if errors.Is(err, io.EOF) {
+				return io.EOF
+			}
+			return eris.Wrapf(err, "read from peer %s", s.peer)
+		}
+		for _, m := range frame.GetMessages() {
+			message, err := FromWire(m)
+			if err != nil {
+				l.Stats.BadMessages.Add(1)
+				return eris.Wrapf(err, "read from peer %s", s.peer)
+			}
+			l.config.Deliver(dispatch.Received{From: s.peer, Message: message})
+		}
+	}
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	stats *Stats
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.stats.ReceivedBytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.stats.SentBytes.Add(int64(n))
+	return n, err
+}
