--- a/pkg/dispatch/claims.go
+++ b/pkg/dispatch/claims.go
@@ -70,6 +70,7 @@
 	retryAt  time.Time // zero while a call is out
 	attempts int
 	relayed  bool
+	sent     time.Time
 }
 
 // claimWriter writes claims and outcomes in groups: while calls are out or the
@@ -86,6 +87,8 @@
 	openUntil time.Time // the breaker is open until then
 	backoff   time.Duration
 	lastAway  time.Time // the platform was away then
+	// commitTime is the average time that commits have lately taken.
+	commitTime time.Duration
 
 	relayVia   PeerID
 	relayUntil time.Time
@@ -103,6 +106,8 @@
 	maxRetryBackoff    = time.Second
 	firstRetryBackoff  = 20 * time.Millisecond
 	relayTrust         = 2 * time.Second
+	quickClaim         = 12 * time.Millisecond
+	commitTimeMemory   = 8 // commits
 )
 
 var errClaimWait = errors.New("no answer within the bound")
@@ -296,6 +301,7 @@
 		writes[i] = p.write
 	}
 	b.attempts++
+	b.sent = c.now
 	b.relayed = false
 	if c.platformAway() {
 		if sibling, ok := c.relayPeer(); ok {
@@ -327,6 +333,7 @@
 	if !ok || !b.retryAt.IsZero() {
 		return
 	}
+	c.noteCommitTime(b, err)
 	var conflict *platform.ErrConflict
 	switch {
 	case err == nil:
@@ -347,6 +354,16 @@
 	}
 }
 
+// noteCommitTime keeps an average of how long commits take. A commit that fails
+// counts as long.
+func (c *Control) noteCommitTime(b *batch, err error) {
+	took := c.now.Sub(b.sent)
+	if err != nil && isUncertain(err) {
+		took = max(took, 2*quickClaim)
+	}
+	c.claims.commitTime += (took - c.claims.commitTime) / commitTimeMemory
+}
+
 func isUncertain(err error) bool {
 	var uncertain *platform.ErrUncertain
 	return errors.As(err, &uncertain)
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -87,7 +87,8 @@
 	work     time.Duration
 	owner    PeerID
 	endpoint netip.AddrPort
-	placed   time.Time // zero while it waits for a slot
+	reserved PeerID    // the lead that assigned a slot before the claim was known
+	placed   time.Time // zero while it waits for a slot or for the claim
 	place    *Place
 }
 
@@ -298,6 +299,9 @@
 	if j.unclaimed {
 		expires = time.Time{}
 	}
+	if !j.unclaimed && c.claimsAreQuick() {
+		c.demandSlots(j)
+	}
 	c.write(&pendingWrite{
 		write:   platform.Write{Key: ClaimKey(j.key), Value: c.claimValue(j, StateClaimed), Expect: expect},
 		urgent:  true,
@@ -395,6 +399,7 @@
 
 // followRow acts on the state of another home's claim.
 func (c *Control) followRow(j *job, row ClaimRow, version platform.Version) {
+	c.withdrawTasks(j)
 	j.row, j.version = row, version
 	switch row.State {
 	case StateComplete:
@@ -510,6 +515,7 @@
 	}
 	j.phase = finished
 	j.finished = c.now
+	c.withdrawTasks(j)
 	c.home.open--
 	c.home.answered = append(c.home.answered, j)
 	for _, w := range j.waiters {
--- a/pkg/dispatch/lead.go
+++ b/pkg/dispatch/lead.go
@@ -122,7 +122,7 @@
 func (c *Control) jobsWithWaitingTasks() *table.Table[*job, struct{}] {
 	jobs := table.New[*job, struct{}]()
 	for _, a := range c.home.attempts.All() {
-		if a.placed.IsZero() && a.job.phase == inProgress {
+		if a.placed.IsZero() && a.reserved == (PeerID{}) {
 			jobs.Put(a.job, struct{}{})
 		}
 	}
--- a/pkg/dispatch/scenario_test.go
+++ b/pkg/dispatch/scenario_test.go
@@ -14,8 +14,8 @@
 	if os.Getenv("MEASURE") == "" {
 		t.Skip("set MEASURE=1 to measure")
 	}
-	for _, share := range []float64{0.7, 0.9} {
-		for _, policy := range []routing.PolicyName{routing.EarliestCompletion, routing.Random, routing.RoundRobin} {
+	for _, share := range shares() {
+		for _, policy := range policies() {
 			config := defaultWorld(1)
 			config.policy = policy
 			w := withRunningWorld(t, config)
@@ -27,3 +27,12 @@
 		}
 	}
 }
+
+func shares() []float64 { return []float64{0.7, 0.9} }
+
+func policies() []routing.PolicyName {
+	if os.Getenv("MEASURE") == "own" {
+		return []routing.PolicyName{routing.EarliestCompletion}
+	}
+	return []routing.PolicyName{routing.EarliestCompletion, routing.Random, routing.RoundRobin}
+}
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -29,6 +30,22 @@
 
 func (q *deadlineQueue) push(j *job) { heap.Push(q, j) }
 
+// demandSlots asks the lead for slots for all tasks of a job. While claims are
+// quick this happens before the claim is known, which hides the way to the lead
+// and back; nothing starts before the claim is won.
+func (c *Control) demandSlots(j *job) {
+	for i := range j.tasks {
+		c.newAttempt(j, i)
+	}
+	c.announce(j)
+}
+
+// claimsAreQuick reports whether the platform has lately answered commits so
+// fast that slots may be kept free for a job while its claim is on the way.
+func (c *Control) claimsAreQuick() bool {
+	return c.claims.commitTime < quickClaim && !c.platformAway()
+}
+
 // startJob makes the tasks of a job that this home has claimed startable.
 func (c *Control) startJob(j *job) {
 	if c.now.After(j.deadline) {
@@ -36,10 +53,17 @@
 		return
 	}
 	j.phase = inProgress
+	if len(j.tasks[0].attempts) == 0 {
+		c.demandSlots(j)
+		return
+	}
 	for i := range j.tasks {
-		c.newAttempt(j, i)
+		number := j.tasks[i].attempts[0]
+		a, ok := c.home.attempts.Get(number)
+		if ok && a.reserved != (PeerID{}) {
+			c.useAssignment(number, a)
+		}
 	}
-	c.announce(j)
 }
 
 // newAttempt makes a task wait for a slot.
@@ -96,29 +120,73 @@
 	return routing.Attempt{Home: c.self.Instance, Incarnation: c.self.Incarnation, Number: number}
 }
 
-// assigned places a waiting task where the lead says.
+// assigned takes a slot for a waiting task. The task is placed at once, or as
+// soon as the claim is won.
 func (c *Control) assigned(from PeerID, m *Assign) {
 	a, ok := c.home.attempts.Get(m.Number)
-	if !ok || !a.placed.IsZero() || a.job.phase != inProgress || (m.Owner != c.self && !c.linkUp(m.Owner)) {
-		c.counted.UnusedAssignments++
-		c.send(from, &Return{Attempt: c.attemptID(m.Number), Endpoint: m.Endpoint})
-		if ok && a.placed.IsZero() && a.job.phase == inProgress {
-			c.backOff(a, maxBounceDelay)
-		}
+	if !ok || !a.placed.IsZero() || a.reserved != (PeerID{}) {
+		c.returnAssignment(from, m.Number, m.Endpoint)
+		return
+	}
+	a.owner, a.endpoint, a.reserved = m.Owner, m.Endpoint, from
+	c.home.ownWork = max(0, c.home.ownWork-a.work)
+	if a.job.phase == inProgress {
+		c.useAssignment(m.Number, a)
+	}
+}
+
+func (c *Control) returnAssignment(lead PeerID, number uint64, endpoint netip.AddrPort) {
+	c.counted.UnusedAssignments++
+	c.send(lead, &Return{Attempt: c.attemptID(number), Endpoint: endpoint})
+}
+
+// useAssignment places a task with the owner of its slot. If the owner cannot
+// be reached the slot goes back and the task waits again.
+func (c *Control) useAssignment(number uint64, a *attempt) {
+	if a.owner != c.self && !c.linkUp(a.owner) {
+		c.returnAssignment(a.reserved, number, a.endpoint)
+		a.reserved = PeerID{}
+		c.backOff(a, maxBounceDelay)
 		return
 	}
 	j := a.job
 	t := &j.sub.Tasks[a.task]
-	a.owner, a.endpoint, a.placed = m.Owner, m.Endpoint, c.now
+	a.placed = c.now
 	j.tasks[a.task].phase = taskPlaced
 	j.started = true
-	c.home.ownWork = max(0, c.home.ownWork-a.work)
 	c.countStart(a.try)
 	a.place = &Place{
-		Attempt: c.attemptID(m.Number), Key: j.key, Task: t.Name, Try: a.try, Kind: t.Kind,
-		Payload: t.Payload, Token: j.token, Left: j.deadline.Sub(c.now), Work: a.work, Endpoint: m.Endpoint,
+		Attempt: c.attemptID(number), Key: j.key, Task: t.Name, Try: a.try, Kind: t.Kind,
+		Payload: t.Payload, Token: j.token, Left: j.deadline.Sub(c.now), Work: a.work, Endpoint: a.endpoint,
+	}
+	c.send(a.owner, a.place)
+}
+
+// withdrawTasks takes back the demands of a job that will not start here, and
+// the slots that were kept for it.
+func (c *Control) withdrawTasks(j *job) {
+	m := &Withdraw{}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		for _, n := range t.attempts {
+			a, ok := c.home.attempts.Get(n)
+			switch {
+			case !ok:
+			case !a.placed.IsZero():
+				c.send(a.owner, &Drop{Attempt: c.attemptID(n)})
+			case a.reserved != (PeerID{}):
+				c.returnAssignment(a.reserved, n, a.endpoint)
+			default:
+				m.Numbers = append(m.Numbers, n)
+			}
+			c.home.attempts.Delete(n)
+		}
+		t.attempts = nil
+		t.try = 0
+	}
+	if len(m.Numbers) > 0 {
+		c.send(c.home.leadID, m)
 	}
-	c.send(m.Owner, a.place)
 }
 
 func (c *Control) countStart(try int) {
@@ -293,7 +361,7 @@
 		return
 	}
 	c.home.attempts.Delete(number)
-	if a.placed.IsZero() {
+	if a.placed.IsZero() && a.reserved == (PeerID{}) {
 		c.send(c.home.leadID, &Withdraw{Numbers: []uint64{number}})
 		return
 	}
@@ -303,22 +371,7 @@
 // failJob ends a job without a complete answer. Its waiting tasks are dropped
 // and its running ones interrupted.
 func (c *Control) failJob(j *job, reason submission.Reason, detail string) {
-	var withdrawn []uint64
-	for i := range j.tasks {
-		for _, n := range j.tasks[i].attempts {
-			a, ok := c.home.attempts.Get(n)
-			if ok && a.placed.IsZero() {
-				withdrawn = append(withdrawn, n)
-				c.home.attempts.Delete(n)
-				continue
-			}
-			c.dropAttempt(n)
-		}
-		j.tasks[i].attempts = nil
-	}
-	if len(withdrawn) > 0 {
-		c.send(c.home.leadID, &Withdraw{Numbers: withdrawn})
-	}
+	c.withdrawTasks(j)
 	c.answer(j, submission.Answer{Status: submission.Failed, Reason: reason, Detail: detail})
 }
 
@@ -392,17 +445,6 @@
 // notRun ends a job that was claimed here and of which no task was placed. The
 // claim makes the statement true for every copy of the submission.
 func (c *Control) notRun(j *job) {
-	var withdrawn []uint64
-	for i := range j.tasks {
-		withdrawn = append(withdrawn, j.tasks[i].attempts...)
-		for _, n := range j.tasks[i].attempts {
-			c.home.attempts.Delete(n)
-		}
-		j.tasks[i].attempts = nil
-	}
-	if len(withdrawn) > 0 {
-		c.send(c.home.leadID, &Withdraw{Numbers: withdrawn})
-	}
 	j.abandoned = true
 	c.finishRefused(j, submission.Refusal{Reason: submission.DeadlinePassed, NotRun: true, Detail: "no slot was free by its deadline"})
 	if !c.checks.noClaim {
