Drain callers' connections before a planned stop ends; sleep exactly in stand-ins

The stand-ins slept 0.8 ms too long twice a job, which counted as the dispatcher's overhead. A round of matching panicked when an ejected endpoint had more tasks than offered slots.

--- a/pkg/routing/earliest.go
+++ b/pkg/routing/earliest.go
@@ -79,7 +79,7 @@
 		if o.Slots <= 0 {
 			continue
 		}
-		v := view{offer: o, slow: 1 / o.Speed, hop: float64(o.Hop), free: max(o.Free(), 0), ends: make(endHeap, len(o.Busy), o.Slots+1)}
+		v := view{offer: o, slow: 1 / o.Speed, hop: float64(o.Hop), free: max(o.Free(), 0), ends: make(endHeap, len(o.Busy), len(o.Busy)+max(o.Free(), 0))}
 		for i, b := range o.Busy {
 			v.ends[i] = float64(b.Sub(now))
 		}
--- a/pkg/standin/endpoints.go
+++ b/pkg/standin/endpoints.go
@@ -87,6 +87,7 @@
 // NewEndpoints binds the addresses of the endpoints.
 func NewEndpoints(configs []EndpointConfig) (*Endpoints, error) {
 	all := &Endpoints{}
+	overshoot()
 	for _, c := range configs {
 		listener, err := net.Listen("tcp", c.Address.String())
 		if err != nil {
@@ -208,7 +209,7 @@
 	select {
 	case <-r.Context().Done():
 		return
-	case <-time.After(wait):
+	case <-time.After(wait - overshoot()):
 	}
 	if failing {
 		http.Error(w, "the task failed", http.StatusInternalServerError)
--- a/service/entry/bench_test.go
+++ b/service/entry/bench_test.go
@@ -89,5 +89,5 @@
 		assert.NilError(b, err)
 		sum += time.Since(began)
 	}
-	b.ReportMetric(float64((sum/time.Duration(b.N)-writeTime).Microseconds()), "µs-above-write")
+	b.ReportMetric(float64((sum/time.Duration(b.N) - writeTime).Microseconds()), "µs-above-write")
 }
--- a/service/entry/routes.go
+++ b/service/entry/routes.go
@@ -23,6 +23,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
+	e.Use(s.closeWhenLeaving)
 	e.POST(api.PathSubmissions, s.postSubmission)
 	e.GET(api.PathSubmission, s.getSubmission)
 	e.DELETE(api.PathSubmission, s.deleteSubmission)
@@ -33,6 +34,19 @@
 	return e
 }
 
+// closeWhenLeaving asks callers of a leaving instance to let go of their
+// connections.
+func (s *Server) closeWhenLeaving(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			if s.leaving.Load() {
+				c.Response().Header().Set(echo.HeaderConnection, "close")
+			}
+		})
+		return next(c)
+	}
+}
+
 // getReady tells the balancer whether to send new requests here.
 func (s *Server) getReady(c echo.Context) error {
 	if status := s.Status(); status.State != string(dispatch.Live) || status.Document == nil {
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -71,7 +71,11 @@
 	burn     *burn.Recorder
 	stopped  chan struct{}
 	stopOnce sync.Once
-	exited   chan struct{}
+	leaving  atomic.Bool
+	closing  atomic.Bool
+	// connections is the number of callers' connections.
+	connections atomic.Int64
+	exited      chan struct{}
 
 	nextHandle atomic.Uint64
 	mu         sync.Mutex
@@ -90,7 +94,8 @@
 	defaultMaxBody         = 8 << 20
 	headerTimeout          = 5 * time.Second
 	maxHeaderBytes         = 16 << 10
-	stopGrace              = 2 * time.Second
+	stopGrace              = 3 * time.Second
+	drainPoll              = 20 * time.Millisecond
 	statusPeriod           = 100 * time.Millisecond
 )
 
@@ -127,7 +132,7 @@
 		Instance: config.Instance, Incarnation: config.Incarnation, Domain: config.Domain, Capacity: config.Capacity,
 		Address: s.links.Address(), Callers: s.Address(), Seed: config.Seed, Timing: config.Timing,
 	})
-	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.countConnection}
 	return s, nil
 }
 
@@ -166,10 +171,38 @@
 }
 
 func (s *Server) serveCallers() error {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "serve callers")
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) || s.closing.Load() {
+		return nil
+	}
+	return eris.Wrap(err, "serve callers")
+}
+
+// countConnection keeps the number of callers' connections.
+func (s *Server) countConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.connections.Add(-1)
+	}
+}
+
+// drainConnections stops accepting connections and waits until callers have let
+// go of theirs. Every answer now asks them to. To close an idle connection at
+// once would cut off a request that its caller is just sending.
+func (s *Server) drainConnections(ctx context.Context) {
+	s.closing.Store(true)
+	_ = s.listener.Close()
+	poll := s.timers.Every(drainPoll)
+	defer poll.Stop()
+	for s.connections.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+		}
 	}
-	return nil
 }
 
 // awaitStop waits for the end of the control's planned stop, lets the last
@@ -179,14 +212,18 @@
 	case <-ctx.Done():
 		_ = s.http.Close()
 	case <-s.stopped:
-		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
+		grace, cancel := context.WithTimeout(ctx, stopGrace)
 		defer cancel()
-		_ = s.http.Shutdown(grace)
+		s.drainConnections(grace)
+		last, cancelLast := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
+		defer cancelLast()
+		_ = s.http.Shutdown(last)
 	}
 }
 
 // Stop begins a planned stop and waits for its end or the context's.
 func (s *Server) Stop(ctx context.Context) error {
+	s.leaving.Store(true)
 	s.deliver(dispatch.Stop{})
 	select {
 	case <-s.exited:
