--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -368,15 +368,17 @@
 }
 
 // claimTimedOut refuses a job whose claim was not known in time. It stays
-// abandoned: whatever becomes of the claim, this home starts nothing.
+// abandoned: whatever becomes of the claim, this home starts nothing. That does
+// not make it "not run": a copy that the caller sent elsewhere during the wait
+// may have won the claim.
 func (c *Control) claimTimedOut(j *job) {
 	if j.phase != claiming {
 		return
 	}
 	j.abandoned = true
 	c.finishRefused(j, submission.Refusal{
-		Reason: submission.PlatformUnavailable, NotRun: j.sub.Attempt == 1,
-		RetryAfter: c.config.Timing.BreakerBackoff, Detail: "the claim was not confirmed in time",
+		Reason: submission.PlatformUnavailable, RetryAfter: c.config.Timing.BreakerBackoff,
+		Detail: "the claim was not confirmed in time",
 	})
 }
 
@@ -652,7 +654,7 @@
 	switch j.phase {
 	case claiming:
 		j.abandoned = true
-		c.finishRefused(j, submission.Refusal{Reason: submission.Cancelled, NotRun: j.sub.Attempt == 1, Detail: "cancelled before it started"})
+		c.finishRefused(j, submission.Refusal{Reason: submission.Cancelled, Detail: "cancelled before it started"})
 	case inProgress:
 		c.failJob(j, submission.Cancelled, "cancelled by its caller")
 	}
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -436,7 +436,7 @@
 		c.failJob(j, submission.DeadlineExceeded, "not complete by its deadline")
 	case j.phase == claiming && j.version == 0:
 		j.abandoned = true
-		c.finishRefused(j, submission.Refusal{Reason: submission.DeadlinePassed, NotRun: j.sub.Attempt == 1, Detail: "its claim was not confirmed by its deadline"})
+		c.finishRefused(j, submission.Refusal{Reason: submission.DeadlinePassed, Detail: "its claim was not confirmed by its deadline"})
 	default:
 		c.notRun(j)
 	}
