--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -15,7 +15,7 @@
 func (c *Control) admit(h Handle, s *submission.Submission) bool {
 	class, known := c.classOf(s)
 	switch {
-	case c.stop != running:
+	case !c.serving():
 		c.refuse(h, s, submission.Leaving, time.Second, "the instance is leaving; ask another one")
 	case c.document == nil || c.roster.state == Joining:
 		c.refuse(h, s, submission.NotServing, time.Second, "the instance has no document in force yet")
--- a/pkg/dispatch/lead.go
+++ b/pkg/dispatch/lead.go
@@ -83,7 +83,7 @@
 // what was told to it. A policy without a lead matches everything locally.
 func (c *Control) chooseLead() {
 	best := c.self
-	if c.stop != running {
+	if !c.serving() {
 		best = PeerID{}
 	}
 	if c.document == nil || !c.document.Routing.Policy.IsLocal() {
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -107,7 +107,7 @@
 
 // usable returns how many runs may occupy the endpoint.
 func (c *Control) usable(e *endpoint) int {
-	if e.state != held || e.closed(c) || c.now.Before(e.backOff) || c.stop != running {
+	if e.state != held || e.closed(c) || c.now.Before(e.backOff) || !c.serving() {
 		return 0
 	}
 	slots := e.slots - e.foreign
--- a/pkg/dispatch/roster.go
+++ b/pkg/dispatch/roster.go
@@ -53,10 +53,11 @@
 
 // member is another instance as this one sees it.
 type member struct {
-	row    InstanceRow
-	seen   time.Time // when a scan last showed a new sequence
-	gone   bool      // said goodbye or shows Leaving
-	absent bool      // its row was deleted
+	row        InstanceRow
+	seen       time.Time // when a scan last showed a new sequence
+	gone       bool      // said goodbye or shows Leaving
+	absent     bool      // its row was deleted
+	rowVersion platform.Version
 }
 
 // link is the session with a peer.
@@ -87,6 +88,7 @@
 	nextList  time.Time
 	listed    map[netip.AddrPort]bool // leaving endpoints
 	drains    map[string]bool
+	drained   bool // an operator drains this instance
 	division  map[netip.AddrPort]string
 	connected string
 	rollout   rolloutState
@@ -138,7 +140,7 @@
 	r := &c.roster
 	r.sequence++
 	state := r.state
-	if c.stop != running {
+	if !c.serving() {
 		state = Leaving
 	}
 	row := InstanceRow{
@@ -208,11 +210,47 @@
 			r.nextBeat = c.now
 		}
 	}
+	c.followDrain()
+	c.removeDeadRows()
 	c.runRollout()
 	c.redivide()
 	c.connectPeers()
 }
 
+// serving reports whether the instance takes new work.
+func (c *Control) serving() bool { return c.stop == running && !c.roster.drained }
+
+// followDrain obeys an operator's mark on this instance.
+func (c *Control) followDrain() {
+	r := &c.roster
+	drained := r.drains[c.self.Instance]
+	if drained == r.drained {
+		return
+	}
+	r.drained = drained
+	r.nextBeat = c.now
+	c.owner.wholeDue = c.now
+}
+
+// deadRowTerms is after how many terms of silence an instance's row is removed.
+const deadRowTerms = 20
+
+// removeDeadRows deletes the rows of instances that have long been dead, one a
+// scan. The instance with the lowest name does it.
+func (c *Control) removeDeadRows() {
+	if c.rank() > 0 {
+		return
+	}
+	for id, m := range c.roster.members.All() {
+		if m.absent || c.roster.lastScan.Sub(m.seen) < deadRowTerms*c.config.Timing.Term {
+			continue
+		}
+		c.claims.nextID++
+		c.emit(Commit{ID: c.claims.nextID, Writes: []platform.Write{{Key: InstancePrefix + id, Expect: m.rowVersion, Delete: true}}})
+		return
+	}
+}
+
 // forgiveSilence starts the terms of all instances anew after this one could
 // not read the table for a while: their silence may have been its own.
 func (c *Control) forgiveSilence() {
@@ -239,11 +277,11 @@
 			return
 		}
 		present[other.Instance] = true
-		c.readInstance(other)
+		c.readInstance(other, row.Version)
 	}
 }
 
-func (c *Control) readInstance(row InstanceRow) {
+func (c *Control) readInstance(row InstanceRow, version platform.Version) {
 	if row.Instance == c.self.Instance {
 		return
 	}
@@ -256,9 +294,8 @@
 		m.seen = c.now
 	}
 	m.row = row
-	if row.State == Leaving {
-		m.gone = true
-	}
+	m.rowVersion = version
+	m.gone = row.State == Leaving
 }
 
 // alive reports whether an instance has renewed its row within the term. While
@@ -321,7 +358,7 @@
 		return
 	}
 	var members []slots.Member
-	if c.stop == running {
+	if c.serving() {
 		members = append(members, slots.Member{Instance: c.self.Instance, Capacity: c.config.Capacity})
 	}
 	for _, m := range r.members.All() {
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -84,7 +84,7 @@
 }
 
 func (c *Control) stateName() string {
-	if c.stop != running {
+	if !c.serving() {
 		return string(Leaving)
 	}
 	return string(c.roster.state)
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,95 @@
+// Package settings holds the settings of an entry instance's process: a small
+// JSON file, with a flag of the same name for every setting.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/rotisserie/eris"
+)
+
+// Entry holds the settings of an entry instance. The tags give the flag, its
+// default and its line in the reference.
+type Entry struct {
+	Instance string         `long:"instance" description:"name of the instance, unique in the environment"`
+	Domain   string         `long:"domain" description:"failure domain that the instance stands in"`
+	Capacity int            `long:"capacity" default:"1" description:"size of the instance relative to the others"`
+	Callers  netip.AddrPort `long:"callers" default:"127.0.0.1:0" description:"address to listen at for callers and operators"`
+	Peers    netip.AddrPort `long:"peers" default:"127.0.0.1:0" description:"address to listen at for other instances"`
+	Platform netip.AddrPort `long:"platform" description:"address of the platform's services"`
+	// Plain allows listeners without TLS on other addresses than loopback.
+	Plain          bool   `long:"plain" description:"allow listeners without TLS on addresses other than loopback"`
+	CallersCert    string `long:"callers-cert" description:"certificate file for callers; empty means no TLS"`
+	CallersKey     string `long:"callers-key" description:"key file for callers"`
+	PeersCert      string `long:"peers-cert" description:"certificate file for mutual TLS between instances; empty means no TLS"`
+	PeersKey       string `long:"peers-key" description:"key file for mutual TLS between instances"`
+	PeersAuthority string `long:"peers-authority" description:"certificate file of the authority that signs the instances' certificates"`
+	MaxTasks       int    `long:"max-tasks" default:"1000" description:"most tasks of a submission"`
+	MaxBodyBytes   int64  `long:"max-body-bytes" default:"8388608" description:"longest body of a caller's request"`
+	WritesPerSec   int    `long:"writes-per-sec" default:"50" description:"commits a second that the instance may make for claims and outcomes"`
+	Log            string `long:"log" default:"off" description:"log level: off, debug, info, warn, error"`
+	LogLayers      string `long:"log-layers" description:"layers to log, such as peers,platform; empty means all"`
+}
+
+// ErrSetting names a setting and its value.
+type ErrSetting struct {
+	Name    string
+	Value   string
+	Allowed string
+}
+
+func (e *ErrSetting) Error() string {
+	return fmt.Sprintf("setting %s is %q; allowed: %s", e.Name, e.Value, e.Allowed)
+}
+
+// Load reads a settings file over the values that s has.
+func Load(path string, s *Entry) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "read the settings")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	return eris.Wrapf(decoder.Decode(s), "read the settings in %s", path)
+}
+
+// Validate checks the settings as a whole. It returns *ErrSetting.
+func (s *Entry) Validate() error {
+	switch {
+	case s.Instance == "":
+		return &ErrSetting{"Instance", s.Instance, "a name that no other instance has"}
+	case s.Domain == "":
+		return &ErrSetting{"Domain", s.Domain, "a failure domain of the document"}
+	case !s.Platform.IsValid():
+		return &ErrSetting{"Platform", "", "an IP address and port"}
+	case s.Capacity < 1:
+		return &ErrSetting{"Capacity", fmt.Sprint(s.Capacity), "1 or more"}
+	case s.MaxTasks < 1:
+		return &ErrSetting{"MaxTasks", fmt.Sprint(s.MaxTasks), "1 or more"}
+	case s.MaxBodyBytes < 1:
+		return &ErrSetting{"MaxBodyBytes", fmt.Sprint(s.MaxBodyBytes), "1 or more"}
+	case s.WritesPerSec < 1:
+		return &ErrSetting{"WritesPerSec", fmt.Sprint(s.WritesPerSec), "1 or more"}
+	}
+	return s.validateListeners()
+}
+
+func (s *Entry) validateListeners() error {
+	if !s.Callers.Addr().IsLoopback() && s.CallersCert == "" && !s.Plain {
+		return &ErrSetting{"Callers", s.Callers.String(), "a loopback address, or CallersCert, or Plain"}
+	}
+	if !s.Peers.Addr().IsLoopback() && s.PeersCert == "" && !s.Plain {
+		return &ErrSetting{"Peers", s.Peers.String(), "a loopback address, or PeersCert, or Plain"}
+	}
+	if (s.CallersCert == "") != (s.CallersKey == "") {
+		return &ErrSetting{"CallersKey", s.CallersKey, "a file together with CallersCert"}
+	}
+	if s.PeersCert != "" && (s.PeersKey == "" || s.PeersAuthority == "") {
+		return &ErrSetting{"PeersKey", s.PeersKey, "a file, together with PeersCert and PeersAuthority"}
+	}
+	return nil
+}
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -67,19 +67,16 @@
 
 var domains = []string{"east", "north", "south", "west"}
 
-// speeds of the endpoints of a domain, spread over a factor of 8.
-var speeds = []float64{1, 2, 0.5, 4, 1, 2, 0.5, 1, 2, 4, 1, 2}
-
 const (
-	endpointSlots       = 8
-	endpointConnections = 64
-	warmUp              = 5 * time.Second // jobs before it teach the speeds and are not timed
-	readyTimeout        = 15 * time.Second
-	drainTimeout        = 30 * time.Second
-	resubmitAfter       = 50 * time.Millisecond
-	leavingGrace        = 3 * time.Second
-	readTimeout         = time.Second
-	writeTimeout        = 2 * time.Second
+	endpointsPerDomain = 12
+	endpointSlots      = 8
+	warmUp             = 5 * time.Second // jobs before it teach the speeds and are not timed
+	readyTimeout       = 15 * time.Second
+	drainTimeout       = 30 * time.Second
+	resubmitAfter      = 50 * time.Millisecond
+	leavingGrace       = 3 * time.Second
+	readTimeout        = time.Second
+	writeTimeout       = 2 * time.Second
 )
 
 // environment is a whole environment in this process.
@@ -149,14 +146,8 @@
 	e := &environment{config: config, stopped: make(map[netip.AddrPort]time.Time), stopping: &errgroup.Group{}}
 	e.group, ctx = errgroup.WithContext(ctx)
 	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
-	var configs []standin.EndpointConfig
-	for _, d := range domains {
-		for _, speed := range speeds {
-			configs = append(configs, standin.EndpointConfig{Address: loopback, Domain: d, Slots: endpointSlots, Speed: speed})
-		}
-	}
 	var err error
-	if e.endpoints, err = standin.NewEndpoints(configs); err != nil {
+	if e.endpoints, err = standin.NewEndpoints(standin.SpreadConfigs(loopback, domains, endpointsPerDomain, endpointSlots)); err != nil {
 		return nil, err
 	}
 	if e.platform, err = standin.NewPlatform(loopback, e.endpoints); err != nil {
@@ -189,27 +180,9 @@
 	})
 }
 
-// Document returns the document of the trial's environment.
 func (e *environment) document() *document.Document {
-	d := &document.Document{
-		Environment: "booking",
-		Classes:     []document.Class{document.DefaultClass()},
-		Routing:     document.Routing{Policy: e.config.Policy, RetryBudgetPercent: 10},
-	}
-	for _, t := range e.config.Load.Teams {
-		d.Teams = append(d.Teams, document.Team{Name: t})
-	}
-	for _, name := range domains {
-		group := document.Group{
-			Name: "workers", Slots: endpointSlots, Connections: endpointConnections, Processors: 64, MemoryBytes: 256 << 30,
-		}
-		for _, c := range e.endpoints.Configs() {
-			if c.Domain == name {
-				group.Endpoints = append(group.Endpoints, c.Address)
-			}
-		}
-		d.Domains = append(d.Domains, document.Domain{Name: name, Groups: []document.Group{group}})
-	}
+	d := e.endpoints.Document(e.config.Load.Teams)
+	d.Routing.Policy = e.config.Policy
 	return d
 }
 
