--- a/pkg/cmds/entry.go
+++ b/pkg/cmds/entry.go
@@ -114,11 +114,11 @@
 	now := time.Now()
 	return entry.New(entry.Config{
 		Instance: o.Instance, Incarnation: uint64(now.UnixNano()), Domain: o.Domain, Capacity: o.Capacity,
-		Callers: o.Callers, Peers: o.Peers, Limits: limits, Timing: timing, MaxBodyBytes: o.MaxBodyBytes,
+		Callers: o.Callers.AddrPort, Peers: o.Peers.AddrPort, Limits: limits, Timing: timing, MaxBodyBytes: o.MaxBodyBytes,
 		CallersTLS: callersTLS, PeersTLS: peersTLS, Seed: uint64(now.UnixNano()),
 		Logger: layered(logger, o.LogLayers).Named(o.Instance),
 		Platform: store.New(store.Config{
-			Address: o.Platform, ReadTimeout: platformReadTimeout, WriteTimeout: platformWriteTimeout,
+			Address: o.Platform.AddrPort, ReadTimeout: platformReadTimeout, WriteTimeout: platformWriteTimeout,
 		}),
 	})
 }
@@ -155,12 +155,12 @@
 }
 
 type standinOptions struct {
-	Platform  netip.AddrPort `long:"platform" default:"127.0.0.1:0" description:"address of the platform's stand-in"`
-	Endpoints int            `long:"endpoints" default:"12" description:"number of endpoints in each failure domain"`
-	Domains   []string       `long:"domain" description:"failure domain; may be given several times"`
-	Slots     int            `long:"slots" default:"8" description:"slots of each endpoint"`
-	Document  string         `long:"document" description:"file to write a document for this environment to"`
-	Teams     []string       `long:"team" description:"team of that document; may be given several times"`
+	Platform  settings.Address `long:"platform" default:"127.0.0.1:0" description:"address of the platform's stand-in"`
+	Endpoints int              `long:"endpoints" default:"12" description:"number of endpoints in each failure domain"`
+	Domains   []string         `long:"domain" description:"failure domain; may be given several times"`
+	Slots     int              `long:"slots" default:"8" description:"slots of each endpoint"`
+	Document  string           `long:"document" description:"file to write a document for this environment to"`
+	Teams     []string         `long:"team" description:"team of that document; may be given several times"`
 }
 
 // Standin runs the stand-ins of the platform and of endpoints.
@@ -177,7 +177,7 @@
 	if err != nil {
 		return fail(ExitFailed, err)
 	}
-	p, err := standin.NewPlatform(o.Platform, endpoints)
+	p, err := standin.NewPlatform(o.Platform.AddrPort, endpoints)
 	if err != nil {
 		return fail(ExitFailed, err)
 	}
--- a/pkg/dispatch/roster.go
+++ b/pkg/dispatch/roster.go
@@ -58,6 +58,7 @@
 	gone       bool      // said goodbye or shows Leaving
 	absent     bool      // its row was deleted
 	rowVersion platform.Version
+	goodbye    bool // it stops in plan, for good
 }
 
 // link is the session with a peer.
@@ -295,7 +296,7 @@
 	}
 	m.row = row
 	m.rowVersion = version
-	m.gone = row.State == Leaving
+	m.gone = m.goodbye || row.State == Leaving
 }
 
 // alive reports whether an instance has renewed its row within the term. While
@@ -493,6 +494,7 @@
 		l.leaving = true
 	}
 	if m, ok := c.roster.members.Get(id.Instance); ok && m.row.Incarnation == id.Incarnation {
+		m.goodbye = true
 		m.gone = true
 	}
 	c.redivide()
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -44,9 +44,9 @@
 	// Teams may submit jobs.
 	Teams []Team
 	// Classes are the kinds of service that submissions ask for.
-	Classes []Class
+	Classes []Class `json:",omitempty"`
 	// Operators are the SHA-256 hashes, in hexadecimal, of operators' tokens.
-	Operators []string
+	Operators []string `json:",omitempty"`
 	// Routing decides which endpoint runs which task.
 	Routing Routing
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net/netip"
 	"os"
 
 	"github.com/rotisserie/eris"
@@ -15,12 +14,12 @@
 // Entry holds the settings of an entry instance. The tags give the flag, its
 // default and its line in the reference.
 type Entry struct {
-	Instance string         `long:"instance" description:"name of the instance, unique in the environment"`
-	Domain   string         `long:"domain" description:"failure domain that the instance stands in"`
-	Capacity int            `long:"capacity" default:"1" description:"size of the instance relative to the others"`
-	Callers  netip.AddrPort `long:"callers" default:"127.0.0.1:0" description:"address to listen at for callers and operators"`
-	Peers    netip.AddrPort `long:"peers" default:"127.0.0.1:0" description:"address to listen at for other instances"`
-	Platform netip.AddrPort `long:"platform" description:"address of the platform's services"`
+	Instance string  `long:"instance" description:"name of the instance, unique in the environment"`
+	Domain   string  `long:"domain" description:"failure domain that the instance stands in"`
+	Capacity int     `long:"capacity" default:"1" description:"size of the instance relative to the others"`
+	Callers  Address `long:"callers" default:"127.0.0.1:0" description:"address to listen at for callers and operators"`
+	Peers    Address `long:"peers" default:"127.0.0.1:0" description:"address to listen at for other instances"`
+	Platform Address `long:"platform" description:"address of the platform's services"`
 	// Plain allows listeners without TLS on other addresses than loopback.
 	Plain          bool   `long:"plain" description:"allow listeners without TLS on addresses other than loopback"`
 	CallersCert    string `long:"callers-cert" description:"certificate file for callers; empty means no TLS"`
