--- a/pkg/dispatch/claims.go
+++ b/pkg/dispatch/claims.go
@@ -57,6 +57,7 @@
 	urgent  bool // a caller waits for it
 	expires time.Time
 	queued  time.Time
+	job     *job // whose claim this is, while its start waits for it
 	// done is called once the row is known to have been written (conflict
 	// nil), or to have another content (conflict is the present row), or when
 	// the bound of the wait has passed (err is set).
@@ -189,6 +190,7 @@
 func (c *Control) runClaims() {
 	c.refillBudget()
 	c.expireWrites()
+	c.startHomed()
 	c.retryBatches()
 	c.flushClaims()
 }
--- a/pkg/dispatch/control.go
+++ b/pkg/dispatch/control.go
@@ -244,6 +244,8 @@
 		c.relay(m.From, msg)
 	case *RelayDone:
 		c.relayDone(m.From, msg)
+	case *Forward:
+		c.forwarded(m.From, msg)
 	case *Goodbye:
 		c.saidGoodbye(m.From)
 	}
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -117,6 +117,9 @@
 	followed  *table.Table[*job, struct{}]
 	answered  []*job // in the order of their answers
 	nextHedge time.Time
+	// forwards are the requests that siblings have forwarded.
+	forwards    map[Handle]forward
+	nextForward uint64
 }
 
 // Bounds of the home's systems.
@@ -144,6 +147,7 @@
 		models:   table.New[string, *routing.RunTimeModel](),
 		acks:     table.New[PeerID, []uint64](),
 		followed: table.New[*job, struct{}](),
+		forwards: make(map[Handle]forward),
 	}
 }
 
@@ -151,6 +155,11 @@
 
 func (c *Control) reply(h Handle, r submission.Reply) {
 	delete(c.home.byHandle, h)
+	if f, ok := c.home.forwards[h]; ok {
+		delete(c.home.forwards, h)
+		c.send(f.from, &AttachReply{Key: f.key, Reply: r})
+		return
+	}
 	c.emit(Reply{Handle: h, Reply: r})
 }
 
@@ -177,7 +186,7 @@
 			return
 		}
 	}
-	if !c.admit(m.Handle, s) {
+	if c.forwardHomed(m, digest) || !c.admit(m.Handle, s) {
 		return
 	}
 	j := c.newJob(s, digest)
@@ -302,10 +311,15 @@
 	if !j.unclaimed && c.claimsAreQuick() {
 		c.demandSlots(j)
 	}
+	claimed := j
+	if j.unclaimed {
+		claimed = nil
+	}
 	c.write(&pendingWrite{
 		write:   platform.Write{Key: ClaimKey(j.key), Value: c.claimValue(j, StateClaimed), Expect: expect},
 		urgent:  true,
 		expires: expires,
+		job:     claimed,
 		done: func(version platform.Version, present *platform.Row, err error) {
 			c.claimDone(j, version, present, err)
 		},
--- a/pkg/dispatch/load_test.go
+++ b/pkg/dispatch/load_test.go
@@ -139,6 +139,8 @@
 	busy                                  int
 	missed                                int // deadline misses among accepted jobs
 	byKind                                map[string]uint64
+	failingShare                          float64 // of the starts, 2 s after the fault
+	goodput                               float64
 	violations                            []string
 }
 
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -369,6 +369,11 @@
 	Uncertain
 )
 
+// Forward hands a submission to the sibling that may start it without a claim.
+type Forward struct {
+	Submission *submission.Submission
+}
+
 // Goodbye says that the sender is leaving in plan.
 type Goodbye struct{}
 
@@ -391,3 +396,4 @@
 func (*Relay) isMessage()       {}
 func (*RelayDone) isMessage()   {}
 func (*Goodbye) isMessage()     {}
+func (*Forward) isMessage()     {}
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -52,6 +52,7 @@
 	reverts  int
 
 	nextHandle dispatch.Handle
+	extra      *load
 
 	applied    platform.Row // what the operators of a cell have read
 	oldRollout platform.Row
--- a/service/peer/convert.go
+++ b/service/peer/convert.go
@@ -119,6 +119,8 @@
 		return &wire.Message{Kind: &wire.Message_Relay{Relay: toRelay(m)}}
 	case *dispatch.RelayDone:
 		return &wire.Message{Kind: &wire.Message_RelayDone{RelayDone: toRelayDone(m)}}
+	case *dispatch.Forward:
+		return &wire.Message{Kind: &wire.Message_Forward{Forward: toForward(m.Submission)}}
 	case *dispatch.Goodbye:
 		return &wire.Message{Kind: &wire.Message_Goodbye{Goodbye: &wire.Goodbye{}}}
 	}
@@ -204,6 +206,35 @@
 	return out
 }
 
+func toForward(s *submission.Submission) *wire.Forward {
+	out := &wire.Forward{
+		Team: s.Team, Id: s.ID, Class: s.Class, DeadlineUnixNanos: s.Deadline.UnixNano(), Repeatable: s.Repeatable,
+		HomeDomain: s.HomeDomain, Attempt: uint32(s.Attempt),
+	}
+	for _, t := range s.Tasks {
+		out.Tasks = append(out.Tasks, &wire.Task{
+			Name: t.Name, Kind: t.Kind, Payload: t.Payload, DeclaredRunTimeNanos: int64(t.DeclaredRunTime),
+			Processors: uint32(t.Processors), MemoryBytes: uint64(t.MemoryBytes), Accelerators: uint32(t.Accelerators),
+		})
+	}
+	return out
+}
+
+func fromForward(m *wire.Forward) *submission.Submission {
+	s := &submission.Submission{
+		Key: submission.Key{Team: m.GetTeam(), ID: m.GetId()}, Class: m.GetClass(),
+		Deadline: time.Unix(0, m.GetDeadlineUnixNanos()).UTC(), Repeatable: m.GetRepeatable(),
+		HomeDomain: m.GetHomeDomain(), Attempt: int(m.GetAttempt()),
+	}
+	for _, t := range m.GetTasks() {
+		s.Tasks = append(s.Tasks, submission.Task{
+			Name: t.GetName(), Kind: t.GetKind(), Payload: t.GetPayload(), DeclaredRunTime: time.Duration(t.GetDeclaredRunTimeNanos()),
+			Processors: int(t.GetProcessors()), MemoryBytes: int64(t.GetMemoryBytes()), Accelerators: int(t.GetAccelerators()),
+		})
+	}
+	return s
+}
+
 // reader converts parts of messages and keeps the first error.
 type reader struct {
 	err error
@@ -306,6 +337,8 @@
 		return r.relay(k.Relay)
 	case *wire.Message_RelayDone:
 		return r.relayDone(k.RelayDone)
+	case *wire.Message_Forward:
+		return &dispatch.Forward{Submission: fromForward(k.Forward)}
 	case *wire.Message_Goodbye:
 		return &dispatch.Goodbye{}
 	}
