Hear the lead in every message; give unknown endpoints a few tasks first

A home whose tasks were all assigned at once got no beats, took the lead for silent after 0.7 s and split the matching in two; and the first fast endpoints that were found got all work, since unknown ones counted as slow. Ruled out: the write budget (linger at most 20 ms). Change: every message of the lead counts as a sign of life; a lead reckons an endpoint without three samples to be as fast as the fastest; run-time models learn only from endpoints of known speed; speeds outlive a change of owner.

--- a/pkg/dispatch/edge_test.go
+++ b/pkg/dispatch/edge_test.go
@@ -191,6 +191,16 @@
 	assert.Equal(t, w.nodes["a1"].control.HeldEndpoints(), 6)
 }
 
+// TestBusyHomeKeepsItsLead is a regression test: a home whose tasks were all
+// assigned at once got no beats, took the lead for silent, and left it.
+func TestBusyHomeKeepsItsLead(t *testing.T) {
+	w := withRunningWorld(t, defaultWorld(1))
+	before := w.counters().LeadChanges
+	w.offer(loadConfig{seed: 1, share: 0.1, length: 5 * time.Second, maxTasks: 1, deadline: 20 * time.Second, only: []string{"b1", "b2"}})
+	w.run(10 * time.Second)
+	assert.Equal(t, w.counters().LeadChanges, before)
+}
+
 // TestDomainStartsAtOnce starts all instances of a domain together: the table
 // sees a bounded number of operations from each.
 func TestDomainStartsAtOnce(t *testing.T) {
--- a/pkg/dispatch/lead.go
+++ b/pkg/dispatch/lead.go
@@ -56,6 +56,9 @@
 	dirty       bool
 	nextBeat    time.Time
 	lastWaits   []PriorityWait
+	// speeds are the last ones that owners have learned, by endpoint. They
+	// outlive a change of owner.
+	speeds *table.Table[netip.AddrPort, float64]
 }
 
 // Bounds of the lead's systems.
@@ -75,6 +78,7 @@
 		offers:      table.New[netip.AddrPort, *leadOffer](),
 		assignments: table.New[routing.Attempt, *assignment](),
 		running:     make(map[string]int),
+		speeds:      table.New[netip.AddrPort, float64](),
 	}
 }
 
@@ -266,6 +270,9 @@
 			continue // a former holder's last word does not close the offer
 		}
 		o.owner, o.report = from, r
+		if r.Samples == routing.EnoughSamples {
+			c.lead.speeds.Put(r.Endpoint, r.Speed)
+		}
 	}
 	if m.Whole {
 		c.reconcile(from, m)
@@ -401,6 +408,7 @@
 // matchOffers turns the reports of owners into offers for one round.
 func (c *Control) matchOffers() ([]*routing.Offer, map[netip.AddrPort]*leadOffer) {
 	var offers []*routing.Offer
+	fastest := c.fastestKnown()
 	order := make(map[netip.AddrPort]*leadOffer, c.lead.offers.Len())
 	for e, o := range c.lead.offers.All() {
 		shape, ok := c.shapes.Get(e)
@@ -409,7 +417,7 @@
 		}
 		offer := &routing.Offer{
 			Endpoint: e, Owner: o.owner.Instance, Shape: shape,
-			Speed: o.report.Speed, Slots: o.report.Slots, Probe: o.report.Probe,
+			Speed: c.offerSpeed(e, o, fastest), Slots: o.report.Slots, Probe: o.report.Probe,
 		}
 		if c.domainOf(o.owner) != c.config.Domain {
 			offer.Hop = hopBetweenDomains
@@ -423,6 +431,34 @@
 	return offers, order
 }
 
+// fastestKnown is the highest learned speed.
+func (c *Control) fastestKnown() float64 {
+	best := 0.0
+	for e := range c.lead.offers.All() {
+		if speed, ok := c.lead.speeds.Get(e); ok {
+			best = max(best, speed)
+		}
+	}
+	return best
+}
+
+// offerSpeed is the speed that a round reckons with. An endpoint of unknown
+// speed is taken to be as fast as the fastest until it has had a few tasks:
+// otherwise the first fast endpoints found would get all work, and the others
+// would stay unknown.
+func (c *Control) offerSpeed(e netip.AddrPort, o *leadOffer, fastest float64) float64 {
+	if o.report.Samples == routing.EnoughSamples {
+		return o.report.Speed
+	}
+	if speed, ok := c.lead.speeds.Get(e); ok {
+		return speed
+	}
+	if o.report.Samples+o.assigned.Len() < routing.EnoughSamples {
+		return max(o.report.Speed, fastest)
+	}
+	return o.report.Speed
+}
+
 // expectedEnd corrects the expected end of a task that should have ended: the
 // longer it has run, the longer it is expected to go on.
 func (c *Control) expectedEnd(a *assignment) time.Time {
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -263,6 +263,7 @@
 	Detail   string
 	RunTime  time.Duration
 	Speed    float64
+	Learned  bool // the speed rests on enough samples
 }
 
 // Acknowledge tells an owner which results have arrived.
@@ -276,6 +277,7 @@
 	Slots    int // 0 while nothing may start there
 	Speed    float64
 	Probe    bool // only a single, Repeatable task may try it
+	Samples  int  // that the speed was learned from, up to routing.EnoughSamples
 }
 
 // Supply tells the lead what an owner holds. Reports are absolute. Whole says
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -194,15 +194,16 @@
 // endRun keeps the result of a run for its home and tells the lead that the
 // slot is free.
 func (c *Control) endRun(r *run, outcome Outcome, output []byte, detail string) {
-	speed := 1.0
+	speed, learned := 1.0, false
 	if r.endpoint != nil {
 		speed = r.endpoint.speed.Speed()
+		learned = r.endpoint.speed.Samples() == routing.EnoughSamples
 	}
 	r.state = runEnded
 	r.ended = c.now
 	r.result = &Result{
 		Attempt: r.place.Attempt, Endpoint: r.place.Endpoint, Outcome: outcome,
-		Output: output, Detail: detail, Speed: speed,
+		Output: output, Detail: detail, Speed: speed, Learned: learned,
 	}
 	if !r.started.IsZero() {
 		r.result.RunTime = c.now.Sub(r.started)
@@ -536,7 +537,7 @@
 }
 
 func (c *Control) report(e *endpoint) EndpointReport {
-	r := EndpointReport{Endpoint: e.address, Slots: c.usable(e), Speed: e.speed.Speed()}
+	r := EndpointReport{Endpoint: e.address, Slots: c.usable(e), Speed: e.speed.Speed(), Samples: e.speed.Samples()}
 	r.Probe = e.health.ejected && r.Slots > 0
 	return r
 }
@@ -545,7 +546,7 @@
 // speed alone are not worth a message.
 func (r EndpointReport) differs(old EndpointReport) bool {
 	ratio := r.Speed / max(old.Speed, 1e-9)
-	return r.Slots != old.Slots || r.Probe != old.Probe || ratio > 1+speedHysteresis || ratio < 1-speedHysteresis
+	return r.Slots != old.Slots || r.Probe != old.Probe || r.Samples != old.Samples || ratio > 1+speedHysteresis || ratio < 1-speedHysteresis
 }
 
 func (c *Control) heldAttempts() []HeldAttempt {
--- a/pkg/dispatch/roster.go
+++ b/pkg/dispatch/roster.go
@@ -484,6 +484,9 @@
 }
 
 func (c *Control) heardFrom(id PeerID) {
+	if id == c.home.leadID {
+		c.home.leadHeard = c.now
+	}
 	if l, ok := c.roster.links.Get(id); ok {
 		l.heard = c.now
 	}
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -270,7 +270,9 @@
 	switch m.Outcome {
 	case Done:
 		declared := j.sub.Tasks[a.task].DeclaredRunTime
-		c.model(j.key.Team, j.sub.Tasks[a.task].Kind).Observe(declared, m.RunTime, m.Speed)
+		if m.Learned {
+			c.model(j.key.Team, j.sub.Tasks[a.task].Kind).Observe(declared, m.RunTime, m.Speed)
+		}
 		c.completeTask(j, a.task, m.Output)
 	case NotStarted:
 		c.counted.Bounces++
--- a/pkg/routing/estimate.go
+++ b/pkg/routing/estimate.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// EnoughSamples is how many samples make a speed worth relying on.
+const EnoughSamples = 3
+
+// Samples returns how many samples the speed was learned from, up to
+// EnoughSamples.
+func (s *SpeedModel) Samples() int { return int(math.Min(s.weight, EnoughSamples)) }
+
 // Speed returns the learned speed; 1 before anything was learned.
 func (s *SpeedModel) Speed() float64 {
 	return math.Max(minSpeed, math.Min(maxSpeed, math.Exp(s.logs)))
--- a/service/peer/convert.go
+++ b/service/peer/convert.go
@@ -83,7 +83,7 @@
 	case *dispatch.Result:
 		return &wire.Message{Kind: &wire.Message_Result{Result: &wire.Result{
 			Attempt: toAttempt(m.Attempt), Endpoint: toAddress(m.Endpoint), Outcome: wire.Outcome(m.Outcome),
-			Output: m.Output, Detail: m.Detail, RunTimeNanos: int64(m.RunTime), Speed: m.Speed,
+			Output: m.Output, Detail: m.Detail, RunTimeNanos: int64(m.RunTime), Speed: m.Speed, Learned: m.Learned,
 		}}}
 	case *dispatch.Acknowledge:
 		return &wire.Message{Kind: &wire.Message_Acknowledge{Acknowledge: &wire.Acknowledge{Numbers: m.Numbers}}}
@@ -155,7 +155,7 @@
 	out := &wire.Supply{Whole: m.Whole, Done: toAttempts(m.Done)}
 	for _, r := range m.Endpoints {
 		out.Endpoints = append(out.Endpoints, &wire.EndpointReport{
-			Endpoint: toAddress(r.Endpoint), Slots: uint32(r.Slots), Speed: r.Speed, Probe: r.Probe,
+			Endpoint: toAddress(r.Endpoint), Slots: uint32(r.Slots), Speed: r.Speed, Probe: r.Probe, Samples: uint32(r.Samples),
 		})
 	}
 	for _, h := range m.Held {
@@ -389,7 +389,7 @@
 	}
 	return &dispatch.Result{
 		Attempt: r.attempt(m.GetAttempt()), Endpoint: r.address(m.GetEndpoint()), Outcome: outcome,
-		Output: m.GetOutput(), Detail: m.GetDetail(), RunTime: time.Duration(m.GetRunTimeNanos()), Speed: m.GetSpeed(),
+		Output: m.GetOutput(), Detail: m.GetDetail(), RunTime: time.Duration(m.GetRunTimeNanos()), Speed: m.GetSpeed(), Learned: m.GetLearned(),
 	}
 }
 
@@ -400,7 +400,7 @@
 			r.fail(errSpeed)
 		}
 		out.Endpoints = append(out.Endpoints, dispatch.EndpointReport{
-			Endpoint: r.address(e.GetEndpoint()), Slots: int(e.GetSlots()), Speed: e.GetSpeed(), Probe: e.GetProbe(),
+			Endpoint: r.address(e.GetEndpoint()), Slots: int(e.GetSlots()), Speed: e.GetSpeed(), Probe: e.GetProbe(), Samples: int(e.GetSamples()),
 		})
 	}
 	for _, h := range m.GetHeld() {
