--- /dev/null
+++ b/pkg/rollout/rollout_test.go
@@ -0,0 +1,121 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/document"
+	"crocusseam/pkg/platform"
+)
+
+const text = `{"Environment":"%s","Domains":[{"Name":"east","Groups":[{"Name":"w","Endpoints":["10.0.0.1:9000"],"Slots":8,
+"Connections":64,"Processors":8,"MemoryBytes":1}]}],"Teams":[{"Name":"capstone"}]}`
+
+func doc(name string) []byte { return []byte(strings.Replace(text, "%s", name, 1)) }
+
+func TestOfTwoOperatorsExactlyOneWins(t *testing.T) {
+	for i := range 1000 {
+		e := &Environment{Name: "trial", Table: platform.NewMemory()}
+		ctx := context.Background()
+		_, err := e.Apply(ctx, doc("first"), 0, "setup")
+		assert.NilError(t, err)
+		var mu sync.Mutex
+		won, told := 0, 0
+		var group errgroup.Group
+		for k := range 2 {
+			group.Go(func() error {
+				_, err := e.Apply(ctx, doc(fmt.Sprint("change", k)), 1, fmt.Sprint("operator", k))
+				mu.Lock()
+				defer mu.Unlock()
+				var busy *ErrBusy
+				var version *ErrVersion
+				switch {
+				case err == nil:
+					won++
+				case errors.As(err, &busy) && strings.HasPrefix(busy.Staged.By, "operator"):
+					told++
+				case errors.As(err, &version):
+					told++
+				}
+				return nil
+			})
+		}
+		assert.NilError(t, group.Wait())
+		assert.Equal(t, won, 1, "round %d", i)
+		assert.Equal(t, told, 1, "round %d", i)
+	}
+}
+
+// lossyTable loses the answers of commits, with or without their effect.
+type lossyTable struct {
+	*platform.Memory
+	answers int
+	writes  int
+}
+
+func (l *lossyTable) Commit(ctx context.Context, writes []platform.Write) (platform.Version, error) {
+	if l.writes > 0 {
+		l.writes--
+		return 0, &platform.ErrUncertain{Step: "commit"}
+	}
+	version, err := l.Memory.Commit(ctx, writes)
+	if l.answers > 0 {
+		l.answers--
+		return 0, &platform.ErrUncertain{Step: "commit"}
+	}
+	return version, err
+}
+
+func TestApplyWithLostAnswers(t *testing.T) {
+	for _, table := range []*lossyTable{{platform.NewMemory(), 2, 0}, {platform.NewMemory(), 0, 2}, {platform.NewMemory(), 1, 1}} {
+		e := &Environment{Name: "trial", Table: table}
+		revision, err := e.Apply(context.Background(), doc("first"), 0, "operator")
+		assert.NilError(t, err)
+		state, err := e.Load(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, state.Active.Version, revision.Version)
+		assert.Equal(t, len(state.History), 1)
+	}
+}
+
+func TestStaleExpectationTellsWhoAndWhat(t *testing.T) {
+	ctx := context.Background()
+	e := &Environment{Name: "trial", Table: platform.NewMemory()}
+	_, err := e.Apply(ctx, doc("first"), 0, "ana")
+	assert.NilError(t, err)
+	_, err = e.Apply(ctx, doc("second"), 0, "rui")
+	var version *ErrVersion
+	assert.Assert(t, errors.As(err, &version))
+	assert.Equal(t, version.Actual.By, "ana")
+}
+
+func TestPromotionTakesTheVeryBytes(t *testing.T) {
+	ctx := context.Background()
+	trial := &Environment{Name: "trial", Table: platform.NewMemory()}
+	production := &Environment{Name: "production", Table: platform.NewMemory()}
+	_, err := trial.Apply(ctx, doc("first"), 0, "ana")
+	assert.NilError(t, err)
+	revision, err := production.Promote(ctx, trial, "", 0, "ana")
+	assert.NilError(t, err)
+	assert.Equal(t, revision.Digest, document.Digest(doc("first")))
+	var neverRan *ErrNeverRan
+	_, err = production.Promote(ctx, trial, document.Digest(doc("other")), 1, "ana")
+	assert.Assert(t, errors.As(err, &neverRan))
+}
+
+func TestInvalidDocumentChangesNothing(t *testing.T) {
+	e := &Environment{Name: "trial", Table: platform.NewMemory()}
+	_, err := e.Apply(context.Background(), []byte(`{"Environment":1}`), 0, "ana")
+	var faults *document.ErrDocument
+	assert.Assert(t, errors.As(err, &faults))
+	state, err := e.Load(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, state.Row, platform.Version(0))
+}
