--- a/pkg/dispatch/matrix_test.go
+++ b/pkg/dispatch/matrix_test.go
@@ -172,6 +172,40 @@
 	}
 }
 
+// writeRollout makes the world's document version 1 in the table.
+func (w *world) writeRollout() {
+	text, err := json.Marshal(w.document)
+	if err != nil {
+		panic(err)
+	}
+	first, err := json.Marshal(dispatch.Rollout{Active: dispatch.Revision{Version: 1, Digest: document.Digest(text)}})
+	if err != nil {
+		panic(err)
+	}
+	_, _ = w.store.Commit(context.Background(), []platform.Write{
+		{Key: dispatch.DocumentKey(document.Digest(text)), Value: text, Expect: platform.AnyVersion},
+		{Key: dispatch.RolloutKey, Value: first, Expect: platform.AnyVersion},
+	})
+	w.oldRollout, _ = w.store.Get(context.Background(), dispatch.RolloutKey)
+}
+
+func withRollout(t *testing.T, seed uint64) *world {
+	t.Helper()
+	w := newWorld(defaultWorld(seed))
+	w.writeRollout()
+	w.run(5 * time.Second)
+	return w
+}
+
+func (w *world) rolloutRow(t *testing.T) dispatch.Rollout {
+	t.Helper()
+	row, err := w.store.Get(context.Background(), dispatch.RolloutKey)
+	assert.NilError(t, err)
+	var rollout dispatch.Rollout
+	assert.NilError(t, json.Unmarshal(row.Value, &rollout))
+	return rollout
+}
+
 // stageDocument is an operator's apply: a conditional write of a staged version.
 func (w *world) stageDocument(by string) error {
 	ctx := context.Background()
@@ -185,6 +219,9 @@
 	}
 	changed := *w.document
 	changed.Environment = "test changed by " + by
+	if w.badDocument {
+		changed.Teams = nil
+	}
 	text, err := json.Marshal(changed)
 	if err != nil {
 		return err
@@ -230,14 +267,8 @@
 	config.perDomain = 4
 	config.switchOff = c.off
 	w := newWorld(config)
-	text, _ := json.Marshal(w.document)
-	first, _ := json.Marshal(dispatch.Rollout{Active: dispatch.Revision{Version: 1, Digest: document.Digest(text)}})
-	_, _ = w.store.Commit(context.Background(), []platform.Write{
-		{Key: dispatch.DocumentKey(document.Digest(text)), Value: text, Expect: platform.AnyVersion},
-		{Key: dispatch.RolloutKey, Value: first, Expect: platform.AnyVersion},
-	})
+	w.writeRollout()
 	w.run(5 * time.Second)
-	w.oldRollout, _ = w.store.Get(context.Background(), dispatch.RolloutKey)
 	w.probe = submission.Key{Team: "capstone", ID: "probe"}
 	struck := false
 	w.hooks[c.step] = func() {
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -51,8 +51,9 @@
 	versions map[string]uint64
 	reverts  int
 
-	nextHandle dispatch.Handle
-	extra      *load
+	nextHandle  dispatch.Handle
+	badDocument bool // the operator stages a document that has faults
+	extra       *load
 
 	applied    platform.Row // what the operators of a cell have read
 	oldRollout platform.Row
