--- a/pkg/checklist/checklist.go
+++ b/pkg/checklist/checklist.go
@@ -75,9 +75,14 @@
 // watchTime is how long rows are watched for a change, as a person would.
 const watchTime = 3 * time.Second
 
-// Compare gathers the evidence and compares every line.
-func Compare(ctx context.Context, e *rollout.Environment, table platform.Table, statuses []dispatch.Status) ([]Line, error) {
-	ev, err := gather(ctx, e, table, statuses)
+// Compare gathers the evidence, asks for the instances' reports after it, and
+// compares every line.
+func Compare(ctx context.Context, e *rollout.Environment, table platform.Table, reports func() ([]dispatch.Status, error)) ([]Line, error) {
+	ev, err := gather(ctx, e, table)
+	if err != nil {
+		return nil, err
+	}
+	ev.statuses, err = reports()
 	if err != nil {
 		return nil, err
 	}
@@ -89,8 +94,8 @@
 	return lines, nil
 }
 
-func gather(ctx context.Context, e *rollout.Environment, table platform.Table, statuses []dispatch.Status) (*evidence, error) {
-	ev := &evidence{live: make(map[string]bool), statuses: statuses}
+func gather(ctx context.Context, e *rollout.Environment, table platform.Table) (*evidence, error) {
+	ev := &evidence{live: make(map[string]bool)}
 	before, err := e.Instances(ctx)
 	if err != nil {
 		return nil, err
--- a/pkg/cmds/crocus_status.go
+++ b/pkg/cmds/crocus_status.go
@@ -213,17 +213,7 @@
 	if err != nil {
 		return err
 	}
-	out, _, err := s.gather()
-	if err != nil {
-		return err
-	}
-	var statuses []dispatch.Status
-	for _, i := range out.Instances {
-		if i.Reached {
-			statuses = append(statuses, *i.Status)
-		}
-	}
-	lines, err := checklist.Compare(s.ctx, e, table, statuses)
+	lines, err := checklist.Compare(s.ctx, e, table, s.reports)
 	if err != nil {
 		return err
 	}
@@ -238,6 +228,21 @@
 	})
 }
 
+// reports asks every instance that can be reached for its status.
+func (s *session) reports() ([]dispatch.Status, error) {
+	out, _, err := s.gather()
+	if err != nil {
+		return nil, err
+	}
+	var statuses []dispatch.Status
+	for _, i := range out.Instances {
+		if i.Reached {
+			statuses = append(statuses, *i.Status)
+		}
+	}
+	return statuses, nil
+}
+
 // keys makes the key files of a trial.
 func (s *session) keys(args []string) error {
 	made, err := settings.MakeKeys(args[0])
--- a/pkg/cmds/entry.go
+++ b/pkg/cmds/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/netip"
 	"os"
 	"os/signal"
 	"strings"
@@ -156,6 +155,7 @@
 
 type standinOptions struct {
 	Platform  settings.Address `long:"platform" default:"127.0.0.1:0" description:"address of the platform's stand-in"`
+	First     settings.Address `long:"first" default:"127.0.0.1:0" description:"address of the first endpoint; the others have the next ports, or any if the port is 0"`
 	Endpoints int              `long:"endpoints" default:"12" description:"number of endpoints in each failure domain"`
 	Domains   []string         `long:"domain" description:"failure domain; may be given several times"`
 	Slots     int              `long:"slots" default:"8" description:"slots of each endpoint"`
@@ -172,8 +172,7 @@
 	if o.Endpoints < 0 || o.Slots < 1 {
 		return fail(ExitUsage, errors.New("endpoints is 0 or more and slots 1 or more"))
 	}
-	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
-	endpoints, err := standin.NewEndpoints(standin.SpreadConfigs(loopback, o.Domains, o.Endpoints, o.Slots))
+	endpoints, err := standin.NewEndpoints(standin.SpreadConfigs(o.First.AddrPort, o.Domains, o.Endpoints, o.Slots))
 	if err != nil {
 		return fail(ExitFailed, err)
 	}
--- a/pkg/standin/document.go
+++ b/pkg/standin/document.go
@@ -18,12 +18,18 @@
 	retryBudget         = 10
 )
 
-// SpreadConfigs describes endpoints of differing speeds in each domain.
+// SpreadConfigs describes endpoints of differing speeds in each domain. The
+// first has the given address and the others the ports after it, unless that
+// port is 0.
 func SpreadConfigs(address netip.AddrPort, domains []string, perDomain, slots int) []EndpointConfig {
 	var configs []EndpointConfig
 	for _, d := range domains {
 		for i := range perDomain {
-			configs = append(configs, EndpointConfig{Address: address, Domain: d, Slots: slots, Speed: spread[i%len(spread)]})
+			at := address
+			if address.Port() != 0 {
+				at = netip.AddrPortFrom(address.Addr(), address.Port()+uint16(len(configs)))
+			}
+			configs = append(configs, EndpointConfig{Address: at, Domain: d, Slots: slots, Speed: spread[i%len(spread)]})
 		}
 	}
 	return configs
