--- a/pkg/dispatch/control_test.go
+++ b/pkg/dispatch/control_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -30,7 +29,6 @@
 	assert.Equal(t, reply.Answer.Status, submission.Complete)
 	assert.Equal(t, w.ledger.startCount, 20)
 	assert.DeepEqual(t, w.violations(), []string(nil))
-	fmt.Println(w.ledger.replies[h].at.Sub(w.ledger.requests[h].at), w.ledger.messages)
 }
 
 func TestEveryEndpointHasOneHolder(t *testing.T) {
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -54,6 +54,8 @@
 	nextHandle  dispatch.Handle
 	badDocument bool // the operator stages a document that has faults
 	extra       *load
+	costs       *costs
+	calls       map[string]int // of the platform, by kind
 
 	applied    platform.Row // what the operators of a cell have read
 	oldRollout platform.Row
@@ -149,7 +151,6 @@
 	replies            map[dispatch.Handle]replyRecord
 	requests           map[dispatch.Handle]*request
 	cutOff             int
-	messages           map[string]int
 	repeatable         map[submission.Key]bool
 }
 
@@ -202,7 +203,7 @@
 		probeCommits: map[commitKey]bool{}, probeAttempts: map[routing.Attempt]bool{}, switchOff: config.switchOff, timing: dispatch.DefaultTiming(), hop: config.hop,
 		ledger: ledger{
 			starts: map[string][]start{}, byEndpoint: map[netip.AddrPort]int{},
-			replies: map[dispatch.Handle]replyRecord{}, requests: map[dispatch.Handle]*request{}, messages: map[string]int{}, repeatable: map[submission.Key]bool{},
+			replies: map[dispatch.Handle]replyRecord{}, requests: map[dispatch.Handle]*request{}, repeatable: map[submission.Key]bool{},
 		},
 	}
 	if config.timing != nil {
@@ -380,7 +381,11 @@
 	}
 	inputs := n.inbox
 	n.inbox = nil
+	began := time.Now()
 	effects, wake := n.control.Step(w.now.Add(n.clock), inputs)
+	if w.costs != nil {
+		w.costs.addStep(n.id.Instance, time.Since(began))
+	}
 	n.wake++
 	turn := n.wake
 	w.after(wake.Sub(w.now.Add(n.clock)), func() {
@@ -477,6 +482,9 @@
 
 // call makes a read of the platform.
 func (w *world) call(n *node, d time.Duration, answer func(error) dispatch.Input) {
+	if w.calls != nil {
+		w.calls["read"]++
+	}
 	if !w.reaches(n.domain, "platform") || !w.reaches("platform", n.domain) {
 		w.after(callTimeout, func() { w.deliver(n, answer(&platform.ErrUnavailable{Step: "read", Cause: errAway})) })
 		return
@@ -489,6 +497,9 @@
 }
 
 func (w *world) commit(n *node, m dispatch.Commit) {
+	if w.calls != nil {
+		w.calls["write"]++
+	}
 	latency := 3*time.Millisecond + time.Duration(w.random.Int64N(int64(3*time.Millisecond))) + w.slowBy
 	fail := func(d time.Duration, err error) {
 		w.after(d, func() { w.deliver(n, dispatch.CommitDone{ID: m.ID, Err: err}) })
@@ -554,7 +565,9 @@
 }
 
 func (w *world) sendMessage(n *node, m dispatch.Send) {
-	w.ledger.messages[fmt.Sprintf("%T", m.Message)]++
+	if w.costs != nil {
+		w.costs.addMessage(n.id.Instance, m.Message)
+	}
 	other := w.nodes[m.Peer.Instance]
 	s := w.sessions[w.pairKey(n.id, m.Peer)]
 	if other == nil || other.id != m.Peer || s == nil || !s.up {
