Match in rounds with a pause, and keep their memory

Cause: every start and end led to a round that built its offers anew: 174 us of the lead's control a start at 48 endpoints, 27% of a core at 1,584 starts/s. Change: offers and views are reused, a round is skipped without free slots, and with more than 4 tasks waiting rounds are 25 us an endpoint apart. Tried and dropped: to end a round after 24 demands in a row that would rather wait.

--- a/pkg/dispatch/control.go
+++ b/pkg/dispatch/control.go
@@ -281,6 +281,9 @@
 	wake = earlier(wake, c.claims.nextFlush)
 	wake = earlier(wake, c.home.nextDue)
 	wake = earlier(wake, c.roster.nextBeat)
+	if c.lead.dirty && c.lead.waiting.Len() > 0 {
+		wake = earlier(wake, c.lead.nextMatch)
+	}
 	return later(wake, c.now.Add(time.Millisecond))
 }
 
--- a/pkg/dispatch/lead.go
+++ b/pkg/dispatch/lead.go
@@ -30,6 +30,7 @@
 type leadOffer struct {
 	owner    PeerID
 	report   EndpointReport
+	offer    routing.Offer // of the present round
 	assigned *table.Table[routing.Attempt, *assignment]
 }
 
@@ -54,7 +55,10 @@
 	policy      routing.TaskPolicy
 	policyName  routing.PolicyName
 	dirty       bool
+	nextMatch   time.Time
 	nextBeat    time.Time
+	offered     []*routing.Offer // of the present round, with their records
+	records     []*leadOffer
 	lastWaits   []PriorityWait
 	// speeds are the last ones that owners have learned, by endpoint. They
 	// outlive a change of owner.
@@ -69,6 +73,8 @@
 	hopBetweenDomains  = time.Millisecond
 	waitHysteresis     = 0.2
 	minWaitChange      = 20 * time.Millisecond
+	fewWaiting         = 4                     // tasks that are matched without a pause
+	matchPause         = 25 * time.Microsecond // between rounds, for each endpoint
 )
 
 func newLead() lead {
@@ -358,18 +364,31 @@
 func (c *Control) runLead() {
 	l := &c.lead
 	beatDue := !c.now.Before(l.nextBeat)
-	if l.waiting.Len() > 0 && (l.dirty || beatDue) {
+	if l.waiting.Len() > 0 && (l.dirty || beatDue) && !c.now.Before(l.nextMatch) {
+		l.nextMatch = c.now.Add(c.matchInterval())
+		l.dirty = false
 		c.match()
 	}
-	l.dirty = false
 	if beatDue {
 		l.nextBeat = c.now.Add(c.config.Timing.LeadBeat)
 		c.sendBeats()
 	}
 }
 
+// matchInterval is the least time between rounds. What changes in between is
+// dealt with together. The baselines match at every change.
+func (c *Control) matchInterval() time.Duration {
+	if c.lead.waiting.Len() < fewWaiting || (c.document != nil && c.document.Routing.Policy.IsLocal()) {
+		return 0
+	}
+	return time.Duration(c.lead.offers.Len()) * matchPause
+}
+
 func (c *Control) match() {
-	offers, order := c.matchOffers()
+	if c.freeSlots() == 0 {
+		return
+	}
+	offers := c.matchOffers()
 	demands := c.candidates()
 	if len(offers) == 0 || len(demands) == 0 {
 		return
@@ -378,7 +397,7 @@
 	touched := table.New[*leadJob, struct{}]()
 	for _, p := range pairs {
 		j, _ := c.lead.waiting.Get(p.Demand.Attempt)
-		o := order[p.Offer.Endpoint]
+		o := c.lead.records[p.Offer.Index]
 		c.lead.waiting.Delete(p.Demand.Attempt)
 		touched.Put(j, struct{}{})
 		j.remaining = max(0, j.remaining-p.Demand.Work)
@@ -406,29 +425,28 @@
 }
 
 // matchOffers turns the reports of owners into offers for one round.
-func (c *Control) matchOffers() ([]*routing.Offer, map[netip.AddrPort]*leadOffer) {
-	var offers []*routing.Offer
+func (c *Control) matchOffers() []*routing.Offer {
 	fastest := c.fastestKnown()
-	order := make(map[netip.AddrPort]*leadOffer, c.lead.offers.Len())
+	c.lead.offered, c.lead.records = c.lead.offered[:0], c.lead.records[:0]
 	for e, o := range c.lead.offers.All() {
 		shape, ok := c.shapes.Get(e)
 		if !ok || o.report.Slots == 0 {
 			continue
 		}
-		offer := &routing.Offer{
-			Endpoint: e, Owner: o.owner.Instance, Shape: shape,
+		o.offer = routing.Offer{
+			Endpoint: e, Owner: o.owner.Instance, Shape: shape, Index: len(c.lead.records), Busy: o.offer.Busy[:0],
 			Speed: c.offerSpeed(e, o, fastest), Slots: o.report.Slots, Probe: o.report.Probe,
 		}
 		if c.domainOf(o.owner) != c.config.Domain {
-			offer.Hop = hopBetweenDomains
+			o.offer.Hop = hopBetweenDomains
 		}
 		for _, a := range o.assigned.All() {
-			offer.Busy = append(offer.Busy, c.expectedEnd(a))
+			o.offer.Busy = append(o.offer.Busy, c.expectedEnd(a))
 		}
-		offers = append(offers, offer)
-		order[e] = o
+		c.lead.offered = append(c.lead.offered, &o.offer)
+		c.lead.records = append(c.lead.records, o)
 	}
-	return offers, order
+	return c.lead.offered
 }
 
 // fastestKnown is the highest learned speed.
--- a/pkg/routing/earliest.go
+++ b/pkg/routing/earliest.go
@@ -10,7 +10,10 @@
 // fast endpoint that is free soon beats a slow one that is free now. Then the
 // demand reserves that slot against the demands behind it and goes on waiting,
 // and is decided anew in the next round (late binding).
-type earliestCompletion struct{}
+type earliestCompletion struct {
+	views []view // kept between rounds to reuse their memory
+}
+
 
 // view is an offer during one round. Times are in nanoseconds from now.
 type view struct {
@@ -47,7 +50,7 @@
 }
 
 func (p *earliestCompletion) Match(now time.Time, demands []*Demand, offers []*Offer) []TaskPair {
-	views, free := newViews(now, offers)
+	views, free := p.prepare(now, offers)
 	var pairs []TaskPair
 	for _, d := range demands {
 		if free <= 0 {
@@ -72,22 +75,27 @@
 	return pairs
 }
 
-func newViews(now time.Time, offers []*Offer) ([]view, int) {
-	views := make([]view, 0, len(offers))
-	free := 0
+// prepare makes a view of each offer and counts the free slots.
+func (p *earliestCompletion) prepare(now time.Time, offers []*Offer) ([]view, int) {
+	for len(p.views) < len(offers) {
+		p.views = append(p.views, view{})
+	}
+	count, free := 0, 0
 	for _, o := range offers {
 		if o.Slots <= 0 {
 			continue
 		}
-		v := view{offer: o, slow: 1 / o.Speed, hop: float64(o.Hop), free: max(o.Free(), 0), ends: make(endHeap, len(o.Busy), len(o.Busy)+max(o.Free(), 0))}
-		for i, b := range o.Busy {
-			v.ends[i] = float64(b.Sub(now))
+		v := &p.views[count]
+		count++
+		v.offer, v.slow, v.hop, v.free = o, 1/o.Speed, float64(o.Hop), max(o.Free(), 0)
+		v.ends = v.ends[:0]
+		for _, b := range o.Busy {
+			v.ends = append(v.ends, float64(b.Sub(now)))
 		}
 		heap.Init(&v.ends)
 		free += v.free
-		views = append(views, v)
 	}
-	return views, free
+	return p.views[:count], free
 }
 
 // pickEarliest returns the offer where the demand ends first, and that end.
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -65,6 +65,7 @@
 	Speed    float64 // run time at speed 1 divided by run time here
 	Slots    int
 	Busy     []time.Time
+	Index    int           // the caller's, to find its own record of the offer
 	Hop      time.Duration // one way from the owner's domain
 	Probe    bool          // only a Repeatable task may try it
 }
