--- a/pkg/routing/earliest.go
+++ b/pkg/routing/earliest.go
@@ -14,7 +14,6 @@
 	views []view // kept between rounds to reuse their memory
 }
 
-
 // view is an offer during one round. Times are in nanoseconds from now.
 type view struct {
 	offer *Offer
