--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: trial test matrix check generate docs build
+.PHONY: trial test matrix capacity check generate build
 
 trial:
 	@go run ./cmd/crocus-trial --out out/trial.json
@@ -10,6 +10,9 @@
 matrix:
 	@PAIRS=$(PAIRS) go test ./pkg/dispatch -run 'TestMatrix' -count=1 -v
 
+capacity:
+	@CAPACITY=1 go test ./pkg/dispatch -run TestCapacity -count=1 -v
+
 check:
 	@./scripts/check.sh
 
--- a/pkg/dispatch/counters.go
+++ b/pkg/dispatch/counters.go
@@ -8,40 +8,40 @@
 
 // Counters count what a control has done since it started.
 type Counters struct {
-	Submitted          uint64
-	Attached           uint64
-	Refused            uint64
-	Shed               uint64
-	Completed          uint64
-	Failed             uint64
-	Cancelled          uint64
-	Starts             uint64
-	Retries            uint64
-	Hedges             uint64
-	Bounces            uint64
-	BusyRefusals       uint64
-	Ejections          uint64
-	Readmissions       uint64
-	Commits            uint64
-	CommittedRows      uint64
-	RepeatedWrites     uint64
-	LostRaces          uint64
-	Relays             uint64
-	IdlePolls          uint64
-	StrayAnswers       uint64
-	UnusedAssignments  uint64
-	VoidAssignments    uint64
-	RepeatedPlaces     uint64
-	RepeatedPlacements uint64
-	RepeatedResults    uint64
-	Unclaimed          uint64
-	BackfillBreaches   uint64
-	Resolved           uint64
-	LeadChanges        uint64
-	Pauses             uint64
-	FailedScans        uint64
-	BadRows            uint64
-	OldReads           uint64
+	Submitted          uint64 // submissions that callers sent here
+	Attached           uint64 // of those, joined to a job that was known
+	Refused            uint64 // requests refused
+	Shed               uint64 // of those, refused for load
+	Completed          uint64 // jobs answered Complete
+	Failed             uint64 // jobs answered Failed
+	Cancelled          uint64 // cancellations
+	Starts             uint64 // tasks started at endpoints held here
+	Retries            uint64 // further attempts after failures
+	Hedges             uint64 // second attempts in parallel
+	Bounces            uint64 // placements sent back not started
+	BusyRefusals       uint64 // tasks not started by an endpoint
+	Ejections          uint64 // endpoints taken out of use
+	Readmissions       uint64 // endpoints taken back into use
+	Commits            uint64 // groups of claims and outcomes written
+	CommittedRows      uint64 // rows in those groups
+	RepeatedWrites     uint64 // commits sent again
+	LostRaces          uint64 // conditional writes lost
+	Relays             uint64 // commits sent through a sibling
+	IdlePolls          uint64 // reads of a followed claim without a change
+	StrayAnswers       uint64 // results that nobody waited for
+	UnusedAssignments  uint64 // assignments given back to the lead
+	VoidAssignments    uint64 // assignments that no holder confirmed
+	RepeatedPlaces     uint64 // placements sent again after a new session
+	RepeatedPlacements uint64 // placements received again
+	RepeatedResults    uint64 // results sent again after a new session
+	Unclaimed          uint64 // jobs started without a claim
+	BackfillBreaches   uint64 // of those, claimed elsewhere
+	Resolved           uint64 // claims of dead homes recorded as Unknown
+	LeadChanges        uint64 // changes of the lead
+	Pauses             uint64 // times the process stood still beyond half a term
+	FailedScans        uint64 // reads of the control rows that failed
+	BadRows            uint64 // control rows that could not be read
+	OldReads           uint64 // reads that showed an older rollout
 }
 
 // WastedByKind returns the messages that did not advance a task, by kind.
--- a/service/entry/routes.go
+++ b/service/entry/routes.go
@@ -62,6 +62,32 @@
 	return c.JSON(http.StatusOK, s.Status())
 }
 
+// metrics is the expvar map of the instances in this process. Each instance's
+// entry holds the counters of dispatch.Counters, whose comments document them,
+// and the traffic with peers.
+var metrics = expvar.NewMap("Crocusseam")
+
+// publishMetrics registers the instance's metrics.
+func (s *Server) publishMetrics() {
+	metrics.Set(s.config.Instance, expvar.Func(func() any {
+		status := s.Status()
+		traffic := s.Traffic()
+		return struct {
+			dispatch.Counters
+			OpenJobs          int
+			WaitingTasks      int
+			OccupiedSlots     int
+			PeerBytesSent     int64
+			PeerBytesReceived int64
+			PeerMessagesSent  int64
+			PeerFramesSent    int64
+		}{
+			status.Counters, status.OpenJobs, status.WaitingTasks, status.OccupiedSlots,
+			traffic.SentBytes.Load(), traffic.ReceivedBytes.Load(), traffic.SentMessages.Load(), traffic.SentFrames.Load(),
+		}
+	}))
+}
+
 // getVars shows the process's expvar metrics and the instance's counters.
 func (s *Server) getVars(c echo.Context) error {
 	if !s.isOperator(c) {
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -128,6 +128,7 @@
 		MaxConnections: maxEndpointConnections, MaxOutputBytes: maxOutputBytes, DialTimeout: endpointDialTimeout, Deliver: s.deliver,
 	})
 	s.burn = burn.NewRecorder(config.Instance, config.Incarnation)
+	s.publishMetrics()
 	s.control = dispatch.New(dispatch.Config{
 		Instance: config.Instance, Incarnation: config.Incarnation, Domain: config.Domain, Capacity: config.Capacity,
 		Address: s.links.Address(), Callers: s.Address(), Seed: config.Seed, Timing: config.Timing,
