--- a/pkg/dispatch/lead.go
+++ b/pkg/dispatch/lead.go
@@ -161,6 +161,9 @@
 	if c.now.Sub(h.leadHeard) < c.config.Timing.LeadSilence {
 		return
 	}
+	if h.ownWork = c.waitingWork(); h.ownWork == 0 {
+		return
+	}
 	if l, ok := c.roster.links.Get(h.leadID); ok {
 		l.distrusted = c.now.Add(c.config.Timing.Term)
 	}
@@ -180,7 +183,7 @@
 func (c *Control) waitingWork() time.Duration {
 	var sum time.Duration
 	for _, a := range c.home.attempts.All() {
-		if a.placed.IsZero() {
+		if a.placed.IsZero() && a.reserved == (PeerID{}) {
 			sum += a.work
 		}
 	}
