Give jobs that run out of time their turn; claims before back-fills

Change: a job goes first once half of its time has passed; admission accepts what should need at most half of its time; claims lead each group of writes.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -81,14 +81,18 @@
 		longest = max(longest, c.model(s.Team, s.Tasks[i].Kind).Predict(s.Tasks[i].DeclaredRunTime))
 	}
 	fastest := time.Duration(float64(longest) / c.fastest())
-	if c.now.Add(wait + fastest).After(c.now.Add(s.Deadline.Sub(c.now))) {
+	if wait+fastest > time.Duration(float64(s.Deadline.Sub(c.now))*admittedPart) {
 		c.counted.Shed++
-		c.refuse(h, s, submission.Overloaded, wait, fmt.Sprintf("it would wait %s and run %s, past its deadline", wait.Round(time.Millisecond), fastest.Round(time.Millisecond)))
+		c.refuse(h, s, submission.Overloaded, wait, fmt.Sprintf("it would wait %s and run %s, of the %s until its deadline", wait.Round(time.Millisecond), fastest.Round(time.Millisecond), s.Deadline.Sub(c.now).Round(time.Millisecond)))
 		return false
 	}
 	return true
 }
 
+// admittedPart is the part of a job's time that its expected wait and run may
+// take; the rest is for what the expectation does not know.
+const admittedPart = 0.5
+
 // fastest is the speed of the fastest endpoint that this instance knows of.
 func (c *Control) fastest() float64 {
 	best := 1.0
--- a/pkg/dispatch/claims.go
+++ b/pkg/dispatch/claims.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"crocusseam/pkg/platform"
@@ -64,6 +65,14 @@
 	done func(version platform.Version, conflict *platform.Row, err error)
 }
 
+// rank orders the rows of a group: 0 for those that a start waits for.
+func (p *pendingWrite) rank() int {
+	if p.job != nil {
+		return 0
+	}
+	return 1
+}
+
 // batch is a commit in flight. It is repeated with the same rows until it is
 // known whether it took effect.
 type batch struct {
@@ -280,6 +289,8 @@
 	b := &batch{}
 	taken := make(map[string]bool)
 	rest := w.pending[:0:0]
+	// Claims that a start waits for go before back-fills and outcomes.
+	slices.SortStableFunc(w.pending, func(p, q *pendingWrite) int { return p.rank() - q.rank() })
 	for _, p := range w.pending {
 		if len(b.writes) >= c.config.Timing.RowsPerCommit || taken[p.write.Key] {
 			rest = append(rest, p)
--- a/pkg/dispatch/lead.go
+++ b/pkg/dispatch/lead.go
@@ -16,6 +16,7 @@
 	team      string
 	priority  int
 	arrived   time.Time
+	deadline  time.Time
 	remaining time.Duration
 	demands   []*routing.Demand // waiting, the longest first
 	running   int
@@ -198,6 +199,7 @@
 		c.lead.jobs.Put(id, j)
 	}
 	j.remaining = m.Remaining
+	j.deadline = c.now.Add(m.Left)
 	for i := range m.Demands {
 		d := &m.Demands[i]
 		if c.lead.waiting.Has(d.Attempt) {
@@ -535,10 +537,20 @@
 		if over[x.team] != over[y.team] {
 			return !over[x.team]
 		}
+		if p, q := c.isUrgent(x), c.isUrgent(y); p != q {
+			return p
+		}
 		return key(x) < key(y)
 	})
 }
 
+// isUrgent reports whether more than half of a job's time has passed. Under
+// overload the smallest job first would otherwise starve large jobs that were
+// accepted until their deadlines, and waste what they had already run.
+func (c *Control) isUrgent(j *leadJob) bool {
+	return c.now.Sub(j.arrived) > j.deadline.Sub(c.now)
+}
+
 // teamsOverShare tells which of the competing teams use more slots than their
 // weighted share of those in use. Serving the others first brings the shares
 // into line task by task.
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -212,6 +212,7 @@
 	Team      string
 	Priority  int
 	Waited    time.Duration
+	Left      time.Duration // until the deadline
 	Remaining time.Duration // work left in the job, also of tasks not listed
 	Demands   []routing.Demand
 }
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -83,7 +83,7 @@
 	c.chooseLead()
 	m := &Announce{
 		Job: j.number, Team: j.key.Team, Priority: j.class.Priority,
-		Waited: c.now.Sub(j.arrived), Remaining: j.remainingWork(),
+		Waited: c.now.Sub(j.arrived), Left: j.deadline.Sub(c.now), Remaining: j.remainingWork(),
 	}
 	for i := range j.tasks {
 		if j.tasks[i].phase == taskWaiting {
@@ -350,7 +350,7 @@
 		c.chooseLead()
 		c.send(c.home.leadID, &Announce{
 			Job: a.job.number, Team: a.job.key.Team, Priority: a.job.class.Priority,
-			Waited: c.now.Sub(a.job.arrived), Remaining: a.job.remainingWork(),
+			Waited: c.now.Sub(a.job.arrived), Left: a.job.deadline.Sub(c.now), Remaining: a.job.remainingWork(),
 			Demands: []routing.Demand{c.demand(a.job, a.task)},
 		})
 	}
--- a/service/peer/convert.go
+++ b/service/peer/convert.go
@@ -130,7 +130,7 @@
 func toAnnounce(m *dispatch.Announce) *wire.Announce {
 	out := &wire.Announce{
 		Job: m.Job, Team: m.Team, Priority: int64(m.Priority),
-		WaitedNanos: int64(m.Waited), RemainingNanos: int64(m.Remaining),
+		WaitedNanos: int64(m.Waited), LeftNanos: int64(m.Left), RemainingNanos: int64(m.Remaining),
 	}
 	for i := range m.Demands {
 		d := &m.Demands[i]
@@ -348,7 +348,8 @@
 func (r *reader) announce(m *wire.Announce) dispatch.Message {
 	out := &dispatch.Announce{
 		Job: m.GetJob(), Team: m.GetTeam(), Priority: int(m.GetPriority()),
-		Waited: time.Duration(m.GetWaitedNanos()), Remaining: time.Duration(m.GetRemainingNanos()),
+		Waited: time.Duration(m.GetWaitedNanos()), Left: time.Duration(m.GetLeftNanos()),
+		Remaining: time.Duration(m.GetRemainingNanos()),
 	}
 	for _, d := range m.GetDemands() {
 		out.Demands = append(out.Demands, routing.Demand{
--- a/service/peer/convert_test.go
+++ b/service/peer/convert_test.go
@@ -21,7 +21,7 @@
 	a := routing.Attempt{Home: "east-1", Incarnation: 7, Number: 9}
 	key := submission.Key{Team: "capstone", ID: "one"}
 	return []dispatch.Message{
-		&dispatch.Announce{Job: 1, Team: "capstone", Priority: -2, Waited: time.Second, Remaining: time.Minute, Demands: []routing.Demand{{
+		&dispatch.Announce{Job: 1, Team: "capstone", Priority: -2, Waited: time.Second, Left: time.Hour, Remaining: time.Minute, Demands: []routing.Demand{{
 			Attempt: a, Team: "capstone", Kind: "hold", Work: time.Second, Processors: 1, MemoryBytes: 2, Accelerators: 3, Repeatable: true, Avoid: []netip.AddrPort{e},
 		}}},
 		&dispatch.Withdraw{Numbers: []uint64{1, 2}},
