--- a/pkg/cmds/crocus.go
+++ b/pkg/cmds/crocus.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/user"
@@ -59,6 +62,7 @@
 	Environments string           `long:"environments" default:"crocus.json" description:"environments file"`
 	Platform     settings.Address `long:"platform" description:"address of the platform's services, instead of the environments file"`
 	Token        string           `long:"token" env:"CROCUS_TOKEN" description:"operator's token, or the team's for submit, answer and cancel"`
+	Authority    string           `long:"authority" description:"certificate file of the authority that signs the instances; makes crocus speak TLS to them"`
 	By           string           `long:"by" description:"name to sign changes with; by default the user's"`
 	Expect       int64            `long:"expect" default:"-1" description:"version that must be in force now; -1 means whichever is"`
 	Digest       string           `long:"digest" description:"with promote: digest of the document"`
@@ -219,6 +223,24 @@
 	return &rollout.Environment{Name: name, Table: client}, client, nil
 }
 
+// transport returns the settings for reaching instances and the scheme to use:
+// TLS where an authority is named.
+func (s *session) transport() (http.RoundTripper, string, error) {
+	if s.options.Authority == "" {
+		return nil, "http://", nil
+	}
+	text, err := os.ReadFile(s.options.Authority)
+	if err != nil {
+		return nil, "", err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, "", fmt.Errorf("%s holds no certificate", s.options.Authority)
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool, ServerName: settings.PeerServerName}
+	return &http.Transport{TLSClientConfig: config}, "https://", nil
+}
+
 func (s *session) plan(args []string) error {
 	text, err := os.ReadFile(args[0])
 	if err != nil {
--- a/pkg/cmds/crocus_status.go
+++ b/pkg/cmds/crocus_status.go
@@ -76,12 +76,16 @@
 )
 
 func (s *session) instanceStatus(address netip.AddrPort) (*dispatch.Status, error) {
-	request, err := http.NewRequestWithContext(s.ctx, http.MethodGet, "http://"+address.String()+api.PathStatus, nil)
+	transport, scheme, err := s.transport()
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(s.ctx, http.MethodGet, scheme+address.String()+api.PathStatus, nil)
 	if err != nil {
 		return nil, err
 	}
 	request.Header.Set("Authorization", "Bearer "+s.options.Token)
-	response, err := (&http.Client{Timeout: statusTimeout}).Do(request)
+	response, err := (&http.Client{Timeout: statusTimeout, Transport: transport}).Do(request)
 	if err != nil {
 		return nil, err
 	}
@@ -168,7 +172,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return client.New(client.Config{Instances: list, Token: s.options.Token}), list, nil
+	transport, _, err := s.transport()
+	if err != nil {
+		return nil, nil, err
+	}
+	return client.New(client.Config{
+		Instances: list, Token: s.options.Token, Secure: transport != nil, Transport: transport,
+	}), list, nil
 }
 
 func (s *session) submit(args []string) error {
--- a/service/entry/environment_test.go
+++ b/service/entry/environment_test.go
@@ -79,7 +79,8 @@
 	}
 }
 
-func withServer(tb testing.TB, p Platform, change func(*Config)) *Server {
+// startServer starts a server and returns it with the function that ends it.
+func startServer(tb testing.TB, p Platform, change func(*Config)) (*Server, func()) {
 	tb.Helper()
 	config := Config{
 		Instance: "east-1", Incarnation: 1, Domain: "east", Capacity: 1, Callers: loopback, Peers: loopback,
@@ -93,10 +94,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	s.started(ctx, done)
-	tb.Cleanup(func() {
+	return s, func() {
 		cancel()
 		<-done
-	})
+	}
+}
+
+// withServer starts a server and waits until it holds all endpoints.
+func withServer(tb testing.TB, p Platform, change func(*Config)) *Server {
+	tb.Helper()
+	s, stop := startServer(tb, p, change)
+	tb.Cleanup(stop)
 	for !allHeld(s) {
 		time.Sleep(5 * time.Millisecond)
 	}
