Keep long results in the object store; bound frames and outputs

Cause: read again, a claim row carried all results whatever their length, and a frame took up to 2,000 messages whatever their size: one long answer would have ended the session at the other side again and again. Change: results above 32 KiB go to the object store before the row; a group of rows ends at 1 MiB, a frame at 1 MiB; a job's outputs end at 4 MiB. Figures: 200 kB of results: row under 2 kB, whole answer at another instance after an outage and the home's crash.

--- a/pkg/cmds/report.go
+++ b/pkg/cmds/report.go
@@ -9,8 +9,6 @@
 	"sort"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"crocusseam/pkg/burn"
 	"crocusseam/pkg/document"
 	"crocusseam/pkg/platform"
@@ -30,18 +28,8 @@
 // Report prints the report on service-level burn.
 func Report(args []string) int {
 	var o reportOptions
-	parser := flags.NewNamedParser("crocus-report", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", &o); err != nil {
-		return fail(ExitUsage, err)
-	}
-	_, err := parser.ParseArgs(args)
-	var flagsErr *flags.Error
-	switch {
-	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
-		fmt.Println(flagsErr.Message)
-		return ExitOK
-	case err != nil:
-		return fail(ExitUsage, err)
+	if status, proceed := parse(&o, "crocus-report", args); !proceed {
+		return status
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
 	defer cancel()
--- a/pkg/dispatch/claims.go
+++ b/pkg/dispatch/claims.go
@@ -38,8 +38,10 @@
 	Reason      submission.Reason   `json:",omitempty"`
 	Detail      string              `json:",omitempty"`
 	Results     []submission.Result `json:",omitempty"`
-	Deadline    time.Time
-	Expires     time.Time
+	// Object names the object that holds the results if they are long.
+	Object   string `json:",omitempty"`
+	Deadline time.Time
+	Expires  time.Time
 }
 
 // ClaimKey returns the key of a submission's row in the table.
@@ -104,7 +106,9 @@
 	relayUntil time.Time
 	probes     int
 
-	gets *table.Table[uint64, func(platform.Row, error)]
+	gets    *table.Table[uint64, func(platform.Row, error)]
+	objects *table.Table[uint64, func([]byte, error)]
+	puts    *table.Table[*job, time.Time] // outcomes whose results wait to be stored again
 }
 
 // maxCommitsInFlight bounds the concurrent commits of an instance. A second and
@@ -112,6 +116,9 @@
 const (
 	maxCommitsInFlight = 3
 	maxBudgetBurst     = 10 // commits
+	maxCommitBytes     = 1 << 20
+	maxInlineBytes     = 32 << 10 // of results in a claim row
+	maxJobOutputBytes  = 4 << 20
 	maxBreakerBackoff  = 4 * time.Second
 	maxRetryBackoff    = time.Second
 	firstRetryBackoff  = 20 * time.Millisecond
@@ -126,11 +133,15 @@
 	return claimWriter{
 		batches: table.New[uint64, *batch](),
 		gets:    table.New[uint64, func(platform.Row, error)](),
+		objects: table.New[uint64, func([]byte, error)](),
+		puts:    table.New[*job, time.Time](),
 		tokens:  maxBudgetBurst,
 	}
 }
 
-func (w *claimWriter) busy() bool { return len(w.pending) > 0 || w.batches.Len() > 0 }
+func (w *claimWriter) busy() bool {
+	return len(w.pending) > 0 || w.batches.Len() > 0 || w.objects.Len() > 0 || w.puts.Len() > 0
+}
 
 // breakerOpen reports whether the platform is taken to be away.
 func (c *Control) breakerOpen() bool {
@@ -200,6 +211,7 @@
 	c.refillBudget()
 	c.expireWrites()
 	c.startHomed()
+	c.retryObjects()
 	c.retryBatches()
 	c.flushClaims()
 }
@@ -289,14 +301,17 @@
 	b := &batch{}
 	taken := make(map[string]bool)
 	rest := w.pending[:0:0]
+	bytes := 0
 	// Claims that a start waits for go before back-fills and outcomes.
 	slices.SortStableFunc(w.pending, func(p, q *pendingWrite) int { return p.rank() - q.rank() })
 	for _, p := range w.pending {
-		if len(b.writes) >= c.config.Timing.RowsPerCommit || taken[p.write.Key] {
+		full := len(b.writes) >= c.config.Timing.RowsPerCommit || bytes > maxCommitBytes
+		if full || taken[p.write.Key] {
 			rest = append(rest, p)
 			continue
 		}
 		taken[p.write.Key] = true
+		bytes += len(p.write.Value)
 		b.writes = append(b.writes, p)
 	}
 	w.pending = rest
--- a/pkg/dispatch/control.go
+++ b/pkg/dispatch/control.go
@@ -187,6 +187,8 @@
 		c.commitDone(m)
 	case GetDone:
 		c.getDone(m)
+	case ObjectDone:
+		c.objectDone(m)
 	case ScanDone:
 		c.scanDone(m)
 	case ListDone:
--- a/pkg/dispatch/edge_test.go
+++ b/pkg/dispatch/edge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -191,6 +192,40 @@
 	assert.Equal(t, w.nodes["a1"].control.HeldEndpoints(), 6)
 }
 
+func TestLongResultsAreKeptInTheObjectStore(t *testing.T) {
+	w := withRunningWorld(t, defaultWorld(1))
+	s := w.job("long", 10, 50*time.Millisecond)
+	first := w.submit("a1", s)
+	w.run(200 * time.Millisecond)
+	complete(t, w.answered(first))
+	w.away = true
+	w.run(2 * time.Second)
+	w.away = false
+	w.run(6 * time.Second)
+	w.crash("a1")
+	w.run(6 * time.Second)
+	row, err := w.store.Get(context.Background(), dispatch.ClaimKey(s.Key))
+	assert.NilError(t, err)
+	assert.Assert(t, len(row.Value) < 2000)
+	again := *s
+	again.Attempt = 2
+	second := w.submit("c1", &again)
+	w.run(time.Second)
+	complete(t, w.answered(second))
+	assert.DeepEqual(t, w.violations(), []string(nil))
+	assert.Equal(t, w.ledger.startCount, 10)
+}
+
+func TestOutputBeyondItsBoundFailsTheJob(t *testing.T) {
+	w := withRunningWorld(t, defaultWorld(1))
+	h := w.submit("a1", w.job("long", 300, 50*time.Millisecond))
+	w.run(3 * time.Second)
+	r := w.answered(h)
+	assert.Assert(t, r != nil && r.Answer != nil)
+	assert.Equal(t, r.Answer.Reason, submission.TaskFailed)
+	assert.Assert(t, strings.Contains(r.Answer.Detail, "output is longer"))
+}
+
 // TestBusyHomeKeepsItsLead is a regression test: a home whose tasks were all
 // assigned at once got no beats, took the lead for silent, and left it.
 func TestBusyHomeKeepsItsLead(t *testing.T) {
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -53,6 +53,8 @@
 	reply     submission.Reply
 	finished  time.Time
 	recorded  bool
+	object    string   // that holds the results
+	output    int      // bytes of output so far
 	row       ClaimRow // of a followed job
 	nextPoll  time.Time
 	pollWait  time.Duration
@@ -334,7 +336,10 @@
 		Expires: j.sub.Deadline.Add(c.config.Timing.Retention),
 	}
 	if a := j.reply.Answer; a != nil {
-		row.Reason, row.Detail, row.Results = a.Reason, a.Detail, a.Results
+		row.Reason, row.Detail, row.Object = a.Reason, a.Detail, j.object
+		if j.object == "" {
+			row.Results = a.Results
+		}
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
@@ -419,6 +424,12 @@
 	j.row, j.version = row, version
 	switch row.State {
 	case StateComplete:
+		if row.Object != "" {
+			j.phase = following
+			j.nextPoll = time.Time{}
+			c.fetchResults(j, row.Object)
+			return
+		}
 		c.finishFollowed(j, submission.Answer{Status: submission.Complete, Results: row.Results})
 	case StateFailed:
 		c.finishFollowed(j, submission.Answer{Status: submission.Failed, Reason: row.Reason, Detail: row.Detail})
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -52,6 +52,13 @@
 	Err error
 }
 
+// ObjectDone answers a PutObject or a GetObject.
+type ObjectDone struct {
+	ID      uint64
+	Content []byte
+	Err     error
+}
+
 // ScanDone answers a Scan of the control rows.
 type ScanDone struct {
 	ID   uint64
@@ -102,6 +109,7 @@
 func (CommitDone) isInput()  {}
 func (GetDone) isInput()     {}
 func (ScanDone) isInput()    {}
+func (ObjectDone) isInput()  {}
 func (ListDone) isInput()    {}
 func (AttemptDone) isInput() {}
 func (Received) isInput()    {}
@@ -131,6 +139,19 @@
 	Key string
 }
 
+// PutObject stores an object.
+type PutObject struct {
+	ID      uint64
+	Name    string
+	Content []byte
+}
+
+// GetObject reads an object.
+type GetObject struct {
+	ID   uint64
+	Name string
+}
+
 // Scan reads the control rows of the table.
 type Scan struct {
 	ID     uint64
@@ -168,6 +189,8 @@
 func (Commit) isEffect()    {}
 func (Get) isEffect()       {}
 func (Scan) isEffect()      {}
+func (PutObject) isEffect() {}
+func (GetObject) isEffect() {}
 func (List) isEffect()      {}
 func (Start) isEffect()     {}
 func (Interrupt) isEffect() {}
--- /dev/null
+++ b/pkg/dispatch/objects.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"crocusseam/pkg/submission"
+)
+
+// Long results are kept in the object store, and the claim row names them. The
+// object is stored before the row, under a name with the claim's token, so that
+// a row never names what is not there.
+
+func (j *job) objectName() string { return "results/" + j.key.Team + "/" + j.key.ID + "/" + j.token }
+
+func outputBytes(results []submission.Result) int {
+	sum := 0
+	for _, r := range results {
+		sum += len(r.Output)
+	}
+	return sum
+}
+
+// storeResults stores the results of a complete job and then records its
+// outcome.
+func (c *Control) storeResults(j *job) {
+	content, err := json.Marshal(j.reply.Answer.Results)
+	if err != nil {
+		panic("results cannot be encoded: " + err.Error())
+	}
+	c.claims.nextID++
+	c.claims.puts.Delete(j)
+	c.claims.objects.Put(c.claims.nextID, func(_ []byte, err error) {
+		if err != nil {
+			c.claims.puts.Put(j, c.now.Add(maxRetryBackoff/2+c.jitter(maxRetryBackoff/2)))
+			return
+		}
+		j.object = j.objectName()
+		c.recordOutcome(j, StateComplete)
+	})
+	c.emit(PutObject{ID: c.claims.nextID, Name: j.objectName(), Content: content})
+}
+
+func (c *Control) retryObjects() {
+	for j, due := range c.claims.puts.All() {
+		if !c.now.Before(due) && !c.commitsHeld() {
+			c.counted.RepeatedWrites++
+			c.storeResults(j)
+		}
+	}
+}
+
+// fetchResults reads the results that a claim row names and then answers.
+func (c *Control) fetchResults(j *job, name string) {
+	c.claims.nextID++
+	c.claims.objects.Put(c.claims.nextID, func(content []byte, err error) {
+		if j.phase == finished {
+			return
+		}
+		var results []submission.Result
+		if err == nil {
+			err = json.Unmarshal(content, &results)
+		}
+		if err != nil {
+			c.finishRefused(j, submission.Refusal{
+				Reason: submission.PlatformUnavailable, RetryAfter: c.config.Timing.BreakerBackoff,
+				Detail: fmt.Sprintf("the job is complete; its results cannot be read now: %v", err),
+			})
+			return
+		}
+		c.finishFollowed(j, submission.Answer{Status: submission.Complete, Results: results})
+	})
+	c.emit(GetObject{ID: c.claims.nextID, Name: name})
+}
+
+func (c *Control) objectDone(m ObjectDone) {
+	done, ok := c.claims.objects.Get(m.ID)
+	if !ok {
+		return
+	}
+	c.claims.objects.Delete(m.ID)
+	done(m.Content, m.Err)
+}
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -290,6 +290,11 @@
 	t := &j.tasks[task]
 	t.phase = taskDone
 	t.output = output
+	j.output += len(output)
+	if j.output > maxJobOutputBytes {
+		c.failJob(j, submission.TaskFailed, fmt.Sprintf("the job's output is longer than %d bytes", maxJobOutputBytes))
+		return
+	}
 	j.left--
 	for _, n := range t.attempts {
 		c.dropAttempt(n)
@@ -409,6 +414,10 @@
 // recordOutcome writes the end of a job that this home has claimed. It may
 // replace Unknown, which others record when they believe this home dead.
 func (c *Control) recordOutcome(j *job, state ClaimState) {
+	if state == StateComplete && j.object == "" && outputBytes(j.reply.Answer.Results) > maxInlineBytes {
+		c.storeResults(j)
+		return
+	}
 	c.write(&pendingWrite{
 		write: platform.Write{Key: ClaimKey(j.key), Value: c.claimValue(j, state), Expect: j.version},
 		done: func(version platform.Version, present *platform.Row, _ error) {
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -421,6 +421,21 @@
 			row, _ := w.store.Get(context.Background(), m.Key)
 			return dispatch.GetDone{ID: m.ID, Row: row, Err: err}
 		})
+	case dispatch.PutObject:
+		w.call(n, time.Millisecond, func(err error) dispatch.Input {
+			if err == nil {
+				err = w.store.Put(context.Background(), m.Name, m.Content)
+			}
+			return dispatch.ObjectDone{ID: m.ID, Err: err}
+		})
+	case dispatch.GetObject:
+		w.call(n, time.Millisecond, func(err error) dispatch.Input {
+			if err != nil {
+				return dispatch.ObjectDone{ID: m.ID, Err: err}
+			}
+			content, err := w.store.GetObject(context.Background(), m.Name)
+			return dispatch.ObjectDone{ID: m.ID, Content: content, Err: err}
+		})
 	case dispatch.Scan:
 		w.call(n, time.Millisecond, func(err error) dispatch.Input {
 			if err != nil {
@@ -811,9 +826,16 @@
 
 // outputOf is what an endpoint answers: enough to tell whose task it ran.
 func outputOf(id, task string, payload []byte) []byte {
-	return []byte(id + "/" + task + "/" + string(payload))
+	out := id + "/" + task + "/" + string(payload)
+	if strings.HasPrefix(id, "long") {
+		out += strings.Repeat("x", longOutput)
+	}
+	return []byte(out)
 }
 
+// longOutput is what a task of a job named long answers besides.
+const longOutput = 20_000
+
 // violations lists what broke the invariants, judged by the ledgers.
 func (w *world) violations() []string {
 	var list []string
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -313,6 +313,14 @@
 		row, err := p.Get(ctx, m.Key)
 		s.logPlatform("get", err)
 		s.deliver(dispatch.GetDone{ID: m.ID, Row: row, Err: err})
+	case dispatch.PutObject:
+		err := p.Put(ctx, m.Name, m.Content)
+		s.logPlatform("put", err)
+		s.deliver(dispatch.ObjectDone{ID: m.ID, Err: err})
+	case dispatch.GetObject:
+		content, err := p.GetObject(ctx, m.Name)
+		s.logPlatform("get object", err)
+		s.deliver(dispatch.ObjectDone{ID: m.ID, Content: content, Err: err})
 	case dispatch.Scan:
 		rows, err := p.Scan(ctx, m.Prefix, dispatch.ScanLimit)
 		s.logPlatform("scan", err)
--- a/service/peer/links.go
+++ b/service/peer/links.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"crocusseam/pkg/dispatch"
 	"crocusseam/service/peer/wire"
@@ -33,6 +34,7 @@
 // Bounds of sessions and frames.
 const (
 	maxFrameBytes    = 8 << 20
+	fullFrameBytes   = 1 << 20 // a frame takes no further message beyond this
 	maxQueued        = 200_000 // messages that wait for one peer
 	maxFrameMessages = 2000
 	helloTimeout     = 2 * time.Second
@@ -383,12 +385,28 @@
 	}
 }
 
+// writeFrame writes messages in one frame, or in several if they are long: a
+// frame beyond the bound would end the session at the other side.
 func (l *Links) writeFrame(w io.Writer, messages []dispatch.Message) error {
-	frame := &wire.Frame{Messages: make([]*wire.Message, len(messages))}
-	for i, m := range messages {
-		frame.Messages[i] = ToWire(m)
+	frame := &wire.Frame{}
+	size := 0
+	for _, m := range messages {
+		message := ToWire(m)
+		next := proto.Size(message)
+		if size > 0 && size+next > fullFrameBytes {
+			if err := l.sendFrame(w, frame); err != nil {
+				return err
+			}
+			frame, size = &wire.Frame{}, 0
+		}
+		frame.Messages = append(frame.Messages, message)
+		size += next
 	}
-	l.Stats.SentMessages.Add(int64(len(messages)))
+	return l.sendFrame(w, frame)
+}
+
+func (l *Links) sendFrame(w io.Writer, frame *wire.Frame) error {
+	l.Stats.SentMessages.Add(int64(len(frame.GetMessages())))
 	l.Stats.SentFrames.Add(1)
 	_, err := protodelim.MarshalTo(w, frame)
 	return err
