Ask the next instance at once when one took nothing

Cause: after an instance had stopped, callers that met it waited up to its RetryAfter of 1 s before asking another one. Change: an instance that was not reached, or that refuses as Leaving, costs no back-off while others have not been asked.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -99,13 +99,20 @@
 	copied.Attempt = max(copied.Attempt, 1)
 	backoff := c.config.FirstBackoff
 	var last error
+	elsewhere := 0 // instances in a row that took nothing
 	for turn := first; ; turn++ {
 		instance := c.config.Instances[turn%len(c.config.Instances)]
-		answer, err := c.SubmitOnce(ctx, instance, &copied)
+		x := c.submitOnce(ctx, instance, &copied)
+		answer, err := x.outcome(http.MethodPost)
 		if err == nil {
 			return answer, nil
 		}
 		last = err
+		if x.tookNothing() && elsewhere < len(c.config.Instances)-1 && ctx.Err() == nil {
+			elsewhere++
+			continue
+		}
+		elsewhere = 0
 		var refusal *submission.Refusal
 		if errors.As(err, &refusal) {
 			if isFinal(refusal.Reason) {
@@ -126,6 +133,15 @@
 	}
 }
 
+// tookNothing reports whether the instance certainly has not accepted the
+// request and another one may: it was not reached, or takes no new work.
+func (x *Exchange) tookNothing() bool {
+	if x.Err != nil {
+		return !x.Written
+	}
+	return x.Refusal != nil && x.Refusal.NotRun && (x.Refusal.Reason == submission.Leaving || x.Refusal.Reason == submission.NotServing)
+}
+
 func isFinal(r submission.Reason) bool {
 	switch r {
 	case submission.Invalid, submission.Unauthorized, submission.DigestDiffers, submission.NoWorkerFits,
@@ -137,37 +153,51 @@
 
 // SubmitOnce submits a job to one instance, once.
 func (c *Client) SubmitOnce(ctx context.Context, instance netip.AddrPort, s *submission.Submission) (*submission.Answer, error) {
+	x := c.submitOnce(ctx, instance, s)
+	return x.outcome(http.MethodPost)
+}
+
+func (c *Client) submitOnce(ctx context.Context, instance netip.AddrPort, s *submission.Submission) Exchange {
+	x := Exchange{Key: s.Key, Attempt: s.Attempt}
 	body, err := json.Marshal(api.EncodeSubmission(s))
 	if err != nil {
-		return nil, eris.Wrap(err, "encode the submission")
+		x.Err = err
+		return x
 	}
-	return c.exchange(ctx, http.MethodPost, instance, api.PathSubmissions, body, Exchange{Key: s.Key, Attempt: s.Attempt})
+	return c.exchange(ctx, http.MethodPost, instance, api.PathSubmissions, body, x)
 }
 
 // Answer asks one instance for the answer to a submission and waits for it.
 func (c *Client) Answer(ctx context.Context, instance netip.AddrPort, key submission.Key) (*submission.Answer, error) {
-	return c.exchange(ctx, http.MethodGet, instance, submissionPath(key), nil, Exchange{Key: key})
+	x := c.exchange(ctx, http.MethodGet, instance, submissionPath(key), nil, Exchange{Key: key})
+	return x.outcome(http.MethodGet)
 }
 
 // Cancel cancels a submission through one instance.
 func (c *Client) Cancel(ctx context.Context, instance netip.AddrPort, key submission.Key) (*submission.Answer, error) {
-	return c.exchange(ctx, http.MethodDelete, instance, submissionPath(key), nil, Exchange{Key: key})
+	x := c.exchange(ctx, http.MethodDelete, instance, submissionPath(key), nil, Exchange{Key: key})
+	return x.outcome(http.MethodDelete)
 }
 
 func submissionPath(key submission.Key) string {
 	return api.PathSubmissions + "/" + key.Team + "/" + key.ID
 }
 
-func (c *Client) exchange(ctx context.Context, method string, instance netip.AddrPort, path string, body []byte, x Exchange) (*submission.Answer, error) {
+func (c *Client) exchange(ctx context.Context, method string, instance netip.AddrPort, path string, body []byte, x Exchange) Exchange {
 	x.Instance = instance
 	x.Answer, x.Refusal, x.Written, x.Err = c.roundTrip(ctx, method, instance, path, body)
 	x.Ended = time.Now()
 	if c.config.Observe != nil {
 		c.config.Observe(x)
 	}
+	return x
+}
+
+// outcome returns what an exchange came to.
+func (x *Exchange) outcome(method string) (*submission.Answer, error) {
 	switch {
 	case x.Err != nil:
-		return nil, eris.Wrapf(x.Err, "%s %s at %s", method, x.Key, instance)
+		return nil, eris.Wrapf(x.Err, "%s %s at %s", method, x.Key, x.Instance)
 	case x.Refusal != nil:
 		return nil, x.Refusal
 	}
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -64,6 +64,20 @@
 	assert.DeepEqual(t, attempts, []int{1, 2, 3})
 }
 
+// TestLeavingInstanceCostsNoWait has a back-off of an hour: the next instance
+// must be asked at once.
+func TestLeavingInstanceCostsNoWait(t *testing.T) {
+	leaving := withScript(t, scripted{503, `{"Reason":"Leaving","NotRun":true,"RetryAfter":"1h"}`})
+	gone := httptest.NewServer(http.NotFoundHandler())
+	closed := netip.MustParseAddrPort(gone.Listener.Addr().String())
+	gone.Close()
+	c := client.New(client.Config{Instances: append(leaving, closed, withScript(t, complete)[0]), FirstBackoff: time.Hour, MaxBackoff: time.Hour})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	_, err := c.Submit(ctx, &submission.Submission{Key: submission.Key{Team: "t", ID: "1"}}, 0)
+	assert.NilError(t, err)
+}
+
 func TestFinalRefusalIsNotSentAgain(t *testing.T) {
 	attempts, err := attemptsOf(t, scripted{409, `{"Reason":"DigestDiffers","RetryAfter":"0s"}`}, complete)
 	var refusal *submission.Refusal
