Let outcomes wait 150 ms for company

Cause: most outcomes went in commits of their own, 50 ms after the answer, and queued with claims at the platform's ceiling. Change: they wait 150 ms, and mostly ride with a claim. A crash in that time turns an answered job into OutcomeUnknown for a later resubmission, as before within 50 ms.

--- a/pkg/dispatch/control.go
+++ b/pkg/dispatch/control.go
@@ -61,7 +61,7 @@
 		Heartbeat:      time.Second,
 		Term:           3 * time.Second,
 		ClaimWait:      2 * time.Second,
-		OutcomeLinger:  50 * time.Millisecond,
+		OutcomeLinger:  150 * time.Millisecond,
 		LeadBeat:       200 * time.Millisecond,
 		LeadSilence:    700 * time.Millisecond,
 		PeerLoss:       5 * time.Second,
