Remove state that nothing read; one look-up for an instance's session

Cause: read again, endpoints carried a dirty flag and links a time of the last message that nothing read, and instanceLinked stood beside linkOf. Change: both flags are gone, linkOf serves both callers, comments added. Behaviour as before: pkg/dispatch with the fault matrix green, make check clean.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -143,7 +143,7 @@
 	}
 	members := c.domainMembers()
 	for _, m := range members {
-		if m.Instance != c.self.Instance && !c.instanceLinked(m.Instance) {
+		if _, linked := c.linkOf(m.Instance); !linked && m.Instance != c.self.Instance {
 			return false
 		}
 	}
@@ -185,15 +185,6 @@
 	return members
 }
 
-func (c *Control) instanceLinked(instance string) bool {
-	for id, l := range c.roster.links.All() {
-		if id.Instance == instance && l.up {
-			return true
-		}
-	}
-	return false
-}
-
 func rendezvous(key string, members []slots.Member) string {
 	best := ""
 	var top uint64
--- a/pkg/dispatch/homed.go
+++ b/pkg/dispatch/homed.go
@@ -41,6 +41,7 @@
 	return true
 }
 
+// linkOf returns the incarnation of an instance that a session is up with.
 func (c *Control) linkOf(instance string) (PeerID, bool) {
 	for id, l := range c.roster.links.All() {
 		if id.Instance == instance && l.up {
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -35,7 +35,6 @@
 	speed    routing.SpeedModel
 	health   health
 	reported EndpointReport
-	dirty    bool
 }
 
 // health tells an endpoint that fails everything from one that met a job whose
@@ -229,11 +228,9 @@
 			c.counted.Readmissions++
 		}
 		*h = health{}
-		e.dirty = true
 	case NotStarted:
 		c.counted.BusyRefusals++
 		e.backOff = c.now.Add(busyBackoff)
-		e.dirty = true
 		c.noteFailure(e, r)
 	case TaskFailed, Unknown:
 		if !r.dropped {
@@ -264,7 +261,6 @@
 	h.ejected = true
 	h.ejectedTil = c.now.Add(min(firstEjection<<min(h.ejections, 8), maxEjection))
 	h.ejections++
-	e.dirty = true
 }
 
 // mayEject keeps at least half of the held endpoints in use.
@@ -411,7 +407,6 @@
 	e.state = wanted
 	e.granted = make(map[PeerID]bool)
 	e.asked = time.Time{}
-	e.dirty = true
 }
 
 // askHolds sends the requests for wanted endpoints and takes those that every
@@ -444,7 +439,6 @@
 		}
 		if !missing {
 			e.state = held
-			e.dirty = true
 		}
 	}
 	for s, r := range requests.All() {
@@ -485,7 +479,6 @@
 func (c *Control) release(e *endpoint, to PeerID) {
 	e.state = notHeld
 	e.freedTo = to
-	e.dirty = true
 	for _, r := range e.queue {
 		c.endRun(r, NotStarted, nil, "the endpoint has another holder now")
 	}
@@ -507,7 +500,6 @@
 	e, ok := c.owner.endpoints.Get(m.Endpoint)
 	if ok && e.foreign > 0 {
 		e.foreign--
-		e.dirty = true
 		c.startRuns(e)
 	}
 }
--- a/pkg/dispatch/rollout.go
+++ b/pkg/dispatch/rollout.go
@@ -300,7 +300,6 @@
 	}
 	e.slots = count
 	e.leaving = c.roster.listed[a] || c.roster.drains[a.String()]
-	e.dirty = true
 }
 
 func (c *Control) team(name string) (document.Team, bool) {
--- a/pkg/dispatch/roster.go
+++ b/pkg/dispatch/roster.go
@@ -66,7 +66,6 @@
 	up         bool
 	lost       time.Time
 	leaving    bool
-	heard      time.Time
 	distrusted time.Time
 }
 
@@ -449,7 +448,6 @@
 	}
 	l.up = true
 	l.lost = time.Time{}
-	l.heard = c.now
 	if c.owner.reportTo == id {
 		c.owner.reportTo = PeerID{}
 	}
@@ -483,13 +481,11 @@
 	c.chooseLead()
 }
 
+// heardFrom notes a sign of life of the lead. Every message is one.
 func (c *Control) heardFrom(id PeerID) {
 	if id == c.home.leadID {
 		c.home.leadHeard = c.now
 	}
-	if l, ok := c.roster.links.Get(id); ok {
-		l.heard = c.now
-	}
 }
 
 func (c *Control) saidGoodbye(id PeerID) {
