--- a/pkg/checklist/checklist.go
+++ b/pkg/checklist/checklist.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"crocusseam/pkg/dispatch"
-	"crocusseam/pkg/platform"
 	"crocusseam/pkg/rollout"
+	"crocusseam/pkg/storage"
 )
 
 // Item is one line of the checklist.
@@ -77,7 +77,7 @@
 
 // Compare gathers the evidence, asks for the instances' reports after it, and
 // compares every line.
-func Compare(ctx context.Context, e *rollout.Environment, table platform.Table, reports func() ([]dispatch.Status, error)) ([]Line, error) {
+func Compare(ctx context.Context, e *rollout.Environment, table storage.Table, reports func() ([]dispatch.Status, error)) ([]Line, error) {
 	ev, err := gather(ctx, e, table)
 	if err != nil {
 		return nil, err
@@ -94,7 +94,7 @@
 	return lines, nil
 }
 
-func gather(ctx context.Context, e *rollout.Environment, table platform.Table) (*evidence, error) {
+func gather(ctx context.Context, e *rollout.Environment, table storage.Table) (*evidence, error) {
 	ev := &evidence{live: make(map[string]bool)}
 	before, err := e.Instances(ctx)
 	if err != nil {
--- /dev/null
+++ b/pkg/cmds/gate.go
@@ -0,0 +1,133 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/sync/errgroup"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/logbook"
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/settings"
+	"crocusseam/platform"
+	"crocusseam/service/gate"
+)
+
+type gateOptions struct {
+	Settings string `long:"settings" description:"settings file; the platform names it in the environment"`
+	Check    bool   `long:"check" description:"check the settings file and exit"`
+}
+
+// Figures of the gate's process.
+const (
+	memoryShare      = 0.75 // of the memory, from which the garbage collector works harder
+	shareUnit        = 0.01 // of a processor, in the relative size of an instance
+	storeReadTime    = 700 * time.Millisecond
+	storeWriteTime   = time.Second
+	storeConnections = 16
+	leaveShare       = 0.85 // of the grace, within which a planned stop ends
+)
+
+// Gate runs an instance on the users' platform until a signal stops it in plan.
+func Gate(args []string) int {
+	var o gateOptions
+	if status, proceed := parse(&o, "crocus-gate", args); !proceed {
+		return status
+	}
+	path := o.Settings
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	if path == "" {
+		return fail(ExitUsage, errors.New("no settings file is named by --settings or the environment"))
+	}
+	s, err := loadGate(path)
+	if err != nil {
+		return fail(ExitUsage, err)
+	}
+	if o.Check {
+		fmt.Printf("the settings in %s are valid\n", path)
+		return ExitOK
+	}
+	if err := runGate(path, s); err != nil {
+		return fail(ExitFailed, err)
+	}
+	return ExitOK
+}
+
+func loadGate(path string) (*settings.Gate, error) {
+	var s settings.Gate
+	if err := settings.Load(path, &s); err != nil {
+		return nil, err
+	}
+	return &s, s.Validate()
+}
+
+func runGate(path string, s *settings.Gate) error {
+	level, err := zapcore.ParseLevel(s.Log)
+	if err != nil {
+		return &settings.ErrSetting{Name: "Log", Value: s.Log, Allowed: "debug, info, warn, error"}
+	}
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
+	book := logbook.New(os.Stdout)
+	logger := book.Logger(level)
+	timing := placement.DefaultTiming()
+	timing.Lease = time.Duration(s.Lease)
+	timing.LeaveMax = time.Duration(float64(s.Grace) * leaveShare)
+	server, err := gate.New(gate.Config{
+		Self:   instance.ID{Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano())},
+		Domain: s.Domain, Share: max(1, int(s.Processor/shareUnit)),
+		Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Metrics: s.Metrics,
+		Store: platform.NewStore(platform.StoreConfig{
+			Address: s.Store, ReadTimeout: storeReadTime, WriteTimeout: storeWriteTime, Connections: storeConnections,
+		}),
+		Timing: timing, Logger: logger, LinesLeftOut: book.LeftOut,
+	})
+	if err != nil {
+		return err
+	}
+	logger.Info("instance starts", zap.String("Instance", s.Instance), zap.String("Domain", s.Domain), zap.Stringer("Callers", s.Callers), zap.Stringer("Store", s.Store))
+	ctx, cancel := context.WithCancel(context.Background())
+	var writer errgroup.Group
+	writer.Go(func() error { return book.Run(ctx) })
+	var group errgroup.Group
+	group.Go(func() error { return followSignals(ctx, server, path, logger) })
+	err = server.Run(ctx)
+	logger.Info("instance stops", zap.Error(err))
+	cancel()
+	return errors.Join(err, group.Wait(), writer.Wait())
+}
+
+// followSignals begins a planned stop on a signal to stop, and reads the
+// settings again on one that they have changed.
+func followSignals(ctx context.Context, server *gate.Server, path string, logger *zap.Logger) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				logger.Info("signal to stop", zap.Stringer("Signal", received))
+				server.Stop()
+				continue
+			}
+			if _, err := loadGate(path); err != nil {
+				logger.Error("settings not reloaded", zap.String("Path", path), zap.Error(err))
+				continue
+			}
+			logger.Info("settings reloaded", zap.String("Path", path))
+		}
+	}
+}
--- a/pkg/cmds/report.go
+++ b/pkg/cmds/report.go
@@ -11,7 +11,7 @@
 
 	"crocusseam/pkg/burn"
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 	"crocusseam/service/entry"
 )
 
@@ -93,7 +93,7 @@
 	return report, nil
 }
 
-func parseSheets(rows []platform.Row) ([]burn.Sheet, error) {
+func parseSheets(rows []storage.Row) ([]burn.Sheet, error) {
 	sheets := make([]burn.Sheet, len(rows))
 	for i, row := range rows {
 		if err := json.Unmarshal(row.Value, &sheets[i]); err != nil {
--- a/pkg/dispatch/claims.go
+++ b/pkg/dispatch/claims.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 	"crocusseam/pkg/table"
 )
@@ -56,7 +56,7 @@
 
 // pendingWrite is a row that waits for a commit, with what to do afterwards.
 type pendingWrite struct {
-	write   platform.Write
+	write   storage.Write
 	urgent  bool // a caller waits for it
 	expires time.Time
 	queued  time.Time
@@ -64,7 +64,7 @@
 	// done is called once the row is known to have been written (conflict
 	// nil), or to have another content (conflict is the present row), or when
 	// the bound of the wait has passed (err is set).
-	done func(version platform.Version, conflict *platform.Row, err error)
+	done func(version storage.Version, conflict *storage.Row, err error)
 }
 
 // rank orders the rows of a group: 0 for those that a start waits for.
@@ -106,7 +106,7 @@
 	relayUntil time.Time
 	probes     int
 
-	gets    *table.Table[uint64, func(platform.Row, error)]
+	gets    *table.Table[uint64, func(storage.Row, error)]
 	objects *table.Table[uint64, func([]byte, error)]
 	puts    *table.Table[*job, time.Time] // outcomes whose results wait to be stored again
 }
@@ -132,7 +132,7 @@
 func newClaimWriter() claimWriter {
 	return claimWriter{
 		batches: table.New[uint64, *batch](),
-		gets:    table.New[uint64, func(platform.Row, error)](),
+		gets:    table.New[uint64, func(storage.Row, error)](),
 		objects: table.New[uint64, func([]byte, error)](),
 		puts:    table.New[*job, time.Time](),
 		tokens:  maxBudgetBurst,
@@ -162,7 +162,7 @@
 }
 
 // get reads one row of the table.
-func (c *Control) get(key string, done func(platform.Row, error)) {
+func (c *Control) get(key string, done func(storage.Row, error)) {
 	c.claims.nextID++
 	c.claims.gets.Put(c.claims.nextID, done)
 	c.emit(Get{ID: c.claims.nextID, Key: key})
@@ -182,7 +182,7 @@
 // then calls go out only as jittered probes.
 func (c *Control) notePlatform(err error) {
 	w := &c.claims
-	var conflict *platform.ErrConflict
+	var conflict *storage.ErrConflict
 	if err == nil || errors.As(err, &conflict) {
 		w.fails = 0
 		w.backoff = 0
@@ -324,7 +324,7 @@
 }
 
 func (c *Control) sendBatch(id uint64, b *batch) {
-	writes := make([]platform.Write, len(b.writes))
+	writes := make([]storage.Write, len(b.writes))
 	for i, p := range b.writes {
 		writes[i] = p.write
 	}
@@ -356,13 +356,13 @@
 // batchDone applies the answer to a commit. A lost answer leads to the same
 // commit again: rows that the first one wrote are told by their content, which
 // carries this home's token.
-func (c *Control) batchDone(id uint64, version platform.Version, err error) {
+func (c *Control) batchDone(id uint64, version storage.Version, err error) {
 	b, ok := c.claims.batches.Get(id)
 	if !ok || !b.retryAt.IsZero() {
 		return
 	}
 	c.noteCommitTime(b, err)
-	var conflict *platform.ErrConflict
+	var conflict *storage.ErrConflict
 	switch {
 	case err == nil:
 		c.claims.batches.Delete(id)
@@ -393,7 +393,7 @@
 }
 
 func isUncertain(err error) bool {
-	var uncertain *platform.ErrUncertain
+	var uncertain *storage.ErrUncertain
 	return errors.As(err, &uncertain)
 }
 
@@ -422,8 +422,8 @@
 	}
 }
 
-func (c *Control) settleConflict(b *batch, conflict *platform.ErrConflict) {
-	present := make(map[string]*platform.Row, len(conflict.Rows))
+func (c *Control) settleConflict(b *batch, conflict *storage.ErrConflict) {
+	present := make(map[string]*storage.Row, len(conflict.Rows))
 	for i := range conflict.Rows {
 		present[conflict.Rows[i].Key] = &conflict.Rows[i]
 	}
@@ -497,7 +497,7 @@
 	c.roster.relayed.Delete(m.ID)
 	c.notePlatform(m.Err)
 	done := &RelayDone{ID: r.id, Version: m.Version, Outcome: Committed}
-	var conflict *platform.ErrConflict
+	var conflict *storage.ErrConflict
 	switch {
 	case m.Err == nil:
 	case errors.As(m.Err, &conflict):
@@ -525,9 +525,9 @@
 	case Committed:
 		c.batchDone(m.ID, m.Version, nil)
 	case Conflicted:
-		c.batchDone(m.ID, 0, &platform.ErrConflict{Rows: m.Rows})
+		c.batchDone(m.ID, 0, &storage.ErrConflict{Rows: m.Rows})
 	case Uncertain, Unavailable:
-		c.batchDone(m.ID, 0, &platform.ErrUncertain{Step: "relay", Cause: errClaimWait})
+		c.batchDone(m.ID, 0, &storage.ErrUncertain{Step: "relay", Cause: errClaimWait})
 	}
 }
 
@@ -535,7 +535,7 @@
 func (c *Control) failRelayed() {
 	for id, b := range c.claims.batches.All() {
 		if b.relayed && b.retryAt.IsZero() {
-			c.batchFailed(id, b, &platform.ErrUncertain{Step: "relay", Cause: errClaimWait})
+			c.batchFailed(id, b, &storage.ErrUncertain{Step: "relay", Cause: errClaimWait})
 		}
 	}
 }
--- a/pkg/dispatch/control.go
+++ b/pkg/dispatch/control.go
@@ -125,7 +125,7 @@
 func New(config Config) *Control {
 	c := &Control{
 		config: config,
-		self:   PeerID{config.Instance, config.Incarnation},
+		self:   PeerID{Instance: config.Instance, Incarnation: config.Incarnation},
 		random: rand.New(rand.NewPCG(config.Seed, config.Incarnation)),
 		shapes: table.New[netip.AddrPort, *routing.Shape](),
 	}
--- a/pkg/dispatch/edge_test.go
+++ b/pkg/dispatch/edge_test.go
@@ -12,7 +12,7 @@
 
 	"crocusseam/pkg/dispatch"
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 )
 
@@ -61,7 +61,7 @@
 	s.Deadline = w.now.Add(5 * time.Second)
 	w.submit("a1", s)
 	w.run(5*time.Second + 40*time.Second)
-	_, err := w.store.Commit(context.Background(), []platform.Write{{Key: dispatch.ClaimKey(s.Key), Expect: platform.AnyVersion, Delete: true}})
+	_, err := w.store.Commit(context.Background(), []storage.Write{{Key: dispatch.ClaimKey(s.Key), Expect: storage.AnyVersion, Delete: true}})
 	assert.NilError(t, err)
 	again := *s
 	again.Attempt = 2
@@ -83,7 +83,7 @@
 	row := dispatch.ClaimRow{Team: s.Team, ID: s.ID, Digest: s.Digest(), Home: "c1", Incarnation: 1, Token: "x", State: dispatch.StateNotRun}
 	value, err := json.Marshal(row)
 	assert.NilError(t, err)
-	_, err = w.store.Commit(context.Background(), []platform.Write{{Key: dispatch.ClaimKey(s.Key), Value: value}})
+	_, err = w.store.Commit(context.Background(), []storage.Write{{Key: dispatch.ClaimKey(s.Key), Value: value}})
 	assert.NilError(t, err)
 	for _, e := range w.endpoints {
 		e.dead = false
@@ -104,7 +104,7 @@
 	assert.Equal(t, r.Reason, submission.NoWorkerFits)
 	assert.Equal(t, r.NotRun, true)
 	row, _ := w.store.Get(context.Background(), dispatch.ClaimKey(s.Key))
-	assert.Equal(t, row.Version, platform.Version(0))
+	assert.Equal(t, row.Version, storage.Version(0))
 }
 
 // withQuotas gives the teams of a world quotas and weights.
@@ -178,7 +178,7 @@
 func TestDrainedInstanceGivesItsEndpointsUpAndTakesThemBack(t *testing.T) {
 	w := withRunningWorld(t, defaultWorld(1))
 	key := dispatch.DrainPrefix + "a1"
-	_, err := w.store.Commit(context.Background(), []platform.Write{{Key: key, Value: []byte("{}"), Expect: platform.AnyVersion}})
+	_, err := w.store.Commit(context.Background(), []storage.Write{{Key: key, Value: []byte("{}"), Expect: storage.AnyVersion}})
 	assert.NilError(t, err)
 	w.run(5 * time.Second)
 	assert.Equal(t, w.nodes["a1"].control.HeldEndpoints(), 0)
@@ -186,7 +186,7 @@
 	h := w.submit("a1", w.job("refused", 1, 50*time.Millisecond))
 	w.run(time.Second)
 	assert.Equal(t, w.answered(h).Refusal.Reason, submission.Leaving)
-	_, err = w.store.Commit(context.Background(), []platform.Write{{Key: key, Expect: platform.AnyVersion, Delete: true}})
+	_, err = w.store.Commit(context.Background(), []storage.Write{{Key: key, Expect: storage.AnyVersion, Delete: true}})
 	assert.NilError(t, err)
 	w.run(6 * time.Second)
 	assert.Equal(t, w.nodes["a1"].control.HeldEndpoints(), 6)
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
 	"crocusseam/pkg/routing"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 	"crocusseam/pkg/table"
 )
@@ -42,7 +42,7 @@
 	arrived   time.Time
 	deadline  time.Time // by the monotonic clock where the body is known
 	token     string
-	version   platform.Version
+	version   storage.Version
 	takeover  bool
 	unclaimed bool
 	abandoned bool // claim wait expired; nothing may start any more
@@ -278,14 +278,14 @@
 	if j.sub.Attempt > 1 || (j.sub.Attempt == 0 && isHomed(j.sub, j.class)) {
 		j.phase = reading
 		c.home.followed.Put(j, struct{}{})
-		c.get(ClaimKey(j.key), func(row platform.Row, err error) { c.readBeforeClaim(j, row, err) })
+		c.get(ClaimKey(j.key), func(row storage.Row, err error) { c.readBeforeClaim(j, row, err) })
 		return
 	}
 	j.phase = claiming
 	c.insertClaim(j, 0)
 }
 
-func (c *Control) readBeforeClaim(j *job, row platform.Row, err error) {
+func (c *Control) readBeforeClaim(j *job, row storage.Row, err error) {
 	if j.phase != reading {
 		return
 	}
@@ -305,7 +305,7 @@
 }
 
 // insertClaim writes the claim, on condition that the row has version expect.
-func (c *Control) insertClaim(j *job, expect platform.Version) {
+func (c *Control) insertClaim(j *job, expect storage.Version) {
 	expires := c.now.Add(c.config.Timing.ClaimWait)
 	if j.unclaimed {
 		expires = time.Time{}
@@ -318,11 +318,11 @@
 		claimed = nil
 	}
 	c.write(&pendingWrite{
-		write:   platform.Write{Key: ClaimKey(j.key), Value: c.claimValue(j, StateClaimed), Expect: expect},
+		write:   storage.Write{Key: ClaimKey(j.key), Value: c.claimValue(j, StateClaimed), Expect: expect},
 		urgent:  true,
 		expires: expires,
 		job:     claimed,
-		done: func(version platform.Version, present *platform.Row, err error) {
+		done: func(version storage.Version, present *storage.Row, err error) {
 			c.claimDone(j, version, present, err)
 		},
 	})
@@ -350,7 +350,7 @@
 
 // claimDone is where the home learns whether its submission is its own. Only
 // here does a job become startable.
-func (c *Control) claimDone(j *job, version platform.Version, present *platform.Row, err error) {
+func (c *Control) claimDone(j *job, version storage.Version, present *storage.Row, err error) {
 	switch {
 	case j.unclaimed:
 		c.backfilled(j, version, present)
@@ -371,7 +371,7 @@
 }
 
 // backfilled learns what became of the claim of a job that started without.
-func (c *Control) backfilled(j *job, version platform.Version, present *platform.Row) {
+func (c *Control) backfilled(j *job, version storage.Version, present *storage.Row) {
 	if present != nil {
 		c.counted.BackfillBreaches++
 		j.recorded = true
@@ -402,7 +402,7 @@
 }
 
 // lostClaim follows a submission that somebody has claimed before.
-func (c *Control) lostClaim(j *job, present *platform.Row) {
+func (c *Control) lostClaim(j *job, present *storage.Row) {
 	row, err := ParseClaimRow(present.Value)
 	if err != nil {
 		c.finishRefused(j, submission.Refusal{Reason: submission.ClaimedElsewhere, Detail: "the claim row cannot be read: " + err.Error()})
@@ -419,7 +419,7 @@
 }
 
 // followRow acts on the state of another home's claim.
-func (c *Control) followRow(j *job, row ClaimRow, version platform.Version) {
+func (c *Control) followRow(j *job, row ClaimRow, version storage.Version) {
 	c.withdrawTasks(j)
 	j.row, j.version = row, version
 	switch row.State {
@@ -443,7 +443,7 @@
 }
 
 // takeOver claims a submission whose last home has recorded that nothing ran.
-func (c *Control) takeOver(j *job, version platform.Version) {
+func (c *Control) takeOver(j *job, version storage.Version) {
 	if j.sub == nil {
 		c.finishRefused(j, submission.Refusal{Reason: submission.NotFound, Detail: "the submission was refused and not run"})
 		return
@@ -462,7 +462,7 @@
 func (c *Control) follow(j *job) {
 	j.phase = following
 	c.home.followed.Put(j, struct{}{})
-	homeID := PeerID{j.row.Home, j.row.Incarnation}
+	homeID := PeerID{Instance: j.row.Home, Incarnation: j.row.Incarnation}
 	if homeID != c.self && c.isDead(homeID) {
 		c.resolveUnknown(j)
 		return
@@ -490,10 +490,10 @@
 	}
 	j.nextPoll = time.Time{}
 	c.write(&pendingWrite{
-		write:   platform.Write{Key: ClaimKey(j.key), Value: value, Expect: j.version},
+		write:   storage.Write{Key: ClaimKey(j.key), Value: value, Expect: j.version},
 		urgent:  true,
 		expires: c.now.Add(c.config.Timing.ClaimWait),
-		done: func(version platform.Version, present *platform.Row, err error) {
+		done: func(version storage.Version, present *storage.Row, err error) {
 			if j.phase != following {
 				return
 			}
@@ -609,10 +609,10 @@
 	c.home.jobs.Put(m.Key, j)
 	c.home.followed.Put(j, struct{}{})
 	c.home.open++
-	c.get(ClaimKey(m.Key), func(row platform.Row, err error) { c.awaitRead(j, row, err) })
+	c.get(ClaimKey(m.Key), func(row storage.Row, err error) { c.awaitRead(j, row, err) })
 }
 
-func (c *Control) awaitRead(j *job, row platform.Row, err error) {
+func (c *Control) awaitRead(j *job, row storage.Row, err error) {
 	switch {
 	case j.phase != reading:
 	case err != nil:
@@ -647,13 +647,13 @@
 		c.reply(m.Handle, j.reply)
 		return
 	}
-	c.get(ClaimKey(m.Key), func(row platform.Row, err error) { c.cancelRead(m, row, err) })
+	c.get(ClaimKey(m.Key), func(row storage.Row, err error) { c.cancelRead(m, row, err) })
 }
 
-func (c *Control) cancelRead(m Cancel, row platform.Row, err error) {
+func (c *Control) cancelRead(m Cancel, row storage.Row, err error) {
 	refusal := submission.Refusal{Reason: submission.NotFound, Detail: "no such submission is known"}
 	claim, parseErr := ParseClaimRow(row.Value)
-	homeID := PeerID{claim.Home, claim.Incarnation}
+	homeID := PeerID{Instance: claim.Home, Incarnation: claim.Incarnation}
 	switch {
 	case err != nil:
 		refusal = submission.Refusal{Reason: submission.PlatformUnavailable, Detail: err.Error()}
--- a/pkg/dispatch/matrix_test.go
+++ b/pkg/dispatch/matrix_test.go
@@ -17,7 +17,7 @@
 
 	"crocusseam/pkg/dispatch"
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 )
 
@@ -182,9 +182,9 @@
 	if err != nil {
 		panic(err)
 	}
-	_, _ = w.store.Commit(context.Background(), []platform.Write{
-		{Key: dispatch.DocumentKey(document.Digest(text)), Value: text, Expect: platform.AnyVersion},
-		{Key: dispatch.RolloutKey, Value: first, Expect: platform.AnyVersion},
+	_, _ = w.store.Commit(context.Background(), []storage.Write{
+		{Key: dispatch.DocumentKey(document.Digest(text)), Value: text, Expect: storage.AnyVersion},
+		{Key: dispatch.RolloutKey, Value: first, Expect: storage.AnyVersion},
 	})
 	w.oldRollout, _ = w.store.Get(context.Background(), dispatch.RolloutKey)
 }
@@ -231,8 +231,8 @@
 	if err != nil {
 		return err
 	}
-	_, err = w.store.Commit(ctx, []platform.Write{
-		{Key: dispatch.DocumentKey(rollout.Staged.Digest), Value: text, Expect: platform.AnyVersion},
+	_, err = w.store.Commit(ctx, []storage.Write{
+		{Key: dispatch.DocumentKey(rollout.Staged.Digest), Value: text, Expect: storage.AnyVersion},
 		{Key: dispatch.RolloutKey, Value: value, Expect: w.applied.Version},
 	})
 	return err
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -4,8 +4,9 @@
 	"net/netip"
 	"time"
 
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/instance"
 	"crocusseam/pkg/routing"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 )
 
@@ -41,14 +42,14 @@
 // CommitDone answers a Commit.
 type CommitDone struct {
 	ID      uint64
-	Version platform.Version
+	Version storage.Version
 	Err     error
 }
 
 // GetDone answers a Get.
 type GetDone struct {
 	ID  uint64
-	Row platform.Row
+	Row storage.Row
 	Err error
 }
 
@@ -62,13 +63,13 @@
 // ScanDone answers a Scan of the control rows.
 type ScanDone struct {
 	ID   uint64
-	Rows []platform.Row
+	Rows []storage.Row
 	Err  error
 }
 
 // ListDone answers a List.
 type ListDone struct {
-	Instances []platform.ListedInstance
+	Instances []storage.ListedInstance
 	Err       error
 }
 
@@ -130,7 +131,7 @@
 // Commit writes rows to the table.
 type Commit struct {
 	ID     uint64
-	Writes []platform.Write
+	Writes []storage.Write
 }
 
 // Get reads a row of the table.
@@ -199,17 +200,10 @@
 func (Stopped) isEffect()   {}
 
 // PeerID names an instance in one incarnation.
-type PeerID struct {
-	Instance    string
-	Incarnation uint64
-}
+type PeerID = instance.ID
 
 // Peer is an instance and where its peers reach it.
-type Peer struct {
-	ID      PeerID
-	Domain  string
-	Address netip.AddrPort
-}
+type Peer = instance.Peer
 
 // Outcome says how an attempt ended.
 type Outcome int
@@ -373,15 +367,15 @@
 // Relay asks a sibling to commit rows to the table.
 type Relay struct {
 	ID     uint64
-	Writes []platform.Write
+	Writes []storage.Write
 }
 
 // RelayDone answers a Relay.
 type RelayDone struct {
 	ID      uint64
-	Version platform.Version
+	Version storage.Version
 	Outcome CommitOutcome
-	Rows    []platform.Row
+	Rows    []storage.Row
 }
 
 // CommitOutcome tells how a relayed commit ended.
--- a/pkg/dispatch/rollout.go
+++ b/pkg/dispatch/rollout.go
@@ -3,13 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net/netip"
 	"time"
 
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
 	"crocusseam/pkg/routing"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 	"crocusseam/pkg/table"
 )
@@ -57,7 +56,7 @@
 // rolloutState is what this instance knows of the rollout.
 type rolloutState struct {
 	row      Rollout
-	version  platform.Version
+	version  storage.Version
 	active   Revision
 	staged   *stagedDocument
 	next     *stagedDocument // activated, not yet in force
@@ -66,7 +65,7 @@
 	turns    int // scans for which the staged version was ready to go on
 }
 
-func (c *Control) readRollout(row *platform.Row) {
+func (c *Control) readRollout(row *storage.Row) {
 	s := &c.roster.rollout
 	if row.Version < s.version && !c.checks.noVersionCheck {
 		c.counted.OldReads++
@@ -127,7 +126,7 @@
 }
 
 func (c *Control) readDocument(d *stagedDocument) {
-	c.get(DocumentKey(d.revision.Digest), func(row platform.Row, err error) {
+	c.get(DocumentKey(d.revision.Digest), func(row storage.Row, err error) {
 		d.reading = false
 		if err != nil {
 			return
@@ -205,7 +204,7 @@
 	}
 	c.claims.nextID++
 	s.commitID, s.sent = c.claims.nextID, c.now
-	c.emit(Commit{ID: s.commitID, Writes: []platform.Write{{Key: RolloutKey, Value: value, Expect: s.version}}})
+	c.emit(Commit{ID: s.commitID, Writes: []storage.Write{{Key: RolloutKey, Value: value, Expect: s.version}}})
 }
 
 // stagedState asks the rows of all live instances whether they are ready.
@@ -249,7 +248,7 @@
 	}
 	s.commitID = 0
 	c.notePlatform(m.Err)
-	var conflict *platform.ErrConflict
+	var conflict *storage.ErrConflict
 	if errors.As(m.Err, &conflict) {
 		c.counted.LostRaces++
 	}
@@ -334,5 +333,3 @@
 	}
 	return document.DefaultClass(), s.Class == ""
 }
-
-func (id PeerID) String() string { return fmt.Sprintf("%s.%d", id.Instance, id.Incarnation) }
--- a/pkg/dispatch/roster.go
+++ b/pkg/dispatch/roster.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"crocusseam/pkg/platform"
 	"crocusseam/pkg/slots"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/table"
 )
 
@@ -57,7 +57,7 @@
 	seen       time.Time // when a scan last showed a new sequence
 	gone       bool      // said goodbye or shows Leaving
 	absent     bool      // its row was deleted
-	rowVersion platform.Version
+	rowVersion storage.Version
 	goodbye    bool // it stops in plan, for good
 }
 
@@ -160,8 +160,8 @@
 	}
 	c.claims.nextID++
 	r.beatID, r.beatSent = c.claims.nextID, c.now
-	c.emit(Commit{ID: r.beatID, Writes: []platform.Write{{
-		Key: InstancePrefix + c.self.Instance, Value: value, Expect: platform.AnyVersion,
+	c.emit(Commit{ID: r.beatID, Writes: []storage.Write{{
+		Key: InstancePrefix + c.self.Instance, Value: value, Expect: storage.AnyVersion,
 	}}})
 }
 
@@ -246,7 +246,7 @@
 			continue
 		}
 		c.claims.nextID++
-		c.emit(Commit{ID: c.claims.nextID, Writes: []platform.Write{{Key: InstancePrefix + id, Expect: m.rowVersion, Delete: true}}})
+		c.emit(Commit{ID: c.claims.nextID, Writes: []storage.Write{{Key: InstancePrefix + id, Expect: m.rowVersion, Delete: true}}})
 		return
 	}
 }
@@ -264,7 +264,7 @@
 	c.roster.lastScan = time.Time{}
 }
 
-func (c *Control) readControlRow(row *platform.Row, present map[string]bool) {
+func (c *Control) readControlRow(row *storage.Row, present map[string]bool) {
 	switch {
 	case row.Key == RolloutKey:
 		c.readRollout(row)
@@ -281,7 +281,7 @@
 	}
 }
 
-func (c *Control) readInstance(row InstanceRow, version platform.Version) {
+func (c *Control) readInstance(row InstanceRow, version storage.Version) {
 	if row.Instance == c.self.Instance {
 		return
 	}
@@ -344,7 +344,7 @@
 	var list []PeerID
 	for _, m := range c.roster.members.All() {
 		if m.row.Domain == c.config.Domain && c.alive(m) {
-			list = append(list, PeerID{m.row.Instance, m.row.Incarnation})
+			list = append(list, PeerID{Instance: m.row.Instance, Incarnation: m.row.Incarnation})
 		}
 	}
 	return list
@@ -400,7 +400,7 @@
 		return c.self
 	}
 	if m, ok := c.roster.members.Get(holder); ok {
-		return PeerID{holder, m.row.Incarnation}
+		return PeerID{Instance: holder, Incarnation: m.row.Incarnation}
 	}
 	return PeerID{}
 }
@@ -429,7 +429,7 @@
 		if !c.alive(m) {
 			continue
 		}
-		id := PeerID{m.row.Instance, m.row.Incarnation}
+		id := PeerID{Instance: m.row.Instance, Incarnation: m.row.Incarnation}
 		peers = append(peers, Peer{ID: id, Domain: m.row.Domain, Address: m.row.Peers})
 		names.WriteString(id.String() + " " + m.row.Peers.String() + ";")
 	}
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -74,7 +74,7 @@
 		})
 	}
 	for _, m := range c.roster.members.All() {
-		id := PeerID{m.row.Instance, m.row.Incarnation}
+		id := PeerID{Instance: m.row.Instance, Incarnation: m.row.Incarnation}
 		s.Members = append(s.Members, MemberStatus{
 			Instance: id.Instance, Incarnation: id.Incarnation, Domain: m.row.Domain, State: string(m.row.State),
 			Alive: c.alive(m), Linked: c.linkUp(id), ActiveVersion: m.row.ActiveVersion, SinceSeen: c.now.Sub(m.seen),
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"crocusseam/pkg/platform"
 	"crocusseam/pkg/routing"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 )
 
@@ -419,8 +419,8 @@
 		return
 	}
 	c.write(&pendingWrite{
-		write: platform.Write{Key: ClaimKey(j.key), Value: c.claimValue(j, state), Expect: j.version},
-		done: func(version platform.Version, present *platform.Row, _ error) {
+		write: storage.Write{Key: ClaimKey(j.key), Value: c.claimValue(j, state), Expect: j.version},
+		done: func(version storage.Version, present *storage.Row, _ error) {
 			if present == nil {
 				j.version = version
 				j.recorded = true
@@ -567,7 +567,7 @@
 // followBound is how long a request waits for another home's answer: without
 // bound while that home can be asked, since the job's deadline ends it.
 func (c *Control) followBound(j *job) time.Duration {
-	if c.linkUp(PeerID{j.row.Home, j.row.Incarnation}) {
+	if c.linkUp(PeerID{Instance: j.row.Home, Incarnation: j.row.Incarnation}) {
 		return max(j.row.Deadline.Sub(j.arrived), 0) + followWait
 	}
 	return followWait
@@ -585,7 +585,7 @@
 // poll looks at the row of a followed job, unless its home can be asked: then
 // the home answers by itself.
 func (c *Control) poll(j *job) {
-	homeID := PeerID{j.row.Home, j.row.Incarnation}
+	homeID := PeerID{Instance: j.row.Home, Incarnation: j.row.Incarnation}
 	if c.linkUp(homeID) && j.pollWait < maxPollDelay {
 		j.pollWait = min(2*j.pollWait, maxPollDelay)
 		j.nextPoll = c.now.Add(j.pollWait)
@@ -596,7 +596,7 @@
 		return
 	}
 	j.nextPoll = time.Time{}
-	c.get(ClaimKey(j.key), func(row platform.Row, err error) {
+	c.get(ClaimKey(j.key), func(row storage.Row, err error) {
 		if j.phase != following {
 			return
 		}
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -13,8 +13,8 @@
 
 	"crocusseam/pkg/dispatch"
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
 	"crocusseam/pkg/routing"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 )
 
@@ -30,7 +30,7 @@
 	names      []string
 	endpoints  map[netip.AddrPort]*fakeEndpoint
 	sessions   map[[2]dispatch.PeerID]*session
-	store      *platform.Memory
+	store      *storage.Memory
 	cuts       map[[2]string]bool // one way, by domain or "platform"
 	away       bool
 	slowBy     time.Duration
@@ -57,8 +57,8 @@
 	costs       *costs
 	calls       map[string]int // of the platform, by kind
 
-	applied    platform.Row // what the operators of a cell have read
-	oldRollout platform.Row
+	applied    storage.Row // what the operators of a cell have read
+	oldRollout storage.Row
 	oldScans   int // scans that show the old rollout
 
 	probeCommits  map[commitKey]bool
@@ -198,7 +198,7 @@
 	w := &world{
 		now: epoch, random: rand.New(rand.NewPCG(config.seed, 77)),
 		nodes: map[string]*node{}, endpoints: map[netip.AddrPort]*fakeEndpoint{},
-		sessions: map[[2]dispatch.PeerID]*session{}, store: platform.NewMemory(),
+		sessions: map[[2]dispatch.PeerID]*session{}, store: storage.NewMemory(),
 		cuts: map[[2]string]bool{}, hooks: map[string]func(){}, versions: map[string]uint64{},
 		probeCommits: map[commitKey]bool{}, probeAttempts: map[routing.Attempt]bool{}, switchOff: config.switchOff, timing: dispatch.DefaultTiming(), hop: config.hop,
 		ledger: ledger{
@@ -463,7 +463,7 @@
 }
 
 // ageRollout replaces the rollout row of a scan by an old one.
-func (w *world) ageRollout(rows []platform.Row) {
+func (w *world) ageRollout(rows []storage.Row) {
 	if w.oldScans == 0 {
 		return
 	}
@@ -477,13 +477,13 @@
 
 const listLag = time.Second
 
-func (w *world) list() []platform.ListedInstance {
-	var list []platform.ListedInstance
+func (w *world) list() []storage.ListedInstance {
+	var list []storage.ListedInstance
 	for _, d := range w.document.Domains {
 		for _, a := range d.Groups[0].Endpoints {
 			e := w.endpoints[a]
 			leaving := !e.leavingSince.IsZero() && w.now.Sub(e.leavingSince) > listLag
-			list = append(list, platform.ListedInstance{Address: a, Leaving: leaving})
+			list = append(list, storage.ListedInstance{Address: a, Leaving: leaving})
 		}
 	}
 	return list
@@ -501,11 +501,11 @@
 		w.calls["read"]++
 	}
 	if !w.reaches(n.domain, "platform") || !w.reaches("platform", n.domain) {
-		w.after(callTimeout, func() { w.deliver(n, answer(&platform.ErrUnavailable{Step: "read", Cause: errAway})) })
+		w.after(callTimeout, func() { w.deliver(n, answer(&storage.ErrUnavailable{Step: "read", Cause: errAway})) })
 		return
 	}
 	if w.away {
-		w.after(d, func() { w.deliver(n, answer(&platform.ErrUnavailable{Step: "read", Cause: errAway})) })
+		w.after(d, func() { w.deliver(n, answer(&storage.ErrUnavailable{Step: "read", Cause: errAway})) })
 		return
 	}
 	w.after(d+w.slowBy, func() { w.deliver(n, answer(nil)) })
@@ -519,13 +519,13 @@
 	fail := func(d time.Duration, err error) {
 		w.after(d, func() { w.deliver(n, dispatch.CommitDone{ID: m.ID, Err: err}) })
 	}
-	uncertain := &platform.ErrUncertain{Step: "commit", Cause: errAway}
+	uncertain := &storage.ErrUncertain{Step: "commit", Cause: errAway}
 	switch {
 	case !w.reaches(n.domain, "platform"):
 		fail(callTimeout, uncertain)
 		return
 	case w.away:
-		fail(time.Millisecond, &platform.ErrUnavailable{Step: "commit", Cause: errAway})
+		fail(time.Millisecond, &storage.ErrUnavailable{Step: "commit", Cause: errAway})
 		return
 	case w.loseWrite > 0:
 		w.loseWrite--
--- /dev/null
+++ b/pkg/hold/hold.go
@@ -0,0 +1,213 @@
+// Package hold decides which instance may order an endpoint. Each endpoint is
+// held by one instance: the holder is named in a row of the platform's table,
+// and the row's version is the fencing token of its orders. An endpoint refuses
+// orders with a lower token than it has seen, so a holder that was replaced
+// while it was paused or cut off can do no harm.
+//
+// Who should hold what is a division by the members that an instance sees.
+// Members may see different sets: the division never makes a hold, only the
+// conditional write of the row does. A live holder is asked to yield; only the
+// row of a dead one is taken.
+package hold
+
+import (
+	"time"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/slots"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/table"
+	"crocusseam/pkg/workload"
+)
+
+// Config constructs a Book.
+type Config struct {
+	Self   instance.ID
+	Domain string
+	Share  int // relative size of the instance
+	// AskPeriod is the time between requests to yield.
+	AskPeriod time.Duration
+	// YieldTerm is how long a yielded endpoint is left to the one that asked.
+	YieldTerm time.Duration
+}
+
+// Member is another instance as this one sees it.
+type Member struct {
+	ID     instance.ID
+	Domain string
+	Share  int
+	// Dead says that neither its links nor its row show life.
+	Dead bool
+	// Leaving says that it stops in plan and yields what it holds.
+	Leaving bool
+	// Settled says that it has been up long enough to be given endpoints.
+	Settled bool
+}
+
+type state int
+
+const (
+	foreign  state = iota // held by another, or by nobody
+	taking                // a commit is on its way
+	held                  // this instance's orders carry the token
+	yielding              // held, but nothing new starts: another has asked for it
+)
+
+// entry is what is known of the hold of one endpoint.
+type entry struct {
+	endpoint workload.Endpoint
+	state    state
+	version  storage.Version // of the row, as last seen
+	row      Row             // as last seen
+	known    bool            // the row has been read
+	yieldTo  instance.ID
+	yielded  time.Time // when it was left to another
+	asked    time.Time
+	sent     time.Time
+	reached  time.Time // when a probe last reached it
+}
+
+// Book keeps the holds of all endpoints as one instance sees them.
+type Book struct {
+	config   Config
+	entries  *table.Table[string, *entry]
+	members  []Member
+	division map[string]string
+	stale    bool // the division must be made anew
+	leaving  bool
+	settled  bool
+}
+
+// New returns an empty book.
+func New(config Config) *Book {
+	return &Book{config: config, entries: table.New[string, *entry](), division: make(map[string]string)}
+}
+
+// Settle says that this instance knows the others well enough to take holds.
+func (b *Book) Settle() { b.settled, b.stale = true, true }
+
+// Leave says that this instance stops in plan: it takes nothing more.
+func (b *Book) Leave() { b.leaving, b.stale = true, true }
+
+// SetMembers replaces the other members.
+func (b *Book) SetMembers(members []Member) {
+	b.members = members
+	b.stale = true
+}
+
+// SetEndpoints replaces the endpoints and returns the names of those whose
+// holds have ended with their lives: they are gone or began a new life.
+func (b *Book) SetEndpoints(endpoints []workload.Endpoint) (ended []string) {
+	present := make(map[string]bool, len(endpoints))
+	for i := range endpoints {
+		e := &endpoints[i]
+		present[e.ID.Name] = true
+		old, ok := b.entries.Get(e.ID.Name)
+		if !ok {
+			b.entries.Put(e.ID.Name, &entry{endpoint: *e})
+			b.stale = true
+			continue
+		}
+		if old.endpoint.ID != e.ID {
+			if old.state != foreign {
+				ended = append(ended, e.ID.Name)
+			}
+			old.state = foreign
+		}
+		old.endpoint = *e
+	}
+	for name, e := range b.entries.All() {
+		if present[name] {
+			continue
+		}
+		if e.state != foreign {
+			ended = append(ended, name)
+		}
+		b.entries.Delete(name)
+		b.stale = true
+	}
+	return ended
+}
+
+// Token returns the fencing token of an endpoint that this instance holds, and
+// whether new work may be started there.
+func (b *Book) Token(endpoint string) (token workload.Token, mayStart bool) {
+	e, ok := b.entries.Get(endpoint)
+	if !ok || (e.state != held && e.state != yielding) {
+		return 0, false
+	}
+	return e.version, e.state == held
+}
+
+// Fenced says that an endpoint has seen a higher token: the hold is lost for
+// good.
+func (b *Book) Fenced(endpoint string) {
+	if e, ok := b.entries.Get(endpoint); ok && e.state != taking {
+		e.state = foreign
+		e.known = false
+	}
+}
+
+// divide gives each endpoint to a live member of its domain, or of any domain
+// where its own has none.
+func (b *Book) divide() {
+	b.stale = false
+	byDomain := make(map[string][]slots.Member)
+	var all []slots.Member
+	add := func(domain string, m slots.Member) {
+		byDomain[domain] = append(byDomain[domain], m)
+		all = append(all, m)
+	}
+	if !b.leaving {
+		add(b.config.Domain, slots.Member{Instance: b.config.Self.Instance, Capacity: b.config.Share})
+	}
+	for i := range b.members {
+		m := &b.members[i]
+		if !m.Dead && !m.Leaving && m.Settled {
+			add(m.Domain, slots.Member{Instance: m.ID.Instance, Capacity: m.Share})
+		}
+	}
+	byName := make(map[string][]endpointName)
+	for name, e := range b.entries.All() {
+		byName[e.endpoint.Domain] = append(byName[e.endpoint.Domain], endpointName(name))
+	}
+	b.division = make(map[string]string, b.entries.Len())
+	for domain, names := range byName {
+		members := byDomain[domain]
+		if len(members) == 0 {
+			members = all
+		}
+		for name, holder := range slots.Divide(names, members) {
+			b.division[string(name)] = holder
+		}
+	}
+}
+
+type endpointName string
+
+// String returns the name.
+func (n endpointName) String() string { return string(n) }
+
+func (b *Book) member(id instance.ID) (Member, bool) {
+	for _, m := range b.members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// isDead reports whether a holder named in a row can no longer order: it is an
+// earlier incarnation of this or of another instance, it shows no life, or
+// nobody knows it.
+func (b *Book) isDead(id instance.ID) bool {
+	if id.Instance == b.config.Self.Instance {
+		return id.Incarnation < b.config.Self.Incarnation
+	}
+	for _, m := range b.members {
+		if m.ID.Instance == id.Instance {
+			return m.Dead || m.ID.Incarnation > id.Incarnation
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/hold/plan.go
@@ -0,0 +1,259 @@
+package hold
+
+import (
+	"strings"
+	"time"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+)
+
+// maxTakes bounds the rows of one commit.
+const maxTakes = 100
+
+// Plan is what a book wants done.
+type Plan struct {
+	// Take holds the commits to make, one for a domain.
+	Take []Take
+	// Ask holds the endpoints to ask other holders for.
+	Ask map[instance.ID][]string
+	// Probe holds endpoints of other failure domains: they are taken only once
+	// they were reached, so that an instance that is cut off from them does not
+	// fence a holder that is not.
+	Probe []workload.Endpoint
+}
+
+// Take is a commit that takes endpoints.
+type Take struct {
+	Endpoints []string
+	Writes    []storage.Write
+}
+
+// Plan returns what is to be done now to come closer to the division.
+func (b *Book) Plan(now time.Time) Plan {
+	if b.stale {
+		b.divide()
+	}
+	plan := Plan{Ask: make(map[instance.ID][]string)}
+	if b.leaving {
+		return plan
+	}
+	takes := make(map[string]*Take)
+	var order []string
+	for name, e := range b.entries.All() {
+		b.expire(e, now)
+		if e.state == yielding && b.division[name] == b.config.Self.Instance {
+			e.state, e.yieldTo = held, instance.ID{}
+		}
+		if e.state != foreign || e.endpoint.Draining || !b.mayTake(name, e) {
+			continue
+		}
+		if holder, alive := b.liveHolder(e); alive {
+			if now.Sub(e.asked) >= b.config.AskPeriod {
+				e.asked = now
+				plan.Ask[holder] = append(plan.Ask[holder], name)
+			}
+			continue
+		}
+		domain := e.endpoint.Domain
+		if domain != b.config.Domain && now.Sub(e.reached) > b.config.YieldTerm {
+			if now.Sub(e.asked) >= b.config.AskPeriod {
+				e.asked = now
+				plan.Probe = append(plan.Probe, e.endpoint)
+			}
+			continue
+		}
+		t, ok := takes[domain]
+		if !ok {
+			t = &Take{}
+			takes[domain] = t
+			order = append(order, domain)
+		}
+		if len(t.Writes) < maxTakes {
+			t.Endpoints = append(t.Endpoints, name)
+			t.Writes = append(t.Writes, b.take(name, e, now))
+		}
+	}
+	for _, domain := range order {
+		plan.Take = append(plan.Take, *takes[domain])
+	}
+	return plan
+}
+
+// Reached says that an endpoint could be reached from here.
+func (b *Book) Reached(endpoint string, now time.Time) {
+	if e, ok := b.entries.Get(endpoint); ok {
+		e.reached = now
+	}
+}
+
+// expire takes an endpoint back that was yielded to an instance that has not
+// taken it.
+func (b *Book) expire(e *entry, now time.Time) {
+	if e.state == foreign && !e.yielded.IsZero() && now.Sub(e.yielded) > b.config.YieldTerm {
+		e.yielded = time.Time{}
+	}
+}
+
+// mayTake reports whether the division gives an endpoint to this instance. One
+// that has just started takes at once what it held before.
+func (b *Book) mayTake(name string, e *entry) bool {
+	if !b.settled {
+		return e.known && e.version > 0 && e.row.Holder.Instance == b.config.Self.Instance
+	}
+	return b.division[name] == b.config.Self.Instance
+}
+
+// liveHolder returns the live instance that holds an endpoint's present life.
+func (b *Book) liveHolder(e *entry) (instance.ID, bool) {
+	if !e.known || e.version == 0 || b.isDead(e.row.Holder) || e.row.Holder == b.config.Self {
+		return instance.ID{}, false
+	}
+	return e.row.Holder, true
+}
+
+func (b *Book) take(name string, e *entry, now time.Time) storage.Write {
+	e.state, e.sent = taking, now
+	row := Row{Holder: b.config.Self, Born: e.endpoint.ID.Born}
+	return storage.Write{Key: Key(e.endpoint.Domain, name), Value: encodeRow(row), Expect: e.version}
+}
+
+// Taken says that a commit took effect and returns the endpoints that are held
+// by it.
+func (b *Book) Taken(t Take, version storage.Version) (gained []string) {
+	for _, name := range t.Endpoints {
+		e, ok := b.entries.Get(name)
+		if !ok || e.state != taking {
+			continue
+		}
+		e.state, e.version, e.known = held, version, true
+		e.row = Row{Holder: b.config.Self, Born: e.endpoint.ID.Born}
+		e.yielded = time.Time{}
+		gained = append(gained, name)
+	}
+	return gained
+}
+
+// Refused says that a commit had no effect. Rows holds the present state of
+// rows that differed; a row that is absent has version 0.
+func (b *Book) Refused(t Take, rows []storage.Row) {
+	for _, name := range t.Endpoints {
+		if e, ok := b.entries.Get(name); ok && e.state == taking {
+			e.state = foreign
+		}
+	}
+	b.Read(rows)
+}
+
+// Read takes rows of holds that were read. Rows that are older than what is
+// known change nothing. A row that names this instance where it does not know
+// itself as the holder is the effect of a commit whose answer was lost; it is
+// taken again under a new version.
+func (b *Book) Read(rows []storage.Row) (damaged []error) {
+	for i := range rows {
+		e, ok := b.entries.Get(endpointOf(rows[i].Key))
+		if !ok || e.state == held || e.state == yielding || (e.known && rows[i].Version < e.version) {
+			continue
+		}
+		e.known = true
+		e.version = rows[i].Version
+		e.row = Row{}
+		if e.version == 0 {
+			continue
+		}
+		row, err := decodeRow(&rows[i])
+		if err != nil {
+			damaged = append(damaged, err)
+			continue
+		}
+		e.row = row
+	}
+	return damaged
+}
+
+// Asked notes that a member wants an endpoint, and reports whether this
+// instance holds it and will yield it once its work there has ended.
+func (b *Book) Asked(from instance.ID, endpoint string) bool {
+	if b.stale {
+		b.divide()
+	}
+	e, ok := b.entries.Get(endpoint)
+	if !ok || b.division[endpoint] == b.config.Self.Instance {
+		return false
+	}
+	if _, known := b.member(from); !known {
+		return false
+	}
+	switch e.state {
+	case held, yielding:
+		e.state, e.yieldTo = yielding, from
+	case taking:
+		return false
+	case foreign:
+		e.yieldTo = from
+	}
+	return true
+}
+
+// Yield gives an endpoint to the member that asked for it, and returns that
+// member. The caller makes sure that nothing of this instance's runs there.
+func (b *Book) Yield(endpoint string, now time.Time) (to instance.ID, ok bool) {
+	e, found := b.entries.Get(endpoint)
+	if !found || e.yieldTo == (instance.ID{}) || (e.state != yielding && e.state != foreign) {
+		return instance.ID{}, false
+	}
+	to = e.yieldTo
+	e.yieldTo = instance.ID{}
+	e.state, e.yielded = foreign, now
+	e.row.Holder = to
+	return to, true
+}
+
+// Yielded says that a holder has given an endpoint up under this version of its
+// row.
+func (b *Book) Yielded(endpoint string, version storage.Version) {
+	e, ok := b.entries.Get(endpoint)
+	if !ok || e.state != foreign {
+		return
+	}
+	e.known = true
+	e.version = max(e.version, version)
+	e.row.Holder = b.config.Self
+}
+
+// Version returns the version of an endpoint's row as last seen.
+func (b *Book) Version(endpoint string) storage.Version {
+	if e, ok := b.entries.Get(endpoint); ok {
+		return e.version
+	}
+	return 0
+}
+
+// Domains returns the failure domains of all endpoints, for reading their rows.
+func (b *Book) Domains() []string {
+	seen := make(map[string]bool)
+	var list []string
+	for _, e := range b.entries.All() {
+		if d := e.endpoint.Domain; !seen[d] {
+			seen[d] = true
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// Held returns the names of the endpoints that this instance holds, also those
+// that it will yield.
+func (b *Book) Held() []string {
+	var list []string
+	for name, e := range b.entries.All() {
+		if e.state == held || e.state == yielding {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// String lists the holds for logs.
+func (b *Book) String() string { return strings.Join(b.Held(), ",") }
--- /dev/null
+++ b/pkg/placement/choice.go
@@ -0,0 +1,287 @@
+package placement
+
+import (
+	"time"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/workload"
+)
+
+// offer is a holder that a task may be placed with.
+type offer struct {
+	holder instance.ID
+	wait   time.Duration // until the task is expected to start; 0 with room
+}
+
+// Figures of the choice of a place.
+const (
+	hopBetweenDomains = time.Millisecond
+	advertTerm        = time.Second // an older advert is not relied on
+	// estimateMargin is kept between the expected end and the objective, as
+	// speeds are learned from estimates that are off.
+	estimateMargin = 1.15
+	// optimism is the share of its estimate that a task may take on a fast
+	// endpoint when the estimate is too long. Only what could not end in time
+	// even so is refused.
+	optimism = 0.5
+)
+
+// demand is what the choice looks at.
+type demand struct {
+	need     workload.Resources
+	estimate time.Duration
+	left     time.Duration // until the objective
+}
+
+// fit rates the room at an endpoint for a task.
+type fit struct {
+	inTime   bool
+	far      bool // in another failure domain
+	speed    float64
+	leftover int
+}
+
+func rate(d demand, r *Room, far bool) fit {
+	hop := time.Duration(0)
+	if far {
+		hop = hopBetweenDomains
+	}
+	expected := time.Duration(float64(d.estimate) / r.Speed * estimateMargin)
+	return fit{inTime: expected+hop <= d.left, far: far, speed: r.Speed, leftover: r.Free.Sub(d.need).MilliCPU}
+}
+
+// betterThan prefers an endpoint where the task meets its objective; of those
+// the slowest one, so that fast ones stay free for long tasks, and the one with
+// the least room left over. Where the objective is lost the fastest is best.
+func (f fit) betterThan(other fit) bool {
+	switch {
+	case f.inTime != other.inTime:
+		return f.inTime
+	case f.far != other.far:
+		return !f.far
+	case !similarSpeed(f.speed, other.speed):
+		return (f.speed < other.speed) == f.inTime
+	}
+	return f.leftover < other.leftover
+}
+
+// speedStep is the ratio below which two speeds count as the same.
+const speedStep = 1.2
+
+func similarSpeed(a, b float64) bool { return a < b*speedStep && b < a*speedStep }
+
+// choose finds a holder for a task: one with room, or else the one where the
+// task is expected to start first.
+func (c *Control) choose(j *job, step int, t *task) (offer, bool) {
+	s := &j.Steps[step]
+	d := demand{need: s.Need, estimate: s.Estimate, left: j.objective.Sub(c.now)}
+	var best fit
+	var bestMember *member
+	bestRoom := -1
+	suits := func(r *Room) bool {
+		return s.Need.Fits(r.Free) && c.suits(r.Endpoint, j.route.Service, s.Label) && !avoids(t, r.Endpoint)
+	}
+	for m, rooms := range c.allRooms() {
+		far := m != nil && m.row.Domain != c.config.Domain
+		for i := range rooms {
+			if !suits(&rooms[i]) {
+				continue
+			}
+			if f := rate(d, &rooms[i], far); bestRoom < 0 || f.betterThan(best) {
+				best, bestMember, bestRoom = f, m, i
+			}
+		}
+	}
+	if bestRoom >= 0 {
+		if bestMember == nil {
+			return offer{holder: c.self}, true
+		}
+		bestMember.reserve(bestRoom, s)
+		return offer{holder: bestMember.id}, true
+	}
+	return c.shortestWait(j.route.Service, s)
+}
+
+func avoids(t *task, endpoint string) bool {
+	for _, a := range t.avoid {
+		if a == endpoint {
+			return true
+		}
+	}
+	return false
+}
+
+// suits reports whether an endpoint belongs to the service and has the label.
+func (c *Control) suits(endpoint, service, label string) bool {
+	e, ok := c.holder.listed.Get(endpoint)
+	return ok && e.Service == service && !e.Draining && e.HasLabel(label)
+}
+
+// allRooms yields the rooms of this instance, with a nil member, and of every
+// member that it hears and whose advert is fresh.
+func (c *Control) allRooms() func(yield func(*member, []Room) bool) {
+	return func(yield func(*member, []Room) bool) {
+		if c.stop == serving && !yield(nil, c.ownRooms()) {
+			return
+		}
+		for _, m := range c.roster.members.All() {
+			if !c.offers(m) {
+				continue
+			}
+			if !yield(m, m.rooms) {
+				return
+			}
+		}
+	}
+}
+
+// offers reports whether a member's advert can be relied on.
+func (c *Control) offers(m *member) bool {
+	return m.up && m.suspected.IsZero() && !m.beat.Leaving && m.advert != nil && c.now.Sub(m.advertAt) < advertTerm
+}
+
+func (c *Control) anyRoom() bool {
+	if c.holder.active > 0 {
+		return true
+	}
+	for _, m := range c.roster.members.All() {
+		if c.offers(m) && m.advert.Total.MilliCPU > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// shortestWait finds the holder where a task that fits nowhere now starts first.
+func (c *Control) shortestWait(service string, s *workload.Step) (offer, bool) {
+	var best offer
+	found := false
+	consider := func(id instance.ID, wait time.Duration, total workload.Resources) {
+		if s.Need.Fits(total) && (!found || wait < best.wait) {
+			best, found = offer{holder: id, wait: max(wait, time.Nanosecond)}, true
+		}
+	}
+	if c.stop == serving && c.holdsService(service) {
+		consider(c.self, c.ownWait(), c.holder.total)
+	}
+	for _, m := range c.roster.members.All() {
+		if c.offers(m) {
+			wait := m.advert.Wait + m.backlogWait()
+			if m.row.Domain != c.config.Domain {
+				wait += hopBetweenDomains
+			}
+			consider(m.id, wait, m.advert.Total)
+		}
+	}
+	if found {
+		c.addBacklog(best.holder, s)
+	}
+	return best, found
+}
+
+func (c *Control) holdsService(service string) bool {
+	for _, e := range c.holder.endpoints.All() {
+		if e.info.Service == service && e.state == active {
+			return true
+		}
+	}
+	return false
+}
+
+// reserve takes a task's need from the copy of a member's room.
+func (m *member) reserve(room int, s *workload.Step) {
+	m.rooms[room].Free = m.rooms[room].Free.Sub(s.Need)
+	m.pending = append(m.pending, pendingTask{sequence: m.sequence + 1, need: s.Need, estimate: s.Estimate})
+}
+
+func (c *Control) addBacklog(id instance.ID, s *workload.Step) {
+	if m, ok := c.roster.members.Get(id.Instance); ok && m.id == id {
+		m.backlog += coreTime(s.Need, s.Estimate)
+		m.pending = append(m.pending, pendingTask{sequence: m.sequence + 1, need: s.Need, estimate: s.Estimate})
+	}
+}
+
+// coreTime is work in thousandths of a processor times time.
+func coreTime(need workload.Resources, estimate time.Duration) float64 {
+	return float64(need.MilliCPU) * estimate.Seconds()
+}
+
+// backlogWait is the wait for what this instance has placed beyond the room of
+// a member's last advert.
+func (m *member) backlogWait() time.Duration {
+	if m.advert.Total.MilliCPU == 0 {
+		return 0
+	}
+	return time.Duration(m.backlog / float64(m.advert.Total.MilliCPU) * float64(time.Second))
+}
+
+// pendingTask is a task placed with a member that its adverts do not yet show.
+type pendingTask struct {
+	sequence uint64
+	need     workload.Resources
+	estimate time.Duration
+}
+
+// advertised takes a member's room, less what was placed there since.
+func (c *Control) advertised(from instance.ID, a *Advert) {
+	m, ok := c.roster.members.Get(from.Instance)
+	if !ok || m.id != from {
+		return
+	}
+	m.advert, m.advertAt = a, c.now
+	m.rooms = append(m.rooms[:0], a.Rooms...)
+	m.backlog = 0
+	kept := m.pending[:0]
+	for _, p := range m.pending {
+		if p.sequence <= a.Seen {
+			continue
+		}
+		kept = append(kept, p)
+		m.takeRoom(p)
+	}
+	m.pending = kept
+}
+
+// takeRoom takes a pending task from the tightest room that it fits.
+func (m *member) takeRoom(p pendingTask) {
+	best := -1
+	for i := range m.rooms {
+		if p.need.Fits(m.rooms[i].Free) && (best < 0 || m.rooms[i].Free.MilliCPU < m.rooms[best].Free.MilliCPU) {
+			best = i
+		}
+	}
+	if best < 0 {
+		m.backlog += coreTime(p.need, p.estimate)
+		return
+	}
+	m.rooms[best].Free = m.rooms[best].Free.Sub(p.need)
+}
+
+func (c *Control) advertAge(id instance.ID) time.Duration {
+	if m, ok := c.roster.members.Get(id.Instance); ok && m.id == id && m.advert != nil {
+		return c.now.Sub(m.advertAt)
+	}
+	return 0
+}
+
+// expectedWait is how long a job is expected to take at best, with what other
+// jobs wait for; without any endpoint in use nothing is expected.
+func (c *Control) expectedWait(j *job) (time.Duration, bool) {
+	need := j.Steps[0].Need
+	wait, found := time.Duration(0), false
+	for m, rooms := range c.allRooms() {
+		for i := range rooms {
+			if need.Fits(rooms[i].Free) && c.suits(rooms[i].Endpoint, j.route.Service, j.Steps[0].Label) {
+				return 0, true
+			}
+		}
+		holderWait, total := c.ownWait(), c.holder.total
+		if m != nil {
+			holderWait, total = m.advert.Wait+m.backlogWait(), m.advert.Total
+		}
+		if need.Fits(total) && (!found || holderWait < wait) {
+			wait, found = holderWait, true
+		}
+	}
+	return wait + time.Duration(float64(j.LongestChain())*optimism), found
+}
--- /dev/null
+++ b/pkg/placement/control.go
@@ -0,0 +1,377 @@
+// Package placement is the control state of an entry instance for jobs whose
+// tasks need processors, memory and accelerators. It does no input or output of
+// its own: Step takes inputs and the time and returns effects, so that the same
+// inputs always lead to the same decisions.
+//
+// As home an instance owns the jobs that callers have handed to it and chooses
+// a holder for each task. As holder it orders the endpoints that pkg/hold gives
+// it, and is the only one that does: it knows exactly what is reserved there.
+package placement
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/hold"
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/table"
+	"crocusseam/pkg/workload"
+)
+
+// Config constructs a Control.
+type Config struct {
+	Self    instance.ID
+	Domain  string
+	Address netip.AddrPort // for peers
+	Share   int            // relative size of the instance
+	Seed    uint64
+	Timing  Timing
+}
+
+// Timing holds the periods and bounds of the control systems.
+type Timing struct {
+	Beat        time.Duration // between signs of life to peers
+	AdvertPause time.Duration // shortest time between adverts of room
+	Silence     time.Duration // of a peer, after which it is suspected
+	Term        time.Duration // of silence in links and rows, after which an instance is dead
+	Lease       time.Duration // of what runs at an endpoint, on the endpoint's clock
+	Settle      time.Duration // a new instance waits for others before it takes holds
+	Established time.Duration // uptime from which others yield to an instance
+	MemberScan  time.Duration // between reads of the members' rows
+	SuspectScan time.Duration // the same while a member is suspected
+	Heartbeat   time.Duration // between renewals of the own row while a member is suspected
+	StartRetry  int           // further copies of a start order that was not answered
+	StopRetry   time.Duration // between copies of a stop order that was not answered
+	ReportAge   time.Duration // of the last report, above which nothing starts at an endpoint
+	Missing     time.Duration // a discovery entry may be absent before the endpoint is gone
+	RetryAfter  time.Duration // shortest time that a refused caller is asked to wait
+	Leave       time.Duration // a planned stop goes on serving at least this long
+	LeaveMax    time.Duration // a planned stop ends after this at the latest
+}
+
+// DefaultTiming returns the timing that serves unless settings say otherwise.
+func DefaultTiming() Timing {
+	return Timing{
+		Beat:        100 * time.Millisecond,
+		AdvertPause: 5 * time.Millisecond,
+		Silence:     450 * time.Millisecond, // four beats and a slow link
+		Term:        time.Second,
+		Lease:       time.Second,
+		Settle:      time.Second,
+		Established: 3 * time.Second,
+		MemberScan:  2 * time.Second,
+		SuspectScan: 400 * time.Millisecond,
+		Heartbeat:   300 * time.Millisecond, // three within a term
+		StartRetry:  1,
+		StopRetry:   200 * time.Millisecond,
+		ReportAge:   800 * time.Millisecond,
+		Missing:     2500 * time.Millisecond, // entries lost in an outage are back after two seconds
+		RetryAfter:  time.Second,
+		Leave:       2500 * time.Millisecond, // two missed readiness checks, one second apart
+		LeaveMax:    5 * time.Second,
+	}
+}
+
+// clockDrift is the share by which an endpoint's clock may be slow.
+const clockDrift = 0.02
+
+// leaseEnd is how long after a renewal everything at an endpoint has certainly
+// ended, by this instance's clock.
+func (t Timing) leaseEnd() time.Duration {
+	return time.Duration(float64(t.Lease)*(1+clockDrift)) + stopTime
+}
+
+// stopTime is the longest time that an endpoint takes to stop a run.
+const stopTime = 50 * time.Millisecond
+
+// lossTerm is how long after the last sign of a holder its runs have certainly
+// ended: it stops the runs of a silent home, or its leases run out.
+func (t Timing) lossTerm() time.Duration { return t.Silence + t.StopRetry + t.leaseEnd() }
+
+// Control is the control state of one instance. It is not safe for concurrent
+// use: one goroutine owns it.
+type Control struct {
+	config  Config
+	self    instance.ID
+	began   time.Time
+	now     time.Time
+	random  *rand.Rand
+	effects []Effect
+	counted Counters
+
+	configuration *workload.Configuration
+	raw           []byte
+	services      map[string]workload.Service
+
+	home    home
+	holder  holder
+	roster  roster
+	stop    stopState
+	stopAt  time.Time
+	nextID  uint64
+	commits map[uint64]func(CommitDone)
+	scans   map[uint64]func(ScanDone)
+}
+
+type stopState int
+
+const (
+	serving stopState = iota
+	leaving
+	stopped
+)
+
+// New returns the control state of an instance that has just started.
+func New(config Config) *Control {
+	c := &Control{
+		config: config, self: config.Self,
+		random:   rand.New(rand.NewPCG(config.Seed, config.Self.Incarnation)),
+		services: make(map[string]workload.Service),
+		commits:  make(map[uint64]func(CommitDone)),
+		scans:    make(map[uint64]func(ScanDone)),
+	}
+	c.home = newHome()
+	c.holder = newHolder(hold.Config{
+		Self: config.Self, Domain: config.Domain, Share: config.Share,
+		AskPeriod: askPeriod, YieldTerm: yieldTerm,
+	})
+	c.roster = newRoster()
+	return c
+}
+
+// Step takes inputs in the order in which they came and returns what is to be
+// done about them, and when it wants to be called again at the latest.
+func (c *Control) Step(now time.Time, inputs []Input) ([]Effect, time.Time) {
+	c.now = now
+	if c.began.IsZero() {
+		c.began = now
+	}
+	for _, in := range inputs {
+		c.handle(in)
+	}
+	c.runRoster()
+	c.runHolds()
+	c.runHolder()
+	c.runHome()
+	c.runAdverts()
+	c.runStop()
+	effects := c.effects
+	c.effects = nil
+	return effects, now.Add(c.config.Timing.tick())
+}
+
+// tick is the longest time between two steps.
+func (t Timing) tick() time.Duration { return t.Beat / 5 }
+
+func (c *Control) handle(in Input) {
+	switch m := in.(type) {
+	case Submit:
+		c.submit(m)
+	case Ask:
+		c.ask(m)
+	case Cancel:
+		c.cancel(m)
+	case Count:
+		c.reply(m.Handle, Answer{Status: Counted, Waiting: c.waitingJobs(m.Route)})
+	case Abandon:
+		c.abandon(m)
+	case Configured:
+		c.configured(m)
+	case Listed:
+		c.listed(m)
+	case CommitDone:
+		c.commitDone(m)
+	case ScanDone:
+		c.scanDone(m)
+	case Reported:
+		c.reported(m)
+	case Silent:
+		c.silent(m)
+	case StartDone:
+		c.startDone(m)
+	case StopDone:
+		c.stopDone(m)
+	case ProbeDone:
+		c.probeDone(m)
+	case PeerUp:
+		c.peerUp(m.Peer)
+	case PeerDown:
+		c.peerDown(m.Peer)
+	case Received:
+		c.received(m.From, m.Message)
+	case Stop:
+		c.beginStop()
+	}
+}
+
+func (c *Control) received(from instance.ID, message Message) {
+	c.heard(from)
+	switch m := message.(type) {
+	case *Place:
+		c.placed(from, m)
+	case *Drop:
+		c.dropped(from, m)
+	case *Ended:
+		c.ended(from, m)
+	case *Waiting:
+		c.waits(from, m)
+	case *Advert:
+		c.advertised(from, m)
+	case *Beat:
+		c.beaten(from, m)
+	case *Settings:
+		c.emit(Adopt{From: from, Version: m.Version, Raw: m.Raw})
+	case *Yield:
+		c.asked(from, m)
+	case *Yielded:
+		c.holder.book.Yielded(m.Endpoint, m.Version)
+	case *CancelJob:
+		c.cancelLocal(m.ID)
+	}
+}
+
+func (c *Control) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Control) reply(h Handle, a Answer) { c.emit(Reply{Handle: h, Answer: a}) }
+
+// send sends a message; what is meant for this instance itself is handled at
+// once.
+func (c *Control) send(to instance.ID, m Message) {
+	if to == c.self {
+		c.received(to, m)
+		return
+	}
+	c.emit(Send{Peer: to, Message: m})
+}
+
+func (c *Control) decide(event string, fields ...zap.Field) {
+	c.emit(Decision{Event: event, Fields: fields})
+}
+
+func (c *Control) commitDone(m CommitDone) {
+	if done, ok := c.commits[m.ID]; ok {
+		delete(c.commits, m.ID)
+		done(m)
+	}
+}
+
+func (c *Control) scanDone(m ScanDone) {
+	if done, ok := c.scans[m.ID]; ok {
+		delete(c.scans, m.ID)
+		done(m)
+	}
+}
+
+func (c *Control) commit(e Commit, done func(CommitDone)) {
+	c.nextID++
+	e.ID = c.nextID
+	c.commits[e.ID] = done
+	c.emit(e)
+}
+
+func (c *Control) scan(prefix string, done func(ScanDone)) {
+	c.nextID++
+	c.scans[c.nextID] = done
+	c.emit(Scan{ID: c.nextID, Prefix: prefix})
+}
+
+// configured takes a version that came into force. Versions only rise.
+func (c *Control) configured(m Configured) {
+	if c.configuration != nil && m.Configuration.Version <= c.configuration.Version {
+		return
+	}
+	c.configuration, c.raw = m.Configuration, m.Raw
+	clear(c.services)
+	for _, s := range m.Configuration.Services {
+		c.services[s.Name] = s
+	}
+	c.decide("configuration in force", zap.Uint64("Version", m.Configuration.Version), zap.Int("Routes", len(m.Configuration.Routes)))
+}
+
+func (c *Control) version() uint64 {
+	if c.configuration == nil {
+		return 0
+	}
+	return c.configuration.Version
+}
+
+func (c *Control) beginStop() {
+	if c.stop != serving {
+		return
+	}
+	c.stop, c.stopAt = leaving, c.now
+	c.holder.book.Leave()
+	c.holder.advertDue = c.now
+	c.roster.nextBeat = c.now
+	c.decide("planned stop begins", zap.Int("OpenJobs", c.home.jobs.Len()), zap.Int("Runs", c.holder.runs.Len()))
+}
+
+// runStop ends a planned stop once nothing is open here and siblings have had
+// the time to take over, or its time is up.
+func (c *Control) runStop() {
+	if c.stop != leaving {
+		return
+	}
+	elapsed := c.now.Sub(c.stopAt)
+	open := c.home.jobs.Len() > 0 || c.holder.runs.Len() > 0
+	if elapsed < c.config.Timing.Leave || (open && elapsed < c.config.Timing.LeaveMax) {
+		return
+	}
+	c.stop = stopped
+	c.decide("planned stop ends", zap.Duration("Elapsed", elapsed), zap.Int("OpenJobs", c.home.jobs.Len()), zap.Int("Runs", c.holder.runs.Len()))
+	c.emit(Stopped{})
+}
+
+// Overview is what the traffic side needs to know of the control state.
+type Overview struct {
+	Ready    bool
+	Version  uint64 // of the configuration in force
+	Jobs     int
+	Runs     int
+	Held     int
+	Members  int
+	Counters Counters
+}
+
+// Overview returns a copy of the state for reports. An instance is ready when it
+// has a configuration and some instance it hears offers endpoints.
+func (c *Control) Overview() Overview {
+	return Overview{
+		Ready:   c.stop == serving && c.configuration != nil && c.anyRoom(),
+		Version: c.version(), Jobs: c.home.jobs.Len(), Runs: c.holder.runs.Len(), Held: c.holder.held,
+		Members: c.roster.members.Len(), Counters: c.counted,
+	}
+}
+
+// Counters count what has happened since the start of the instance.
+type Counters struct {
+	Submitted         int64 // jobs handed in
+	Completed         int64 // jobs answered as completed
+	Failed            int64 // jobs answered as failed
+	Refused           int64 // jobs refused
+	TimedOut          int64 // jobs that ran out of time
+	Abandoned         int64 // jobs whose caller left
+	Late              int64 // jobs completed after their objective
+	Placed            int64 // tasks sent to a holder
+	Started           int64 // start orders sent for the first time
+	RepeatedStarts    int64 // further copies of start orders
+	Stops             int64 // stop orders sent
+	Waited            int64 // runs that had to wait for room
+	Retries           int64 // tasks started again after a failed run
+	Lapsed            int64 // runs whose lease ran out
+	Orphans           int64 // runs stopped because their home was silent
+	FencedOrders      int64 // orders refused for a lower token
+	HoldsTaken        int64 // endpoints taken
+	HoldsYielded      int64 // endpoints yielded
+	MembersLost       int64 // members found dead
+	SilentEndpoints   int64 // endpoints that stopped reporting
+	UnknownRuns       int64 // runs found at an endpoint that nobody here started
+	FailedCommits     int64 // commits of holds and members without success
+	StragglersStopped int64 // runs stopped because they made no progress
+}
+
+// taskRuns is a table of runs.
+type taskRuns = table.Table[workload.Run, *run]
--- /dev/null
+++ b/pkg/placement/health.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"crocusseam/pkg/workload"
+)
+
+// speedModel learns how fast an endpoint is from run times and their estimates.
+// Estimates are off in both directions, so logarithms are averaged.
+type speedModel struct {
+	samples int
+	logSum  float64
+}
+
+// Bounds of the learned speed.
+const (
+	samplesToTrust = 6
+	maxSamples     = 64 // older ones fade
+	minSpeed       = 0.1
+	maxSpeed       = 10
+)
+
+func (s *speedModel) observe(estimate, elapsed time.Duration) {
+	if estimate <= 0 || elapsed <= 0 {
+		return
+	}
+	if s.samples == maxSamples {
+		s.logSum -= s.logSum / maxSamples
+		s.samples--
+	}
+	s.samples++
+	s.logSum += math.Log(float64(estimate) / float64(elapsed))
+}
+
+// value is the speed, 1 while it is not known.
+func (s *speedModel) value() float64 {
+	if s.samples < samplesToTrust {
+		return 1
+	}
+	return min(max(math.Exp(s.logSum/float64(s.samples)), minSpeed), maxSpeed)
+}
+
+// health tells an endpoint that fails what it starts from jobs that fail
+// everywhere.
+type health struct {
+	failures int // in a row
+	lastJob  workload.JobID
+	jobs     int // among them, counting neighbours once
+	until    time.Time
+	ejected  int // times in a row
+}
+
+// Figures of ejection.
+const (
+	failuresToEject = 2
+	jobsToEject     = 2
+	firstEjection   = time.Second
+	maxEjection     = 8 * time.Second
+	refusalPause    = 100 * time.Millisecond
+)
+
+// admits reports whether another run may start; after an ejection one at a time
+// shows whether the endpoint is well again.
+func (h *health) admits(now time.Time, runs int) bool {
+	if now.Before(h.until) {
+		return false
+	}
+	return h.ejected == 0 || runs == 0
+}
+
+func (h *health) succeeded() { *h = health{} }
+
+func (h *health) failed(now time.Time, job workload.JobID) {
+	h.failures++
+	if job != h.lastJob {
+		h.jobs++
+		h.lastJob = job
+	}
+	if h.ejected == 0 && (h.failures < failuresToEject || h.jobs < jobsToEject) {
+		return
+	}
+	h.until = now.Add(min(firstEjection<<min(h.ejected, 4), maxEjection))
+	h.ejected++
+}
+
+// refused notes that the endpoint turned an order away.
+func (h *health) refused(now time.Time) {
+	if until := now.Add(refusalPause); until.After(h.until) {
+		h.until = until
+	}
+}
+
+// learn takes the end of a run into the endpoint's speed and health.
+func (e *endpoint) learn(c *Control, r *run, how workload.How) {
+	switch how {
+	case workload.Done:
+		e.speed.observe(r.place.Estimate, c.now.Sub(r.ordered))
+		e.health.succeeded()
+	case workload.Failed:
+		e.health.failed(c.now, r.id.Task.Job)
+	}
+}
--- /dev/null
+++ b/pkg/placement/holder.go
@@ -0,0 +1,536 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/hold"
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/table"
+	"crocusseam/pkg/workload"
+)
+
+type endpointState int
+
+const (
+	looking endpointState = iota // what runs there is not known to be this instance's
+	active
+)
+
+// endpoint is an endpoint that this instance holds. What is reserved there
+// counts from the sending of a start order until the end is certain.
+type endpoint struct {
+	info      workload.Endpoint
+	token     workload.Token
+	state     endpointState
+	runs      *taskRuns
+	reserved  workload.Resources
+	reports   int
+	reportAt  time.Time     // when the last report came
+	clock     time.Duration // of the endpoint, at reportAt
+	leaseSent time.Time     // when something that renews the lease was last sent
+	silences  int           // in a row
+	paused    bool          // the lease is not renewed, as nothing is heard
+	stoppedAt time.Time     // when unknown runs were last ordered to stop
+	speed     speedModel
+	health    health
+}
+
+type runState int
+
+const (
+	queued runState = iota
+	starting
+	running
+	stopping
+	over
+)
+
+// run is a run that a home has placed with this instance.
+type run struct {
+	id        workload.Run
+	home      instance.ID
+	place     *Place
+	avoid     []string
+	state     runState
+	endpoint  *endpoint
+	arrived   time.Time
+	objective time.Time
+	deadline  time.Time
+	told      bool // the home knows that it waits
+	ordered   time.Time
+	tries     int       // start orders sent
+	confirmed time.Time // when the endpoint was first known to have it
+	stopSent  time.Time
+	stopDone  time.Time // when the endpoint accepted the stop
+	dropped   bool      // the home does not want it any more
+	percent   int
+	percentAt time.Time
+	end       *Ended
+	endedAt   time.Time
+}
+
+// holder holds endpoints and the runs placed there.
+type holder struct {
+	book      *hold.Book
+	listed    *table.Table[string, *workload.Endpoint]
+	missing   map[string]time.Time
+	endpoints *table.Table[string, *endpoint]
+	runs      *taskRuns // that have not ended
+	ended     *taskRuns // kept for a while, for homes that ask again
+	queue     []*run
+	crowded   bool // queue or room have changed since the last look
+	held      int
+	active    int
+	total     workload.Resources // of the active endpoints
+	rooms     []Room
+	roomsOld  bool
+	advertDue time.Time
+	advertNew bool // something to advertise
+	bookDue   time.Time
+	commits   int             // of holds, on their way
+	rowsRead  map[string]bool // domains whose rows of holds were read at the start
+}
+
+// Bounds of the holder's systems.
+const (
+	askPeriod       = 500 * time.Millisecond
+	yieldTerm       = 2 * time.Second
+	bookPeriod      = 50 * time.Millisecond
+	commitPause     = 250 * time.Millisecond // after a commit of holds that failed
+	keepEnded       = 5 * time.Second
+	unknownStopGap  = 100 * time.Millisecond
+	silencesToPause = 2
+	minRoom         = 1000 // thousandths of a processor that are worth an advert
+	shortestRest    = 5 * time.Millisecond
+	advertPeriod    = 400 * time.Millisecond
+)
+
+func newHolder(config hold.Config) holder {
+	return holder{
+		book: hold.New(config), listed: table.New[string, *workload.Endpoint](), missing: make(map[string]time.Time),
+		endpoints: table.New[string, *endpoint](), runs: table.New[workload.Run, *run](), ended: table.New[workload.Run, *run](),
+		rowsRead: make(map[string]bool), roomsOld: true,
+	}
+}
+
+// listedNow takes what discovery shows. An endpoint that is missing is kept for
+// a while: entries lapse while the platform is away although their endpoints
+// live.
+func (c *Control) listed(m Listed) {
+	h := &c.holder
+	present := make(map[string]bool, len(m.Endpoints))
+	for i := range m.Endpoints {
+		e := m.Endpoints[i]
+		present[e.ID.Name] = true
+		delete(h.missing, e.ID.Name)
+		if old, ok := h.listed.Get(e.ID.Name); !ok || old.Draining != e.Draining || old.ID != e.ID {
+			c.decide("endpoint listed", zap.String("Endpoint", e.ID.Name), zap.Int64("Born", e.ID.Born), zap.Bool("Draining", e.Draining), zap.String("Domain", e.Domain))
+		}
+		h.listed.Put(e.ID.Name, &e)
+	}
+	for name := range h.listed.All() {
+		if present[name] {
+			continue
+		}
+		since, ok := h.missing[name]
+		if !ok {
+			h.missing[name] = c.now
+		} else if c.now.Sub(since) >= c.config.Timing.Missing {
+			delete(h.missing, name)
+			h.listed.Delete(name)
+			c.decide("endpoint gone", zap.String("Endpoint", name), zap.Duration("Missing", c.now.Sub(since)))
+		}
+	}
+	list := make([]workload.Endpoint, 0, h.listed.Len())
+	for _, e := range h.listed.All() {
+		list = append(list, *e)
+	}
+	for _, name := range h.book.SetEndpoints(list) {
+		if e, ok := h.endpoints.Get(name); ok {
+			c.loseEndpoint(e, c.lifeEnd(e), "its life has ended")
+		}
+	}
+	for name, e := range h.endpoints.All() {
+		if info, ok := h.listed.Get(name); ok {
+			e.info = *info
+		}
+	}
+	h.roomsOld, h.crowded = true, true
+}
+
+// lifeEnd is how the runs of an endpoint end whose entry has changed: with a new
+// life the old one is over, without an entry they may still run.
+func (c *Control) lifeEnd(e *endpoint) workload.How {
+	if info, ok := c.holder.listed.Get(e.info.ID.Name); ok && info.ID.Born != e.info.ID.Born {
+		return workload.Lapsed
+	}
+	return workload.Unknown
+}
+
+// runHolds carries out the plan of the book.
+func (c *Control) runHolds() {
+	h := &c.holder
+	if c.now.Before(h.bookDue) || h.commits > 0 {
+		return
+	}
+	h.bookDue = c.now.Add(bookPeriod)
+	if !c.readHolds() {
+		return
+	}
+	c.yieldIdle()
+	plan := h.book.Plan(c.now)
+	for holder, names := range plan.Ask {
+		c.decide("hold asked for", zap.Stringer("Holder", holder), zap.Strings("Endpoints", names))
+		c.send(holder, &Yield{Endpoints: names})
+	}
+	for i := range plan.Probe {
+		e := &plan.Probe[i]
+		c.emit(Probe{Endpoint: e.ID, Address: e.Address})
+	}
+	for _, t := range plan.Take {
+		c.takeHolds(t)
+	}
+}
+
+func (c *Control) probeDone(m ProbeDone) {
+	if m.Reachable {
+		c.holder.book.Reached(m.Endpoint, c.now)
+	}
+}
+
+// readHolds reads the rows of all domains once after the start, and reports
+// whether that is done.
+func (c *Control) readHolds() bool {
+	h := &c.holder
+	complete := true
+	for _, domain := range h.book.Domains() {
+		read, asked := h.rowsRead[domain]
+		complete = complete && read
+		if asked {
+			continue
+		}
+		h.rowsRead[domain] = false
+		c.scan(hold.Prefix+domain+"/", func(m ScanDone) {
+			if m.Err != nil {
+				delete(h.rowsRead, domain)
+				h.bookDue = c.now.Add(commitPause)
+				return
+			}
+			h.rowsRead[domain] = true
+			h.bookDue = c.now
+			for _, err := range h.book.Read(m.Rows) {
+				c.decide("row of a hold skipped", zap.String("Domain", domain), zap.Error(err))
+			}
+		})
+	}
+	return complete
+}
+
+func (c *Control) takeHolds(t hold.Take) {
+	h := &c.holder
+	h.commits++
+	c.commit(Commit{Writes: t.Writes}, func(m CommitDone) {
+		h.commits--
+		if m.Err != nil {
+			c.counted.FailedCommits++
+			h.book.Refused(t, conflictRows(m.Err, t))
+			if !isConflict(m.Err) {
+				h.bookDue = c.now.Add(commitPause)
+			}
+			c.decide("holds not taken", zap.Strings("Endpoints", t.Endpoints), zap.Error(m.Err))
+			return
+		}
+		gained := h.book.Taken(t, m.Version)
+		c.counted.HoldsTaken += int64(len(gained))
+		c.decide("holds taken", zap.Strings("Endpoints", gained), zap.Uint64("Token", uint64(m.Version)))
+		for _, name := range gained {
+			c.beginHold(name, m.Version)
+		}
+	})
+}
+
+// beginHold looks at what runs at an endpoint that was just taken. Nothing
+// starts there before all of it is gone.
+func (c *Control) beginHold(name string, token workload.Token) {
+	info, ok := c.holder.listed.Get(name)
+	if !ok {
+		return
+	}
+	if old, ok := c.holder.endpoints.Get(name); ok {
+		c.loseEndpoint(old, workload.Unknown, "it was taken again")
+	}
+	e := &endpoint{info: *info, token: token, runs: table.New[workload.Run, *run]()}
+	c.holder.endpoints.Put(name, e)
+	c.emit(Watch{Endpoint: e.info.ID, Address: e.info.Address, Token: token})
+}
+
+// loseEndpoint ends the hold of an endpoint and the runs there.
+func (c *Control) loseEndpoint(e *endpoint, how workload.How, cause string) {
+	c.decide("endpoint lost", zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)), zap.Stringer("Runs", how), zap.Int("Count", e.runs.Len()), zap.String("Cause", cause))
+	c.emit(Unwatch{Endpoint: e.info.ID})
+	for _, r := range e.runs.All() {
+		c.endRun(r, how, cause)
+	}
+	c.holder.endpoints.Delete(e.info.ID.Name)
+	c.holder.roomsOld, c.holder.advertNew = true, true
+}
+
+func (c *Control) fence(e *endpoint) {
+	c.counted.FencedOrders++
+	c.holder.book.Fenced(e.info.ID.Name)
+	c.loseEndpoint(e, workload.Unknown, "another instance holds it")
+}
+
+// asked yields endpoints that another instance should hold, as soon as nothing
+// of this instance's runs there.
+func (c *Control) asked(from instance.ID, m *Yield) {
+	for _, name := range m.Endpoints {
+		if c.holder.book.Asked(from, name) {
+			c.holder.roomsOld, c.holder.advertNew = true, true
+			c.yield(name)
+		}
+	}
+}
+
+func (c *Control) yield(name string) {
+	e, ok := c.holder.endpoints.Get(name)
+	if ok && e.runs.Len() > 0 {
+		return
+	}
+	to, yes := c.holder.book.Yield(name, c.now)
+	if !yes {
+		return
+	}
+	if ok {
+		c.loseEndpoint(e, workload.NeverRan, "yielded to "+to.Instance)
+	}
+	c.counted.HoldsYielded++
+	c.send(to, &Yielded{Endpoint: name, Version: c.holder.book.Version(name)})
+	c.holder.bookDue = c.now
+}
+
+func (c *Control) yieldIdle() {
+	for name, e := range c.holder.endpoints.All() {
+		if _, mayStart := c.holder.book.Token(name); !mayStart && e.runs.Len() == 0 {
+			c.yield(name)
+		}
+	}
+}
+
+// endpointOf returns the held endpoint of this life under this token.
+func (c *Control) endpointOf(id workload.EndpointID, token workload.Token) (*endpoint, bool) {
+	e, ok := c.holder.endpoints.Get(id.Name)
+	return e, ok && e.info.ID == id && e.token == token
+}
+
+// reported takes an endpoint's report.
+func (c *Control) reported(m Reported) {
+	e, ok := c.endpointOf(m.Endpoint, m.Token)
+	if !ok {
+		return
+	}
+	e.reports++
+	e.reportAt, e.clock = m.Received, m.Report.Clock
+	e.silences = 0
+	if !e.paused && e.state == active {
+		e.leaseSent = later(e.leaseSent, m.Sent)
+	}
+	for i := range m.Report.Ended {
+		c.takeEnd(e, &m.Report.Ended[i])
+	}
+	unknown := c.takeRunning(e, &m)
+	c.settleVanished(e, &m)
+	c.judgeUnknown(e, unknown)
+	c.holder.crowded = true
+	c.holder.roomsOld = true
+}
+
+// takeEnd takes an end that the endpoint lists.
+func (c *Control) takeEnd(e *endpoint, end *workload.EndedRun) {
+	r, ok := e.runs.Get(end.Run)
+	if !ok {
+		return
+	}
+	e.learn(c, r, end.How)
+	c.endRun(r, end.How, "")
+}
+
+// takeRunning takes the list of what runs, and returns what nobody here has
+// started.
+func (c *Control) takeRunning(e *endpoint, m *Reported) (unknown []workload.Run) {
+	for i := range m.Report.Running {
+		rr := &m.Report.Running[i]
+		r, ok := e.runs.Get(rr.Run)
+		if !ok {
+			unknown = append(unknown, rr.Run)
+			continue
+		}
+		if r.state == starting {
+			r.state = running
+		}
+		if r.confirmed.IsZero() {
+			r.confirmed = m.Received
+		}
+		if rr.Percent != r.percent || r.percentAt.IsZero() {
+			r.percent, r.percentAt = rr.Percent, m.Received
+		}
+	}
+	return unknown
+}
+
+// settleVanished ends the runs that the endpoint neither lists as running nor
+// as ended, although it was asked after it had confirmed their start or stop.
+func (c *Control) settleVanished(e *endpoint, m *Reported) {
+	for id, r := range e.runs.All() {
+		if slices.ContainsFunc(m.Report.Running, func(rr workload.RunningRun) bool { return rr.Run == id }) {
+			continue
+		}
+		switch {
+		case r.state == running && !r.confirmed.IsZero() && m.Sent.After(r.confirmed):
+			c.endRun(r, workload.Lapsed, "the endpoint does not list it any more")
+		case r.state == stopping && !r.stopDone.IsZero() && m.Sent.After(r.stopDone):
+			how := workload.NeverRan
+			if !r.confirmed.IsZero() {
+				how = workload.Stopped
+			}
+			c.endRun(r, how, "the endpoint does not list it")
+		}
+	}
+}
+
+// judgeUnknown stops what an earlier holder has left at the endpoint, and takes
+// the endpoint into use when nothing of it is left.
+func (c *Control) judgeUnknown(e *endpoint, unknown []workload.Run) {
+	if len(unknown) > 0 {
+		if e.state == active {
+			e.state = looking
+			c.emit(Watch{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token})
+		}
+		if c.now.Sub(e.stoppedAt) < unknownStopGap {
+			return
+		}
+		e.stoppedAt = c.now
+		c.counted.UnknownRuns += int64(len(unknown))
+		for _, r := range unknown {
+			c.decide("unknown run stopped", jobField(r.Task.Job), zap.Int("Index", r.Task.Index), zap.Int("Run", r.Number), zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)))
+			c.emit(StopRun{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r})
+		}
+		return
+	}
+	if e.state == looking || e.paused {
+		if e.state == looking {
+			c.decide("endpoint in use", zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)))
+		}
+		e.state, e.paused = active, false
+		e.leaseSent = c.now
+		c.holder.advertNew = true
+		c.emit(Watch{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Renew: true})
+	}
+}
+
+// silent takes the failure of an endpoint to report. After some in a row its
+// lease is no longer renewed, so that what runs there ends at a known time.
+func (c *Control) silent(m Silent) {
+	e, ok := c.endpointOf(m.Endpoint, m.Token)
+	if !ok {
+		return
+	}
+	switch m.Outcome {
+	case Fenced:
+		c.fence(e)
+		return
+	case OtherLife:
+		c.holder.book.Fenced(e.info.ID.Name)
+		c.loseEndpoint(e, workload.Lapsed, "another life of it answers")
+		return
+	}
+	if !e.paused && e.state == active {
+		e.leaseSent = c.now
+	}
+	e.silences++
+	c.holder.roomsOld = true
+	if e.silences == silencesToPause {
+		e.paused = true
+		c.counted.SilentEndpoints++
+		c.decide("endpoint silent", zap.String("Endpoint", e.info.ID.Name), zap.Stringer("Outcome", m.Outcome), zap.Duration("ReportAge", c.now.Sub(e.reportAt)), zap.Int("Runs", e.runs.Len()), zap.Error(m.Err))
+		c.emit(Watch{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token})
+	}
+}
+
+// lapseSilent ends the runs at an endpoint whose lease has certainly run out. A
+// start that was not answered may still be carried out: it ends only when its
+// stop was accepted.
+func (c *Control) lapseSilent(e *endpoint) {
+	if !e.paused || e.runs.Len() == 0 || c.now.Sub(e.leaseSent) < c.config.Timing.leaseEnd() {
+		return
+	}
+	for _, r := range e.runs.All() {
+		if !r.confirmed.IsZero() {
+			c.endRun(r, workload.Lapsed, "the endpoint is silent and its lease is over")
+		}
+	}
+}
+
+// usable reports whether runs may be started at an endpoint.
+func (c *Control) usable(e *endpoint) bool {
+	_, mayStart := c.holder.book.Token(e.info.ID.Name)
+	return mayStart && e.state == active && !e.paused && !e.info.Draining && c.stop == serving &&
+		c.now.Sub(e.reportAt) < c.config.Timing.ReportAge && e.health.admits(c.now, e.runs.Len())
+}
+
+func (e *endpoint) free() workload.Resources { return e.info.Capacity.Sub(e.reserved) }
+
+// runHolder starts what can start, stops what nobody wants any more, and looks
+// after orders that were not answered.
+func (c *Control) runHolder() {
+	h := &c.holder
+	c.orphanSilent()
+	h.held, h.active, h.total = 0, 0, workload.Resources{}
+	for _, e := range h.endpoints.All() {
+		h.held++
+		c.lapseSilent(e)
+		if e.state == active && !e.paused {
+			h.active++
+			h.total = h.total.Add(e.info.Capacity)
+		}
+	}
+	for _, r := range h.runs.All() {
+		c.watchRun(r)
+	}
+	if h.crowded || len(h.queue) > 0 {
+		h.crowded = false
+		c.startQueued()
+	}
+	c.forgetEnded()
+}
+
+// orphanSilent stops the runs of homes that are silent: their callers may hand
+// the jobs to other instances.
+func (c *Control) orphanSilent() {
+	for _, m := range c.roster.members.All() {
+		if !m.suspected.IsZero() {
+			c.orphan(m.id, "its home is silent")
+		}
+	}
+}
+
+func (c *Control) orphan(home instance.ID, cause string) {
+	for _, r := range c.holder.runs.All() {
+		if r.home == home && !r.dropped {
+			c.counted.Orphans++
+			c.dropRun(r, cause)
+		}
+	}
+}
+
+func (c *Control) forgetEnded() {
+	for id, r := range c.holder.ended.All() {
+		if c.now.Sub(r.endedAt) < keepEnded {
+			return
+		}
+		c.holder.ended.Delete(id)
+	}
+}
--- /dev/null
+++ b/pkg/placement/home.go
@@ -0,0 +1,524 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/table"
+	"crocusseam/pkg/workload"
+)
+
+// job is a job that a caller has handed to this instance.
+type job struct {
+	*workload.Job
+	route     workload.Route
+	handles   []Handle
+	arrived   time.Time
+	objective time.Time
+	deadline  time.Time
+	steps     [][]task
+	left      int  // tasks that are not done
+	ran       bool // some run of it has started
+}
+
+type phase int
+
+const (
+	blocked phase = iota // waits for earlier steps
+	ready                // waits for a holder
+	placed               // with a holder
+	lost                 // with a holder that cannot be asked; it may still run
+	done
+)
+
+// task is one task of a job.
+type task struct {
+	phase    phase
+	number   int // of the last run
+	holder   instance.ID
+	waiting  bool // its holder has no room for it
+	waitAt   time.Time
+	failed   int // runs that have failed
+	bounced  int
+	avoid    []string
+	retryAt  time.Time
+	lostAt   time.Time // when its last run has certainly ended
+	placedAt time.Time
+}
+
+// home holds the jobs of this instance's callers.
+type home struct {
+	jobs     *table.Table[workload.JobID, *job]
+	byHandle map[Handle]workload.JobID
+	moveDue  time.Time
+}
+
+func newHome() home {
+	return home{jobs: table.New[workload.JobID, *job](), byHandle: make(map[Handle]workload.JobID)}
+}
+
+// Bounds of the home's systems.
+const (
+	bouncePause  = 5 * time.Millisecond  // after a holder had no use for a task
+	maxBounce    = 80 * time.Millisecond // longest such pause
+	movePeriod   = 20 * time.Millisecond // between looks for better places
+	minMoveGain  = 10 * time.Millisecond
+	answerMargin = 5 * time.Millisecond // an answer leaves before the caller stops waiting
+	maxRetrySpan = 3                    // refused callers come back within this many times RetryAfter
+)
+
+// submit takes a job from a caller, or joins a caller to a job that is known.
+func (c *Control) submit(m Submit) {
+	if j, ok := c.home.jobs.Get(m.Job.ID); ok {
+		j.handles = append(j.handles, m.Handle)
+		c.home.byHandle[m.Handle] = j.ID
+		c.decide("joined a job in progress", jobField(j.ID))
+		return
+	}
+	c.counted.Submitted++
+	j := c.newJob(m)
+	if reason, ok := c.admissible(j); !ok {
+		c.refuse(j, reason)
+		return
+	}
+	c.home.jobs.Put(j.ID, j)
+	c.home.byHandle[m.Handle] = j.ID
+	for s := range j.steps {
+		c.unblock(j, s)
+	}
+	c.placeReady(j)
+}
+
+func jobField(id workload.JobID) zap.Field { return zap.String("Job", string(id)) }
+
+func (c *Control) newJob(m Submit) *job {
+	left := m.Left
+	if m.Route.Timeout > 0 && (left == 0 || m.Route.Timeout < left) {
+		left = m.Route.Timeout
+	}
+	j := &job{
+		Job: m.Job, route: m.Route, handles: []Handle{m.Handle}, arrived: c.now,
+		objective: c.now.Add(m.Route.Objective(m.Job)), deadline: c.now.Add(left - answerMargin),
+		steps: make([][]task, len(m.Job.Steps)), left: m.Job.Tasks(),
+	}
+	for i := range j.steps {
+		j.steps[i] = make([]task, m.Job.Steps[i].Count)
+	}
+	return j
+}
+
+// admissible reports whether a job can be served at all, and if not why.
+func (c *Control) admissible(j *job) (reason string, ok bool) {
+	switch {
+	case len(j.Unsupported) > 0:
+		return fmt.Sprintf("it asks for %v, which is not offered here", j.Unsupported), false
+	case !j.Ephemeral:
+		return "jobs that have to be stored are not offered here", false
+	}
+	for i := range j.Steps {
+		if !c.everFits(j.route.Service, &j.Steps[i]) {
+			return fmt.Sprintf("no endpoint of the service could run a task of step %d", i), false
+		}
+	}
+	if wait, ok := c.expectedWait(j); !ok || c.now.Add(wait).After(j.deadline) {
+		return fmt.Sprintf("it is expected to end in %s, after the caller has left", wait), false
+	}
+	return "", true
+}
+
+// everFits reports whether some endpoint is large enough for a task.
+func (c *Control) everFits(service string, s *workload.Step) bool {
+	for _, e := range c.holder.listed.All() {
+		if e.Service == service && s.Need.Fits(e.Capacity) && e.HasLabel(s.Label) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse tells a caller that its job does not run here, and when to come back.
+// The times are spread, so that callers refused together do not return together.
+func (c *Control) refuse(j *job, reason string) {
+	c.counted.Refused++
+	span := time.Duration(c.random.Int64N(int64(maxRetrySpan-1)*int64(c.config.Timing.RetryAfter) + 1))
+	c.close(j, Answer{Status: Refused, Reason: reason, RetryAfter: c.config.Timing.RetryAfter + span})
+}
+
+// close answers a job's callers and forgets it.
+func (c *Control) close(j *job, a Answer) {
+	for _, h := range j.handles {
+		delete(c.home.byHandle, h)
+		c.reply(h, a)
+	}
+	j.handles = nil
+	c.dropRuns(j)
+	c.home.jobs.Delete(j.ID)
+	elapsed := c.now.Sub(j.arrived)
+	inTime := a.Status == Completed && !c.now.After(j.objective)
+	if a.Status == Completed && !inTime {
+		c.counted.Late++
+	}
+	c.emit(Finished{Route: j.route.Name, Status: a.Status, Elapsed: elapsed, InTime: inTime})
+	c.decide("job answered", jobField(j.ID), zap.String("Route", j.route.Name), zap.Stringer("Status", a.Status), zap.String("Reason", a.Reason),
+		zap.Duration("Elapsed", elapsed), zap.Duration("Objective", j.objective.Sub(j.arrived)), zap.Int("TasksLeft", j.left),
+		zap.Uint64("Configuration", c.version()))
+}
+
+// dropRuns takes back everything of a job that may still run.
+func (c *Control) dropRuns(j *job) {
+	drops := table.New[instance.ID, *Drop]()
+	for s := range j.steps {
+		for i := range j.steps[s] {
+			t := &j.steps[s][i]
+			if t.phase != placed {
+				continue
+			}
+			t.phase = done
+			d, ok := drops.Get(t.holder)
+			if !ok {
+				d = &Drop{}
+				drops.Put(t.holder, d)
+			}
+			d.Runs = append(d.Runs, j.run(s, i))
+		}
+	}
+	for holder, d := range drops.All() {
+		c.send(holder, d)
+	}
+}
+
+func (j *job) run(step, index int) workload.Run {
+	return workload.Run{Task: workload.TaskID{Job: j.ID, Step: step, Index: index}, Number: j.steps[step][index].number}
+}
+
+// unblock makes the tasks of a step ready if all earlier ones are done.
+func (c *Control) unblock(j *job, step int) {
+	for _, a := range j.Steps[step].After {
+		for i := range j.steps[a] {
+			if j.steps[a][i].phase != done {
+				return
+			}
+		}
+	}
+	for i := range j.steps[step] {
+		if t := &j.steps[step][i]; t.phase == blocked {
+			t.phase = ready
+		}
+	}
+}
+
+// placeReady finds a holder for each task that is ready.
+func (c *Control) placeReady(j *job) {
+	for s := range j.steps {
+		c.placeStep(j, s)
+	}
+}
+
+func (c *Control) placeStep(j *job, step int) {
+	places := table.New[instance.ID, *Place]()
+	for i := range j.steps[step] {
+		t := &j.steps[step][i]
+		if t.phase != ready || c.now.Before(t.retryAt) {
+			continue
+		}
+		offer, ok := c.choose(j, step, t)
+		if !ok {
+			t.retryAt = c.now.Add(maxBounce)
+			continue
+		}
+		p, ok := places.Get(offer.holder)
+		if !ok {
+			p = c.newPlace(j, step)
+			places.Put(offer.holder, p)
+		}
+		t.phase, t.holder, t.placedAt, t.waiting = placed, offer.holder, c.now, false
+		t.number++
+		p.Tasks = append(p.Tasks, PlacedTask{Index: i, Number: t.number, Avoid: t.avoid})
+	}
+	for holder, p := range places.All() {
+		c.sendPlace(holder, p)
+	}
+}
+
+func (c *Control) newPlace(j *job, step int) *Place {
+	s := &j.Steps[step]
+	return &Place{
+		Job: j.ID, Spec: j.Spec, Step: step, Service: j.route.Service, Need: s.Need, Label: s.Label, Rack: s.Rack, Estimate: s.Estimate,
+		Objective: j.objective.Sub(c.now), Left: j.deadline.Sub(c.now), Priority: j.route.Priority,
+	}
+}
+
+func (c *Control) sendPlace(holder instance.ID, p *Place) {
+	c.counted.Placed += int64(len(p.Tasks))
+	if m, ok := c.roster.members.Get(holder.Instance); ok && m.id == holder {
+		m.sequence++
+		p.Sequence = m.sequence
+	}
+	c.decide("tasks placed", jobField(p.Job), zap.Int("Step", p.Step), zap.Int("Tasks", len(p.Tasks)), zap.Int("Run", p.Tasks[0].Number),
+		zap.String("Holder", holder.Instance), zap.Duration("AdvertAge", c.advertAge(holder)), zap.Duration("Left", p.Left))
+	c.send(holder, p)
+}
+
+// resendTo repeats what was placed with a holder after a new session with it:
+// it takes a run that it knows as a question for its state.
+func (c *Control) resendTo(id instance.ID) {
+	for _, j := range c.home.jobs.All() {
+		for s := range j.steps {
+			p := c.newPlace(j, s)
+			for i := range j.steps[s] {
+				if t := &j.steps[s][i]; t.phase == placed && t.holder == id {
+					p.Tasks = append(p.Tasks, PlacedTask{Index: i, Number: t.number, Avoid: t.avoid})
+				}
+			}
+			if len(p.Tasks) > 0 {
+				c.sendPlace(id, p)
+			}
+		}
+	}
+}
+
+// waits notes that a task's holder has no room for it.
+func (c *Control) waits(from instance.ID, m *Waiting) {
+	if _, t, ok := c.placedTask(from, m.Run); ok {
+		t.waiting = true
+		t.waitAt = c.now.Add(m.For)
+	}
+}
+
+// placedTask returns the job and task of a run that is with this holder.
+func (c *Control) placedTask(from instance.ID, r workload.Run) (*job, *task, bool) {
+	j, ok := c.home.jobs.Get(r.Task.Job)
+	if !ok || r.Task.Step >= len(j.steps) || r.Task.Index >= len(j.steps[r.Task.Step]) {
+		return nil, nil, false
+	}
+	t := &j.steps[r.Task.Step][r.Task.Index]
+	return j, t, t.phase == placed && t.number == r.Number && t.holder == from
+}
+
+// ended takes the end of a run from its holder.
+func (c *Control) ended(from instance.ID, m *Ended) {
+	j, t, ok := c.placedTask(from, m.Run)
+	if !ok {
+		return
+	}
+	if m.How != workload.NeverRan && m.How != workload.Outdated {
+		j.ran = true
+	}
+	switch m.How {
+	case workload.Done:
+		c.taskDone(j, t, m.Run.Task.Step)
+		return
+	case workload.Failed:
+		t.failed++
+		c.decide("run failed", jobField(j.ID), zap.Int("Step", m.Run.Task.Step), zap.Int("Index", m.Run.Task.Index), zap.Int("Run", m.Run.Number),
+			zap.String("Endpoint", m.Endpoint), zap.Int("Failures", t.failed), zap.Int("MaxAttempts", j.route.MaxAttempts), zap.Duration("Elapsed", m.Elapsed))
+		if t.failed >= max(j.route.MaxAttempts, 1) {
+			c.counted.Failed++
+			c.close(j, Answer{Status: Failed, Reason: fmt.Sprintf("task %d of step %d failed %d times", m.Run.Task.Index, m.Run.Task.Step, t.failed)})
+			return
+		}
+		c.counted.Retries++
+		t.avoid = append(t.avoid, m.Endpoint)
+		t.bounced = 0
+	case workload.NeverRan:
+		t.bounced++
+		t.retryAt = c.now.Add(min(bouncePause<<min(t.bounced-1, 5), maxBounce))
+		if t.bounced == 1 && m.Endpoint == "" {
+			t.retryAt = c.now
+		}
+	case workload.Unknown:
+		t.phase, t.lostAt = lost, c.now.Add(c.config.Timing.leaseEnd())
+		return
+	default:
+		c.counted.Retries++
+		if m.Endpoint != "" {
+			t.avoid = append(t.avoid, m.Endpoint)
+		}
+	}
+	t.phase = ready
+	if reason, ok := c.admissible(j); !ok && !j.mayRun() {
+		c.refuse(j, reason)
+		return
+	}
+	c.placeStep(j, m.Run.Task.Step)
+}
+
+func (c *Control) taskDone(j *job, t *task, step int) {
+	t.phase = done
+	j.left--
+	if j.left == 0 {
+		c.counted.Completed++
+		c.close(j, Answer{Status: Completed})
+		return
+	}
+	for s := step + 1; s < len(j.steps); s++ {
+		c.unblock(j, s)
+		c.placeStep(j, s)
+	}
+}
+
+// loseRuns marks the runs at a holder that is gone: each has certainly ended
+// some time after the holder was last heard.
+func (c *Control) loseRuns(holder instance.ID, heardAt time.Time) {
+	for _, j := range c.home.jobs.All() {
+		for s := range j.steps {
+			for i := range j.steps[s] {
+				if t := &j.steps[s][i]; t.phase == placed && t.holder == holder {
+					t.phase, t.lostAt = lost, heardAt.Add(c.config.Timing.lossTerm())
+				}
+			}
+		}
+	}
+}
+
+// runHome places what is ready, ends what has run out of time, and moves tasks
+// that wait to holders with room.
+func (c *Control) runHome() {
+	move := !c.now.Before(c.home.moveDue)
+	if move {
+		c.home.moveDue = c.now.Add(movePeriod)
+	}
+	for _, j := range c.home.jobs.All() {
+		if !c.now.Before(j.deadline) {
+			c.timeOut(j)
+			continue
+		}
+		c.findLost(j)
+		c.placeReady(j)
+		if move {
+			c.moveWaiting(j)
+		}
+	}
+}
+
+// mayRun reports whether a run of the job has started or may start any moment.
+func (j *job) mayRun() bool {
+	if j.ran {
+		return true
+	}
+	for s := range j.steps {
+		for i := range j.steps[s] {
+			if p := j.steps[s][i].phase; p == placed || p == lost {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// timeOut ends a job whose caller stops waiting.
+func (c *Control) timeOut(j *job) {
+	if !j.mayRun() {
+		c.refuse(j, "no endpoint had room for it in time")
+		return
+	}
+	c.counted.TimedOut++
+	c.close(j, Answer{Status: TimedOut, Reason: "it was not finished when the caller's time was up"})
+}
+
+// findLost makes tasks ready whose last run has certainly ended with its
+// holder.
+func (c *Control) findLost(j *job) {
+	for s := range j.steps {
+		for i := range j.steps[s] {
+			t := &j.steps[s][i]
+			if t.phase == placed && !c.reachable(t.holder) {
+				if m, ok := c.roster.members.Get(t.holder.Instance); ok && m.id == t.holder && c.now.Sub(m.heardAt) > c.config.Timing.lossTerm() {
+					t.phase, t.lostAt = lost, c.now
+				}
+			}
+			if t.phase == lost && !c.now.Before(t.lostAt) {
+				t.phase = ready
+			}
+		}
+	}
+}
+
+// moveWaiting takes tasks back from holders without room when another has some.
+// The holder answers whether the run had begun meanwhile.
+func (c *Control) moveWaiting(j *job) {
+	for s := range j.steps {
+		for i := range j.steps[s] {
+			t := &j.steps[s][i]
+			if t.phase != placed || !t.waiting || t.waitAt.Sub(c.now) < minMoveGain {
+				continue
+			}
+			if offer, ok := c.choose(j, s, t); ok && offer.wait == 0 && offer.holder != t.holder {
+				t.waiting = false
+				c.send(t.holder, &Drop{Runs: []workload.Run{j.run(s, i)}})
+			}
+		}
+	}
+}
+
+// abandon ends a job whose last caller has left.
+func (c *Control) abandon(m Abandon) {
+	id, ok := c.home.byHandle[m.Handle]
+	if !ok {
+		return
+	}
+	delete(c.home.byHandle, m.Handle)
+	j, ok := c.home.jobs.Get(id)
+	if !ok {
+		return
+	}
+	for i, h := range j.handles {
+		if h == m.Handle {
+			j.handles = append(j.handles[:i], j.handles[i+1:]...)
+			break
+		}
+	}
+	if len(j.handles) == 0 {
+		c.counted.Abandoned++
+		c.close(j, Answer{Status: Cancelled, Reason: "its caller has left"})
+	}
+}
+
+// ask tells the state of a job.
+func (c *Control) ask(m Ask) {
+	j, ok := c.home.jobs.Get(m.ID)
+	switch {
+	case !ok:
+		c.reply(m.Handle, Answer{Status: Absent, Reason: "no such job is known"})
+	case j.mayRun():
+		c.reply(m.Handle, Answer{Status: Running})
+	default:
+		c.reply(m.Handle, Answer{Status: Queued})
+	}
+}
+
+// cancel ends a job on a caller's wish, at whichever instance it is.
+func (c *Control) cancel(m Cancel) {
+	for _, p := range c.roster.members.All() {
+		if p.up {
+			c.send(p.id, &CancelJob{ID: m.ID})
+		}
+	}
+	if !c.cancelLocal(m.ID) {
+		c.reply(m.Handle, Answer{Status: Absent, Reason: "no such job is known here"})
+		return
+	}
+	c.reply(m.Handle, Answer{Status: Cancelled})
+}
+
+func (c *Control) cancelLocal(id workload.JobID) bool {
+	j, ok := c.home.jobs.Get(id)
+	if ok {
+		c.close(j, Answer{Status: Cancelled, Reason: "cancelled by its caller"})
+	}
+	return ok
+}
+
+// waitingJobs counts the jobs of a route of which no task has started.
+func (c *Control) waitingJobs(route string) int {
+	n := 0
+	for _, j := range c.home.jobs.All() {
+		if j.route.Name == route && !j.mayRun() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/placement/messages.go
@@ -0,0 +1,410 @@
+package placement
+
+import (
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+)
+
+// Handle names a caller's request that waits for a reply.
+type Handle uint64
+
+// Input is a message to the control state.
+type Input interface{ isInput() }
+
+// Submit asks to run a job.
+type Submit struct {
+	Handle Handle
+	Job    *workload.Job
+	Route  workload.Route
+	// Left is how long the caller waits for the answer.
+	Left time.Duration
+}
+
+// Ask asks for the state of a job.
+type Ask struct {
+	Handle Handle
+	ID     workload.JobID
+}
+
+// Cancel asks to cancel a job.
+type Cancel struct {
+	Handle Handle
+	ID     workload.JobID
+}
+
+// Count asks how many jobs of a route wait for their first start.
+type Count struct {
+	Handle Handle
+	Route  string
+}
+
+// Abandon says that the caller of a request has gone.
+type Abandon struct{ Handle Handle }
+
+// Configured says that a version of the configuration came into force here.
+type Configured struct {
+	Configuration *workload.Configuration
+	Raw           []byte // as the operator wrote it, for peers
+}
+
+// Listed carries the endpoints that discovery shows.
+type Listed struct{ Endpoints []workload.Endpoint }
+
+// CommitDone answers a Commit.
+type CommitDone struct {
+	ID      uint64
+	Version storage.Version
+	Err     error
+}
+
+// ScanDone answers a Scan.
+type ScanDone struct {
+	ID   uint64
+	Rows []storage.Row
+	Err  error
+}
+
+// Reported is what an endpoint reported to its holder.
+type Reported struct {
+	Endpoint workload.EndpointID
+	Token    workload.Token
+	Sent     time.Time // when it was asked
+	Received time.Time
+	Report   workload.Report
+}
+
+// Silent says that an endpoint did not report.
+type Silent struct {
+	Endpoint workload.EndpointID
+	Token    workload.Token
+	Outcome  OrderOutcome
+	Err      error
+}
+
+// OrderOutcome tells how an order to an endpoint ended.
+type OrderOutcome int
+
+// Outcomes of an order. All but Accepted and Unanswered certainly did nothing.
+const (
+	Accepted   OrderOutcome = iota + 1
+	Unanswered              // it may have been carried out, or may be later
+	NotSent                 // the endpoint could not be reached
+	Fenced                  // the endpoint has seen a higher token
+	TooOld                  // a run with a number that is not lower was there
+	TooLate                 // the lease was over before the order came
+	NoRoom                  // it does not fit what runs there
+	Unwell                  // the endpoint refuses work for now
+	OtherLife               // another life of the endpoint answered
+	Malformed               // the endpoint did not understand it
+)
+
+var orderNames = [...]string{"", "Accepted", "Unanswered", "NotSent", "Fenced", "TooOld", "TooLate", "NoRoom", "Unwell", "OtherLife", "Malformed"}
+
+func (o OrderOutcome) String() string { return orderNames[o] }
+
+// StartDone answers a Start.
+type StartDone struct {
+	Endpoint workload.EndpointID
+	Token    workload.Token
+	Run      workload.Run
+	Outcome  OrderOutcome
+	Err      error
+}
+
+// StopDone answers a StopRun.
+type StopDone struct {
+	Endpoint workload.EndpointID
+	Token    workload.Token
+	Run      workload.Run
+	Outcome  OrderOutcome
+	Err      error
+}
+
+// ProbeDone tells whether an endpoint that this instance wants to take can be
+// reached.
+type ProbeDone struct {
+	Endpoint  string
+	Reachable bool
+}
+
+// PeerUp says that a session with a peer was established.
+type PeerUp struct{ Peer instance.ID }
+
+// PeerDown says that the session with a peer was lost.
+type PeerDown struct{ Peer instance.ID }
+
+// Received is a message from a peer.
+type Received struct {
+	From    instance.ID
+	Message Message
+}
+
+// Stop asks for a planned stop.
+type Stop struct{}
+
+func (Submit) isInput()     {}
+func (Ask) isInput()        {}
+func (Cancel) isInput()     {}
+func (Count) isInput()      {}
+func (Abandon) isInput()    {}
+func (Configured) isInput() {}
+func (Listed) isInput()     {}
+func (CommitDone) isInput() {}
+func (ScanDone) isInput()   {}
+func (Reported) isInput()   {}
+func (Silent) isInput()     {}
+func (StartDone) isInput()  {}
+func (StopDone) isInput()   {}
+func (ProbeDone) isInput()  {}
+func (PeerUp) isInput()     {}
+func (PeerDown) isInput()   {}
+func (Received) isInput()   {}
+func (Stop) isInput()       {}
+
+// Effect is something that the control state asks the traffic side to do.
+type Effect interface{ isEffect() }
+
+// Reply answers a caller.
+type Reply struct {
+	Handle Handle
+	Answer Answer
+}
+
+// Status says what an answer tells a caller.
+type Status int
+
+// Statuses of an answer.
+const (
+	Completed Status = iota + 1 // every task is done
+	Failed                      // a task has failed as often as allowed
+	Refused                     // not accepted; nothing of it runs or will
+	TimedOut                    // not finished in time; some of it may have run
+	Cancelled                   // ended on a caller's wish
+	Queued                      // state: no task has started
+	Running                     // state
+	Absent                      // no such job is known
+	Counted                     // carries Waiting
+)
+
+var statusNames = [...]string{"", "Completed", "Failed", "Refused", "TimedOut", "Cancelled", "Queued", "Running", "Absent", "Counted"}
+
+func (s Status) String() string { return statusNames[s] }
+
+// Answer is the answer to a caller's request.
+type Answer struct {
+	Status     Status
+	Reason     string
+	RetryAfter time.Duration // for a refusal: when to come back
+	Waiting    int
+}
+
+// Start orders an endpoint to start a run.
+type Start struct {
+	Endpoint workload.EndpointID
+	Address  netip.AddrPort
+	Token    workload.Token
+	Run      workload.Run
+	Spec     string
+	Until    time.Duration // end of the lease on the endpoint's clock
+}
+
+// StopRun orders an endpoint to stop a run.
+type StopRun struct {
+	Endpoint workload.EndpointID
+	Address  netip.AddrPort
+	Token    workload.Token
+	Run      workload.Run
+}
+
+// Watch keeps asking an endpoint for reports under a token; Renew says that each
+// question renews the lease of what runs there. It replaces an earlier Watch of
+// the endpoint.
+type Watch struct {
+	Endpoint workload.EndpointID
+	Address  netip.AddrPort
+	Token    workload.Token
+	Renew    bool
+}
+
+// Unwatch ends a Watch.
+type Unwatch struct{ Endpoint workload.EndpointID }
+
+// Probe asks whether an endpoint can be reached.
+type Probe struct {
+	Endpoint workload.EndpointID
+	Address  netip.AddrPort
+}
+
+// Commit writes rows.
+type Commit struct {
+	ID     uint64
+	Writes []storage.Write
+}
+
+// Scan reads the rows under a prefix.
+type Scan struct {
+	ID     uint64
+	Prefix string
+}
+
+// Send sends a message to a peer.
+type Send struct {
+	Peer    instance.ID
+	Message Message
+}
+
+// Connect names the peers that sessions are to be kept with.
+type Connect struct{ Peers []instance.Peer }
+
+// DropSession ends a session that has gone silent, so that it is set up anew.
+type DropSession struct{ Peer instance.ID }
+
+// Adopt offers a configuration that a peer has passed on.
+type Adopt struct {
+	From    instance.ID
+	Version uint64
+	Raw     []byte
+}
+
+// Decision is a line for the log: something that touched a request or changed
+// what this instance believes.
+type Decision struct {
+	Event  string
+	Fields []zap.Field
+}
+
+// Finished reports a job that was answered, for the histograms.
+type Finished struct {
+	Route   string
+	Status  Status
+	Elapsed time.Duration
+	InTime  bool
+}
+
+// Stopped says that a planned stop has finished.
+type Stopped struct{}
+
+func (Reply) isEffect()       {}
+func (Start) isEffect()       {}
+func (StopRun) isEffect()     {}
+func (Watch) isEffect()       {}
+func (Unwatch) isEffect()     {}
+func (Probe) isEffect()       {}
+func (Commit) isEffect()      {}
+func (Scan) isEffect()        {}
+func (Send) isEffect()        {}
+func (Connect) isEffect()     {}
+func (DropSession) isEffect() {}
+func (Adopt) isEffect()       {}
+func (Decision) isEffect()    {}
+func (Finished) isEffect()    {}
+func (Stopped) isEffect()     {}
+
+// Message is a message between instances.
+type Message interface{ isMessage() }
+
+// Place asks the holder of endpoints to run tasks of one step. All times are
+// left from the sending on.
+type Place struct {
+	Sequence  uint64 // counts the sender's places to this peer
+	Job       workload.JobID
+	Spec      string
+	Step      int
+	Service   string
+	Need      workload.Resources
+	Label     string
+	Rack      string
+	Estimate  time.Duration
+	Objective time.Duration // until the objective
+	Left      time.Duration // until the caller stops waiting
+	Priority  int
+	Tasks     []PlacedTask
+}
+
+// PlacedTask is one task of a Place.
+type PlacedTask struct {
+	Index  int
+	Number int      // of the run
+	Avoid  []string // endpoints where it has failed
+}
+
+// Drop tells a holder that runs are no longer wanted.
+type Drop struct{ Runs []workload.Run }
+
+// Ended tells a home how a run ended.
+type Ended struct {
+	Run      workload.Run
+	How      workload.How
+	Endpoint string // empty if it never had one
+	Elapsed  time.Duration
+	Detail   string
+}
+
+// Waiting tells a home that a run has to wait for room at its holder.
+type Waiting struct {
+	Run workload.Run
+	// For is how long, as far as known.
+	For time.Duration
+}
+
+// Advert tells a peer what room a holder's endpoints have.
+type Advert struct {
+	Seen  uint64 // the last Place of that peer that is counted in
+	Rooms []Room
+	// Wait is how long a task that fits nowhere would wait, as far as known.
+	Wait time.Duration
+	// Total is the capacity of the endpoints in use.
+	Total workload.Resources
+}
+
+// Room is what is free at one endpoint.
+type Room struct {
+	Endpoint string
+	Free     workload.Resources
+	Speed    float64
+}
+
+// Beat is a sign of life.
+type Beat struct {
+	Leaving bool
+	// Configuration is the version in force at the sender.
+	Configuration uint64
+	// Uptime is how long the sender has been running.
+	Uptime time.Duration
+}
+
+// Settings passes the operator's configuration on.
+type Settings struct {
+	Version uint64
+	Raw     []byte
+}
+
+// Yield asks the holder of endpoints to give them up.
+type Yield struct{ Endpoints []string }
+
+// Yielded says that the sender orders nothing more at an endpoint, whose row
+// has this version.
+type Yielded struct {
+	Endpoint string
+	Version  storage.Version
+}
+
+// CancelJob asks all homes to cancel a job.
+type CancelJob struct{ ID workload.JobID }
+
+func (*Place) isMessage()     {}
+func (*Drop) isMessage()      {}
+func (*Ended) isMessage()     {}
+func (*Waiting) isMessage()   {}
+func (*Advert) isMessage()    {}
+func (*Beat) isMessage()      {}
+func (*Settings) isMessage()  {}
+func (*Yield) isMessage()     {}
+func (*Yielded) isMessage()   {}
+func (*CancelJob) isMessage() {}
--- /dev/null
+++ b/pkg/placement/roster.go
@@ -0,0 +1,393 @@
+package placement
+
+import (
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/hold"
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/table"
+)
+
+// MemberPrefix is where the rows of the instances stand.
+const MemberPrefix = "members/"
+
+// MemberRow is the row of an instance. While all links are well nobody renews
+// it; an instance that misses another renews its own, so that two that are cut
+// off from each other see by their rows that both are alive.
+type MemberRow struct {
+	Instance    string
+	Incarnation uint64
+	Domain      string
+	Peers       netip.AddrPort
+	Share       int
+	Sequence    uint64
+}
+
+// member is another instance as this one sees it.
+type member struct {
+	id        instance.ID
+	row       MemberRow
+	listed    bool // its row has been read
+	up        bool // there is a session with it
+	heardAt   time.Time
+	suspected time.Time // since when it has been silent; zero while it is heard
+	changedAt time.Time // when a read last showed a new sequence
+	dead      bool
+	beat      Beat
+	beatAt    time.Time
+	passed    uint64 // last configuration version passed on to it
+	passedAt  time.Time
+	dropAt    time.Time // when a silent session is to be dropped
+	advert    *Advert
+	advertAt  time.Time
+	sequence  uint64 // of the last Place sent to it
+	pending   []pendingTask
+	rooms     []Room  // of the advert, less what was placed since
+	backlog   float64 // placed since beyond the rooms, in core time
+	seen      uint64  // last Place received from it
+}
+
+// roster is what this instance knows of the others.
+type roster struct {
+	members   *table.Table[string, *member]
+	row       MemberRow
+	written   bool
+	writing   bool
+	nextWrite time.Time
+	scanning  bool
+	nextScan  time.Time
+	scanned   time.Time // last successful read
+	nextBeat  time.Time
+	settled   bool
+	connected string
+	changed   bool // members or their states have changed since the book was told
+}
+
+func newRoster() roster {
+	return roster{members: table.New[string, *member]()}
+}
+
+// writeRetry is the pause after a failed write of the own row.
+const writeRetry = 300 * time.Millisecond
+
+func (c *Control) runRoster() {
+	c.watchMembers()
+	c.writeOwnRow()
+	c.scanMembers()
+	c.settle()
+	if !c.now.Before(c.roster.nextBeat) {
+		c.roster.nextBeat = c.now.Add(c.config.Timing.Beat)
+		c.sendBeats()
+	}
+	if c.roster.changed {
+		c.roster.changed = false
+		c.holder.book.SetMembers(c.bookMembers())
+	}
+}
+
+func (c *Control) sendBeats() {
+	b := Beat{Leaving: c.stop != serving, Configuration: c.version(), Uptime: c.now.Sub(c.began)}
+	for _, m := range c.roster.members.All() {
+		if m.up {
+			c.send(m.id, &b)
+		}
+	}
+}
+
+// suspects reports whether some member is silent and not known to be dead.
+func (c *Control) suspects() bool {
+	for _, m := range c.roster.members.All() {
+		if !m.dead && !m.suspected.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// watchMembers suspects members that are silent and declares those dead whose
+// rows stand still as well. While rows cannot be read nobody dies.
+func (c *Control) watchMembers() {
+	t := c.config.Timing
+	for _, m := range c.roster.members.All() {
+		silent := c.now.Sub(m.heardAt)
+		if silent < t.Silence {
+			continue
+		}
+		if m.suspected.IsZero() {
+			m.suspected = c.now
+			m.dropAt = c.now.Add(t.Silence)
+			c.roster.nextScan = c.now
+			c.decide("member silent", zap.Stringer("Peer", m.id), zap.Duration("Silent", silent))
+		}
+		if m.up && !c.now.Before(m.dropAt) {
+			m.dropAt = c.now.Add(2 * t.Silence)
+			c.emit(DropSession{Peer: m.id})
+		}
+		stood := c.roster.scanned.Sub(later(m.suspected, m.changedAt))
+		if !m.dead && stood >= t.Term {
+			m.dead = true
+			c.roster.changed = true
+			c.counted.MembersLost++
+			c.decide("member dead", zap.Stringer("Peer", m.id), zap.Duration("Silent", silent), zap.Duration("RowStood", stood), zap.Uint64("Sequence", m.row.Sequence))
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// heard notes a sign of life.
+func (c *Control) heard(id instance.ID) {
+	if id == c.self {
+		return
+	}
+	m, ok := c.roster.members.Get(id.Instance)
+	if !ok || m.id != id {
+		return
+	}
+	m.heardAt = c.now
+	if !m.suspected.IsZero() {
+		c.decide("member heard again", zap.Stringer("Peer", m.id), zap.Duration("Silent", c.now.Sub(m.suspected)))
+		m.suspected = time.Time{}
+	}
+	if m.dead {
+		m.dead = false
+		c.roster.changed = true
+	}
+}
+
+// reachable reports whether messages to an instance are likely to arrive.
+func (c *Control) reachable(id instance.ID) bool {
+	if id == c.self {
+		return true
+	}
+	m, ok := c.roster.members.Get(id.Instance)
+	return ok && m.id == id && m.up && m.suspected.IsZero()
+}
+
+// meet returns the member of this name in this incarnation. A later incarnation
+// replaces an earlier one.
+func (c *Control) meet(id instance.ID) (*member, bool) {
+	if id.Instance == c.self.Instance {
+		return nil, false
+	}
+	m, ok := c.roster.members.Get(id.Instance)
+	switch {
+	case ok && m.id.Incarnation > id.Incarnation:
+		return nil, false
+	case ok && m.id == id:
+		return m, true
+	case ok:
+		c.decide("member restarted", zap.Stringer("Peer", id), zap.Uint64("Former", m.id.Incarnation))
+		c.losePeer(m.id, m.heardAt)
+	}
+	m = &member{id: id, heardAt: c.now, changedAt: c.now}
+	c.roster.members.Put(id.Instance, m)
+	c.roster.changed = true
+	return m, true
+}
+
+func (c *Control) peerUp(id instance.ID) {
+	m, ok := c.meet(id)
+	if !ok {
+		return
+	}
+	m.up = true
+	m.dropAt = c.now.Add(c.config.Timing.Silence)
+	c.heard(id)
+	c.decide("peer up", zap.Stringer("Peer", id))
+	if !m.listed {
+		c.roster.nextScan = c.now
+	}
+	b := Beat{Leaving: c.stop != serving, Configuration: c.version(), Uptime: c.now.Sub(c.began)}
+	c.send(id, &b)
+	m.advertAt = time.Time{}
+	c.holder.advertDue = c.now
+	c.resendTo(id)
+}
+
+func (c *Control) peerDown(id instance.ID) {
+	m, ok := c.roster.members.Get(id.Instance)
+	if !ok || m.id != id || !m.up {
+		return
+	}
+	m.up = false
+	m.advert = nil
+	c.decide("peer down", zap.Stringer("Peer", id))
+}
+
+func (c *Control) beaten(from instance.ID, b *Beat) {
+	m, ok := c.roster.members.Get(from.Instance)
+	if !ok || m.id != from {
+		return
+	}
+	first := m.beatAt.IsZero()
+	settledBefore := !first && c.established(m)
+	left := b.Leaving != m.beat.Leaving
+	m.beat, m.beatAt = *b, c.now
+	if first || left || settledBefore != c.established(m) {
+		c.roster.changed = true
+	}
+	if b.Configuration < c.version() && (m.passed < c.version() || c.now.Sub(m.passedAt) > c.config.Timing.Settle) {
+		m.passed, m.passedAt = c.version(), c.now
+		c.decide("configuration passed on", zap.Stringer("Peer", from), zap.Uint64("Version", c.version()), zap.Uint64("PeerVersion", b.Configuration))
+		c.send(from, &Settings{Version: c.version(), Raw: c.raw})
+	}
+}
+
+// established reports whether a member has been up for long enough to be given
+// endpoints: for the established time, or as long as this instance.
+func (c *Control) established(m *member) bool {
+	if m.beatAt.IsZero() {
+		return false
+	}
+	uptime := m.beat.Uptime + c.now.Sub(m.beatAt)
+	return uptime >= c.config.Timing.Established || uptime+c.config.Timing.Settle >= c.now.Sub(c.began)
+}
+
+func (c *Control) bookMembers() []hold.Member {
+	var list []hold.Member
+	for _, m := range c.roster.members.All() {
+		if !m.listed {
+			continue
+		}
+		list = append(list, hold.Member{
+			ID: m.id, Domain: m.row.Domain, Share: m.row.Share, Dead: m.dead,
+			Leaving: m.beat.Leaving, Settled: c.established(m),
+		})
+	}
+	return list
+}
+
+// writeOwnRow writes the instance's row at its start, and renews it while some
+// member is silent.
+func (c *Control) writeOwnRow() {
+	r := &c.roster
+	if r.writing || c.now.Before(r.nextWrite) || (r.written && !c.suspects()) {
+		return
+	}
+	r.row = MemberRow{
+		Instance: c.self.Instance, Incarnation: c.self.Incarnation, Domain: c.config.Domain,
+		Peers: c.config.Address, Share: c.config.Share, Sequence: r.row.Sequence + 1,
+	}
+	value, err := json.Marshal(r.row)
+	if err != nil {
+		panic("a member's row cannot be encoded: " + err.Error())
+	}
+	r.writing = true
+	c.commit(Commit{Writes: []storage.Write{{
+		Key: MemberPrefix + c.self.Instance, Value: value, Expect: storage.AnyVersion,
+	}}}, func(m CommitDone) {
+		r.writing = false
+		if m.Err != nil {
+			c.counted.FailedCommits++
+			r.nextWrite = c.now.Add(writeRetry)
+			return
+		}
+		r.nextWrite = c.now.Add(c.config.Timing.Heartbeat)
+		r.written = true
+	})
+}
+
+func (c *Control) scanMembers() {
+	r := &c.roster
+	if r.scanning || c.now.Before(r.nextScan) {
+		return
+	}
+	r.scanning = true
+	asked := c.now
+	c.scan(MemberPrefix, func(m ScanDone) {
+		r.scanning = false
+		period := c.config.Timing.MemberScan
+		if !r.settled || c.suspects() {
+			period = c.config.Timing.SuspectScan
+		}
+		r.nextScan = c.now.Add(period)
+		if m.Err != nil {
+			return
+		}
+		r.scanned = asked
+		c.readMembers(m.Rows)
+	})
+}
+
+func (c *Control) readMembers(rows []storage.Row) {
+	for i := range rows {
+		var row MemberRow
+		err := json.Unmarshal(rows[i].Value, &row)
+		if err == nil && MemberPrefix+row.Instance != rows[i].Key {
+			err = errors.New("the row names another instance")
+		}
+		if err != nil {
+			c.decide("member row skipped", zap.String("Key", rows[i].Key), zap.Error(err))
+			continue
+		}
+		m, ok := c.meet(instance.ID{Instance: row.Instance, Incarnation: row.Incarnation})
+		if !ok {
+			continue
+		}
+		if row.Sequence != m.row.Sequence {
+			m.changedAt = c.now
+			if m.dead {
+				m.dead = false
+				c.roster.changed = true
+				c.decide("member shows life in its row", zap.Stringer("Peer", m.id), zap.Uint64("Sequence", row.Sequence))
+			}
+		}
+		if !m.listed {
+			m.listed = true
+			c.roster.changed = true
+		}
+		m.row = row
+	}
+	c.connectPeers()
+}
+
+// connectPeers names the peers to keep sessions with, when they have changed.
+func (c *Control) connectPeers() {
+	var peers []instance.Peer
+	var names strings.Builder
+	for _, m := range c.roster.members.All() {
+		if !m.listed {
+			continue
+		}
+		peers = append(peers, instance.Peer{ID: m.id, Domain: m.row.Domain, Address: m.row.Peers})
+		names.WriteString(m.id.String() + " " + m.row.Peers.String() + ";")
+	}
+	if names.String() == c.roster.connected {
+		return
+	}
+	c.roster.connected = names.String()
+	c.emit(Connect{Peers: peers})
+}
+
+// settle lets this instance take holds once its row is written and it knows all
+// others: it hears each of them, or has waited for them.
+func (c *Control) settle() {
+	r := &c.roster
+	if r.settled || !r.written || r.scanned.IsZero() || c.now.Sub(c.began) < c.config.Timing.Settle {
+		return
+	}
+	r.settled = true
+	r.changed = true
+	c.holder.book.Settle()
+	c.decide("settled", zap.Int("Members", r.members.Len()))
+}
+
+// losePeer ends what depended on an incarnation that is gone; heardAt is when
+// it was last heard.
+func (c *Control) losePeer(id instance.ID, heardAt time.Time) {
+	c.orphan(id, "its home has restarted")
+	c.loseRuns(id, heardAt)
+}
--- /dev/null
+++ b/pkg/placement/runs.go
@@ -0,0 +1,384 @@
+package placement
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/hold"
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+)
+
+// placed takes tasks that a home places here. A run that is known is a question
+// for its state.
+func (c *Control) placed(from instance.ID, p *Place) {
+	if m, ok := c.roster.members.Get(from.Instance); ok && m.id == from {
+		m.seen = max(m.seen, p.Sequence)
+	}
+	for i := range p.Tasks {
+		c.placedTaskHere(from, p, &p.Tasks[i])
+	}
+	c.holder.crowded, c.holder.advertNew = true, true
+	c.startQueued()
+}
+
+func (c *Control) placedTaskHere(from instance.ID, p *Place, t *PlacedTask) {
+	h := &c.holder
+	id := workload.Run{Task: workload.TaskID{Job: p.Job, Step: p.Step, Index: t.Index}, Number: t.Number}
+	if r, ok := h.runs.Get(id); ok {
+		if r.home != from || r.dropped {
+			c.send(from, &Ended{Run: id, How: workload.NeverRan, Detail: "an earlier run of the task is being stopped here"})
+		}
+		return
+	}
+	if r, ok := h.ended.Get(id); ok && r.home == from {
+		c.send(from, r.end)
+		return
+	}
+	if c.stop != serving {
+		c.send(from, &Ended{Run: id, How: workload.NeverRan, Detail: "the instance is leaving"})
+		return
+	}
+	r := &run{
+		id: id, home: from, place: p, avoid: t.Avoid, arrived: c.now,
+		objective: c.now.Add(p.Objective), deadline: c.now.Add(p.Left),
+	}
+	h.runs.Put(id, r)
+	h.queue = append(h.queue, r)
+}
+
+// latestStart is when a run has to start to meet its objective.
+func (r *run) latestStart() time.Time { return r.objective.Add(-r.place.Estimate) }
+
+// sortQueue puts first what must start soonest to meet its objective; what
+// cannot meet it any more goes behind everything that can.
+func (c *Control) sortQueue() {
+	slices.SortStableFunc(c.holder.queue, func(a, b *run) int {
+		x, y := a.latestStart(), b.latestStart()
+		lateX, lateY := x.Before(c.now), y.Before(c.now)
+		switch {
+		case lateX != lateY && lateX:
+			return 1
+		case lateX != lateY:
+			return -1
+		case lateX && a.place.Priority != b.place.Priority:
+			return a.place.Priority - b.place.Priority
+		}
+		return x.Compare(y)
+	})
+}
+
+// startQueued starts the queued runs for which there is room, in the order of
+// the queue, and gives back those that can no longer end in time.
+func (c *Control) startQueued() {
+	h := &c.holder
+	c.sortQueue()
+	kept := h.queue[:0]
+	var hopeless []*run
+	for _, r := range h.queue {
+		if r.state != queued {
+			continue
+		}
+		if e := c.bestEndpoint(r); e != nil {
+			c.startRun(r, e)
+			continue
+		}
+		if c.now.Add(time.Duration(float64(r.place.Estimate) * optimism)).After(r.deadline) {
+			hopeless = append(hopeless, r)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(h.queue[len(kept):])
+	h.queue = kept
+	for _, r := range hopeless {
+		c.endRun(r, workload.NeverRan, "no room in time")
+	}
+	for _, r := range kept {
+		if !r.told {
+			r.told = true
+			c.counted.Waited++
+			c.send(r.home, &Waiting{Run: r.id, For: c.ownWait()})
+		}
+	}
+}
+
+// bestEndpoint returns the endpoint with room where a run does best, or nil.
+func (c *Control) bestEndpoint(r *run) *endpoint {
+	p := r.place
+	d := demand{need: p.Need, estimate: p.Estimate, left: r.objective.Sub(c.now)}
+	var best *endpoint
+	var bestFit fit
+	for name, e := range c.holder.endpoints.All() {
+		if e.info.Service != p.Service || !p.Need.Fits(e.free()) || !e.info.HasLabel(p.Label) || !c.usable(e) || slices.Contains(r.avoid, name) {
+			continue
+		}
+		f := rate(d, &Room{Free: e.free(), Speed: e.speed.value()}, false)
+		if best == nil || f.betterThan(bestFit) {
+			best, bestFit = e, f
+		}
+	}
+	return best
+}
+
+// startRun reserves the room and orders the start.
+func (c *Control) startRun(r *run, e *endpoint) {
+	r.state, r.endpoint, r.ordered = starting, e, c.now
+	e.runs.Put(r.id, r)
+	e.reserved = e.reserved.Add(r.place.Need)
+	c.holder.roomsOld, c.holder.advertNew = true, true
+	c.counted.Started++
+	c.orderStart(r)
+}
+
+func (c *Control) orderStart(r *run) {
+	e := r.endpoint
+	r.tries++
+	e.leaseSent = c.now
+	c.decide("start ordered", jobField(r.id.Task.Job), zap.Int("Step", r.id.Task.Step), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.Int("Copy", r.tries),
+		zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)), zap.Int("FreeMilliCPU", e.free().MilliCPU), zap.Duration("ReportAge", c.now.Sub(e.reportAt)),
+		zap.Duration("Waited", c.now.Sub(r.arrived)), zap.String("Home", r.home.Instance))
+	c.emit(Start{
+		Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r.id, Spec: r.place.Spec,
+		Until: e.clock + c.now.Sub(e.reportAt) + c.config.Timing.Lease,
+	})
+}
+
+// startDone takes the answer to a start order. An order that was not answered
+// is sent once more; after that it is stopped, and its room stays reserved
+// until the endpoint has confirmed that it does not run and cannot start later.
+func (c *Control) startDone(m StartDone) {
+	e, ok := c.endpointOf(m.Endpoint, m.Token)
+	if !ok {
+		return
+	}
+	r, ok := e.runs.Get(m.Run)
+	if !ok {
+		return
+	}
+	if m.Outcome == Fenced {
+		c.fence(e)
+		return
+	}
+	if m.Outcome == Accepted || (m.Outcome == TooOld && r.tries > 1) {
+		if r.state == starting {
+			r.state = running
+		}
+		if r.confirmed.IsZero() {
+			r.confirmed = c.now
+		}
+		return
+	}
+	c.decide("start not accepted", jobField(m.Run.Task.Job), zap.Int("Index", m.Run.Task.Index), zap.Int("Run", m.Run.Number), zap.Int("Copy", r.tries),
+		zap.String("Endpoint", m.Endpoint.Name), zap.Stringer("Outcome", m.Outcome), zap.Error(m.Err))
+	if r.state != starting {
+		return
+	}
+	switch {
+	case m.Outcome == Unanswered && r.tries <= c.config.Timing.StartRetry:
+		c.counted.RepeatedStarts++
+		c.orderStart(r)
+	case m.Outcome == Unanswered || r.tries > 1:
+		c.stopRun(r)
+	case m.Outcome == TooOld:
+		c.endRun(r, workload.Outdated, m.Outcome.String())
+	case m.Outcome == Malformed:
+		c.endRun(r, workload.Failed, m.Outcome.String())
+	default:
+		e.health.refused(c.now)
+		c.endRun(r, workload.NeverRan, m.Outcome.String())
+	}
+}
+
+func (c *Control) stopRun(r *run) {
+	e := r.endpoint
+	r.state, r.stopSent = stopping, c.now
+	c.counted.Stops++
+	c.decide("stop ordered", jobField(r.id.Task.Job), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)))
+	c.emit(StopRun{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r.id})
+}
+
+func (c *Control) stopDone(m StopDone) {
+	e, ok := c.endpointOf(m.Endpoint, m.Token)
+	if !ok {
+		return
+	}
+	if m.Outcome == Fenced {
+		c.fence(e)
+		return
+	}
+	r, ok := e.runs.Get(m.Run)
+	if !ok || r.state != stopping {
+		return
+	}
+	if m.Outcome == Accepted && r.stopDone.IsZero() {
+		r.stopDone = c.now
+	}
+}
+
+// watchRun repeats stops that were not accepted and stops runs that do not
+// progress.
+func (c *Control) watchRun(r *run) {
+	switch r.state {
+	case stopping:
+		if r.stopDone.IsZero() && c.now.Sub(r.stopSent) >= c.config.Timing.StopRetry {
+			c.stopRun(r)
+		}
+	case running:
+		if r.endpoint.state == active && r.stuck(c.now) {
+			c.counted.StragglersStopped++
+			c.decide("run makes no progress", jobField(r.id.Task.Job), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.String("Endpoint", r.endpoint.info.ID.Name),
+				zap.Int("Percent", r.percent), zap.Duration("Unchanged", c.now.Sub(r.percentAt)), zap.Duration("Estimate", r.place.Estimate))
+			r.endpoint.health.failed(c.now, r.id.Task.Job)
+			c.stopRun(r)
+		}
+	}
+}
+
+// Figures of runs that do not progress. A sound run shows a new percent with
+// every hundredth of its time.
+const (
+	stuckFactor = 0.5 // of the estimate without a new percent
+	minStuck    = 500 * time.Millisecond
+)
+
+func (r *run) stuck(now time.Time) bool {
+	if r.percentAt.IsZero() || r.endpoint.reportAt.Sub(r.percentAt) < minStuck {
+		return false
+	}
+	return r.endpoint.reportAt.Sub(r.percentAt) > time.Duration(float64(r.place.Estimate)*stuckFactor) && now.Sub(r.ordered) > r.place.Estimate
+}
+
+// dropped ends runs that their home no longer wants.
+func (c *Control) dropped(from instance.ID, m *Drop) {
+	for _, id := range m.Runs {
+		if r, ok := c.holder.runs.Get(id); ok && r.home == from {
+			c.dropRun(r, "its home does not want it any more")
+		}
+	}
+}
+
+func (c *Control) dropRun(r *run, cause string) {
+	switch r.state {
+	case queued:
+		r.dropped = true
+		c.endRun(r, workload.NeverRan, cause)
+	case starting, running:
+		r.dropped = true
+		c.stopRun(r)
+	case stopping:
+		r.dropped = true
+	}
+}
+
+// endRun ends a run for certain, or, as Unknown, for this instance. The room is
+// free and the home is told.
+func (c *Control) endRun(r *run, how workload.How, detail string) {
+	if r.state == over {
+		return
+	}
+	if how == workload.Lapsed {
+		c.counted.Lapsed++
+	}
+	ended := &Ended{Run: r.id, How: how, Detail: detail}
+	if e := r.endpoint; e != nil {
+		ended.Endpoint = e.info.ID.Name
+		ended.Elapsed = c.now.Sub(r.ordered)
+		e.runs.Delete(r.id)
+		e.reserved = e.reserved.Sub(r.place.Need)
+	}
+	r.state, r.end, r.endedAt = over, ended, c.now
+	h := &c.holder
+	h.runs.Delete(r.id)
+	h.ended.Delete(r.id)
+	h.ended.Put(r.id, r)
+	h.roomsOld, h.crowded, h.advertNew = true, true, true
+	c.decide("run ended", jobField(r.id.Task.Job), zap.Int("Step", r.id.Task.Step), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.Stringer("How", how),
+		zap.String("Endpoint", ended.Endpoint), zap.Duration("Elapsed", ended.Elapsed), zap.Duration("Estimate", r.place.Estimate), zap.String("Detail", detail))
+	c.send(r.home, ended)
+}
+
+// ownRooms are the free places at the endpoints held here.
+func (c *Control) ownRooms() []Room {
+	h := &c.holder
+	if !h.roomsOld {
+		return h.rooms
+	}
+	h.roomsOld = false
+	h.rooms = h.rooms[:0]
+	for name, e := range h.endpoints.All() {
+		if free := e.free(); free.MilliCPU >= minRoom && c.usable(e) {
+			h.rooms = append(h.rooms, Room{Endpoint: name, Free: free, Speed: e.speed.value()})
+		}
+	}
+	return h.rooms
+}
+
+// ownWait is how long a task that fits nowhere here would wait.
+func (c *Control) ownWait() time.Duration {
+	h := &c.holder
+	if h.total.MilliCPU == 0 {
+		return 0
+	}
+	rest := time.Duration(-1)
+	for _, r := range h.runs.All() {
+		if r.endpoint == nil || r.state == over {
+			continue
+		}
+		left := time.Duration(float64(r.place.Estimate)/r.endpoint.speed.value()) - c.now.Sub(r.ordered)
+		if rest < 0 || left < rest {
+			rest = left
+		}
+	}
+	work := 0.0
+	for _, r := range h.queue {
+		work += coreTime(r.place.Need, r.place.Estimate)
+	}
+	return max(rest, shortestRest) + time.Duration(work/float64(h.total.MilliCPU)*float64(time.Second))
+}
+
+// runAdverts tells peers of room when it has changed, with a pause in between.
+func (c *Control) runAdverts() {
+	h := &c.holder
+	if c.now.Before(h.advertDue) || (!h.advertNew && c.now.Sub(h.advertDue) < advertPeriod) {
+		return
+	}
+	h.advertNew = false
+	h.advertDue = c.now.Add(c.config.Timing.AdvertPause)
+	var rooms []Room
+	wait := time.Duration(0)
+	if c.stop == serving {
+		rooms = slices.Clone(c.ownRooms())
+		wait = c.ownWait()
+	}
+	for _, m := range c.roster.members.All() {
+		if m.up && m.suspected.IsZero() {
+			c.emit(Send{Peer: m.id, Message: &Advert{Seen: m.seen, Rooms: rooms, Wait: wait, Total: h.total}})
+		}
+	}
+}
+
+// conflictRows returns the rows of a conflict, with version 0 for rows of the
+// take that are absent.
+func conflictRows(err error, t hold.Take) []storage.Row {
+	var conflict *storage.ErrConflict
+	if !errors.As(err, &conflict) {
+		return nil
+	}
+	rows := slices.Clone(conflict.Rows)
+	for _, w := range t.Writes {
+		if !slices.ContainsFunc(rows, func(r storage.Row) bool { return r.Key == w.Key }) {
+			rows = append(rows, storage.Row{Key: w.Key})
+		}
+	}
+	return rows
+}
+
+func isConflict(err error) bool {
+	var conflict *storage.ErrConflict
+	return errors.As(err, &conflict)
+}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -13,13 +13,13 @@
 
 	"crocusseam/pkg/dispatch"
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 )
 
 // Environment is one environment's table.
 type Environment struct {
 	Name  string
-	Table platform.Table
+	Table storage.Table
 }
 
 // ErrVersion says that the environment has another version than was expected.
@@ -72,7 +72,7 @@
 // State is the rollout row with its version in the table.
 type State struct {
 	dispatch.Rollout
-	Row platform.Version
+	Row storage.Version
 }
 
 // Load reads the rollout row. An environment without one has version 0.
@@ -169,18 +169,18 @@
 	if err != nil {
 		return eris.Wrap(err, "encode the rollout")
 	}
-	writes := []platform.Write{
-		{Key: dispatch.DocumentKey(document.Digest(text)), Value: text, Expect: platform.AnyVersion},
+	writes := []storage.Write{
+		{Key: dispatch.DocumentKey(document.Digest(text)), Value: text, Expect: storage.AnyVersion},
 		{Key: dispatch.RolloutKey, Value: value, Expect: s.Row},
 	}
 	for range commitTries {
 		_, err = e.Table.Commit(ctx, writes)
-		var uncertain *platform.ErrUncertain
+		var uncertain *storage.ErrUncertain
 		if !errors.As(err, &uncertain) {
 			break
 		}
 	}
-	var conflict *platform.ErrConflict
+	var conflict *storage.ErrConflict
 	if !errors.As(err, &conflict) {
 		return eris.Wrapf(err, "write the rollout of %s", e.Name)
 	}
@@ -340,9 +340,9 @@
 // Drain marks an endpoint (by address) or an instance (by name) as leaving, or
 // takes the mark away.
 func (e *Environment) Drain(ctx context.Context, name, by string, drained bool) error {
-	_, err := e.Table.Commit(ctx, []platform.Write{{
+	_, err := e.Table.Commit(ctx, []storage.Write{{
 		Key: dispatch.DrainPrefix + name, Value: fmt.Appendf(nil, "{\"By\":%q}", by),
-		Expect: platform.AnyVersion, Delete: !drained,
+		Expect: storage.AnyVersion, Delete: !drained,
 	}})
 	return eris.Wrapf(err, "drain %s in %s", name, e.Name)
 }
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 )
 
 const text = `{"Environment":"%s","Domains":[{"Name":"east","Groups":[{"Name":"w","Endpoints":["10.0.0.1:9000"],"Slots":8,
@@ -22,7 +22,7 @@
 
 func TestOfTwoOperatorsExactlyOneWins(t *testing.T) {
 	for i := range 1000 {
-		e := &Environment{Name: "trial", Table: platform.NewMemory()}
+		e := &Environment{Name: "trial", Table: storage.NewMemory()}
 		ctx := context.Background()
 		_, err := e.Apply(ctx, doc("first"), 0, "setup")
 		assert.NilError(t, err)
@@ -55,26 +55,26 @@
 
 // lossyTable loses the answers of commits, with or without their effect.
 type lossyTable struct {
-	*platform.Memory
+	*storage.Memory
 	answers int
 	writes  int
 }
 
-func (l *lossyTable) Commit(ctx context.Context, writes []platform.Write) (platform.Version, error) {
+func (l *lossyTable) Commit(ctx context.Context, writes []storage.Write) (storage.Version, error) {
 	if l.writes > 0 {
 		l.writes--
-		return 0, &platform.ErrUncertain{Step: "commit"}
+		return 0, &storage.ErrUncertain{Step: "commit"}
 	}
 	version, err := l.Memory.Commit(ctx, writes)
 	if l.answers > 0 {
 		l.answers--
-		return 0, &platform.ErrUncertain{Step: "commit"}
+		return 0, &storage.ErrUncertain{Step: "commit"}
 	}
 	return version, err
 }
 
 func TestApplyWithLostAnswers(t *testing.T) {
-	for _, table := range []*lossyTable{{platform.NewMemory(), 2, 0}, {platform.NewMemory(), 0, 2}, {platform.NewMemory(), 1, 1}} {
+	for _, table := range []*lossyTable{{storage.NewMemory(), 2, 0}, {storage.NewMemory(), 0, 2}, {storage.NewMemory(), 1, 1}} {
 		e := &Environment{Name: "trial", Table: table}
 		revision, err := e.Apply(context.Background(), doc("first"), 0, "operator")
 		assert.NilError(t, err)
@@ -87,7 +87,7 @@
 
 func TestStaleExpectationTellsWhoAndWhat(t *testing.T) {
 	ctx := context.Background()
-	e := &Environment{Name: "trial", Table: platform.NewMemory()}
+	e := &Environment{Name: "trial", Table: storage.NewMemory()}
 	_, err := e.Apply(ctx, doc("first"), 0, "ana")
 	assert.NilError(t, err)
 	_, err = e.Apply(ctx, doc("second"), 0, "rui")
@@ -98,8 +98,8 @@
 
 func TestPromotionTakesTheVeryBytes(t *testing.T) {
 	ctx := context.Background()
-	trial := &Environment{Name: "trial", Table: platform.NewMemory()}
-	production := &Environment{Name: "production", Table: platform.NewMemory()}
+	trial := &Environment{Name: "trial", Table: storage.NewMemory()}
+	production := &Environment{Name: "production", Table: storage.NewMemory()}
 	_, err := trial.Apply(ctx, doc("first"), 0, "ana")
 	assert.NilError(t, err)
 	revision, err := production.Promote(ctx, trial, "", 0, "ana")
@@ -111,11 +111,11 @@
 }
 
 func TestInvalidDocumentChangesNothing(t *testing.T) {
-	e := &Environment{Name: "trial", Table: platform.NewMemory()}
+	e := &Environment{Name: "trial", Table: storage.NewMemory()}
 	_, err := e.Apply(context.Background(), []byte(`{"Environment":1}`), 0, "ana")
 	var faults *document.ErrDocument
 	assert.Assert(t, errors.As(err, &faults))
 	state, err := e.Load(context.Background())
 	assert.NilError(t, err)
-	assert.Equal(t, state.Row, platform.Version(0))
+	assert.Equal(t, state.Row, storage.Version(0))
 }
--- /dev/null
+++ b/pkg/settings/gate.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+
+	"crocusseam/pkg/document"
+)
+
+// Gate holds the settings of a gate: an instance on the users' platform. Its
+// file is filled in by the platform from a template.
+type Gate struct {
+	// Instance is the name of the instance, unique in the environment.
+	Instance string
+	// Domain is the failure domain that the instance stands in.
+	Domain string
+	// Callers, Ready, Peers and Metrics are the addresses to listen at.
+	Callers netip.AddrPort
+	Ready   netip.AddrPort
+	Peers   netip.AddrPort
+	Metrics netip.AddrPort
+	// Store is the address of the platform's store.
+	Store netip.AddrPort
+	// Processor is the share of a processor that the instance may use.
+	Processor float64
+	// MemoryMB is the most memory that the process may use.
+	MemoryMB int
+	// Lease is the longest lease of what runs at an endpoint.
+	Lease document.Duration
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace document.Duration
+	// Log is the level of the log: debug, info, warn, error.
+	Log string
+}
+
+// Validate checks the settings as a whole. It returns *ErrSetting.
+func (s *Gate) Validate() error {
+	addresses := []struct {
+		name    string
+		address netip.AddrPort
+	}{{"Callers", s.Callers}, {"Ready", s.Ready}, {"Peers", s.Peers}, {"Metrics", s.Metrics}, {"Store", s.Store}}
+	for _, a := range addresses {
+		if !a.address.IsValid() {
+			return &ErrSetting{a.name, a.address.String(), "an IP address and port"}
+		}
+	}
+	switch {
+	case s.Instance == "":
+		return &ErrSetting{"Instance", s.Instance, "a name that no other instance has"}
+	case s.Domain == "":
+		return &ErrSetting{"Domain", s.Domain, "the name of a failure domain"}
+	case s.Processor <= 0:
+		return &ErrSetting{"Processor", fmt.Sprint(s.Processor), "more than 0"}
+	case s.MemoryMB < 1:
+		return &ErrSetting{"MemoryMB", fmt.Sprint(s.MemoryMB), "1 or more"}
+	case s.Lease <= 0:
+		return &ErrSetting{"Lease", fmt.Sprint(s.Lease), "more than 0"}
+	case s.Grace <= 0:
+		return &ErrSetting{"Grace", fmt.Sprint(s.Grace), "more than 0"}
+	}
+	return nil
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -46,7 +46,7 @@
 }
 
 // Load reads a settings file over the values that s has.
-func Load(path string, s *Entry) error {
+func Load[T any](path string, s *T) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return eris.Wrap(err, "read the settings")
--- a/pkg/slots/slots.go
+++ b/pkg/slots/slots.go
@@ -3,11 +3,17 @@
 package slots
 
 import (
+	"fmt"
 	"hash/fnv"
-	"net/netip"
 	"sort"
 )
 
+// Endpoint is what names an endpoint in a division. Names differ.
+type Endpoint interface {
+	comparable
+	fmt.Stringer
+}
+
 // Member is an instance that takes part in a division.
 type Member struct {
 	Instance string
@@ -19,8 +25,8 @@
 // endpoints a member gets is chosen by rendezvous hashing, so that a change of
 // members moves few of them. The result depends only on the sets given, not on
 // their order. Without members it is empty.
-func Divide(endpoints []netip.AddrPort, members []Member) map[netip.AddrPort]string {
-	division := make(map[netip.AddrPort]string, len(endpoints))
+func Divide[E Endpoint](endpoints []E, members []Member) map[E]string {
+	division := make(map[E]string, len(endpoints))
 	if len(members) == 0 {
 		return division
 	}
@@ -59,18 +65,20 @@
 	return quota
 }
 
-type preference struct {
-	endpoint netip.AddrPort
+type preference[E Endpoint] struct {
+	endpoint E
+	name     string
 	member   int
 	score    uint64
 }
 
 // preferences lists all pairs of endpoint and member, the strongest first.
-func preferences(endpoints []netip.AddrPort, members []Member) []preference {
-	list := make([]preference, 0, len(endpoints)*len(members))
+func preferences[E Endpoint](endpoints []E, members []Member) []preference[E] {
+	list := make([]preference[E], 0, len(endpoints)*len(members))
 	for _, e := range endpoints {
+		name := e.String()
 		for i, m := range members {
-			list = append(list, preference{e, i, Score(e.String(), m.Instance)})
+			list = append(list, preference[E]{e, name, i, Score(name, m.Instance)})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
@@ -78,8 +86,8 @@
 		if a.score != b.score {
 			return a.score > b.score
 		}
-		if c := a.endpoint.Compare(b.endpoint); c != 0 {
-			return c < 0
+		if a.name != b.name {
+			return a.name < b.name
 		}
 		return a.member < b.member
 	})
--- a/pkg/standin/endpoints.go
+++ b/pkg/standin/endpoints.go
@@ -17,7 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 	"crocusseam/service/endpoint"
 )
 
@@ -142,11 +142,11 @@
 	return a.refused
 }
 
-func (a *Endpoints) listed(before time.Time) []platform.ListedInstance {
-	list := make([]platform.ListedInstance, len(a.list))
+func (a *Endpoints) listed(before time.Time) []storage.ListedInstance {
+	list := make([]storage.ListedInstance, len(a.list))
 	for i, e := range a.list {
 		e.mu.Lock()
-		list[i] = platform.ListedInstance{Address: e.config.Address, Leaving: !e.leaving.IsZero() && e.leaving.Before(before)}
+		list[i] = storage.ListedInstance{Address: e.config.Address, Leaving: !e.leaving.IsZero() && e.leaving.Before(before)}
 		e.mu.Unlock()
 	}
 	return list
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -19,7 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 	"crocusseam/service/store"
 )
 
@@ -57,7 +57,7 @@
 
 // Platform is the stand-in of the platform's services.
 type Platform struct {
-	memory    *platform.Memory
+	memory    *storage.Memory
 	listener  net.Listener
 	server    *http.Server
 	endpoints *Endpoints
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for the platform's stand-in at %s", address)
 	}
-	p := &Platform{memory: platform.NewMemory(), listener: listener, endpoints: endpoints}
+	p := &Platform{memory: storage.NewMemory(), listener: listener, endpoints: endpoints}
 	mux := http.NewServeMux()
 	mux.HandleFunc(store.PathGet, p.get)
 	mux.HandleFunc(store.PathScan, p.scan)
@@ -162,7 +162,7 @@
 		return
 	}
 	row, _ := p.memory.Get(r.Context(), in.Key)
-	encode(w, http.StatusOK, store.RowsReply{Rows: []platform.Row{row}})
+	encode(w, http.StatusOK, store.RowsReply{Rows: []storage.Row{row}})
 }
 
 func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
@@ -218,7 +218,7 @@
 	if f.loseAnswer {
 		panic(http.ErrAbortHandler)
 	}
-	var conflict *platform.ErrConflict
+	var conflict *storage.ErrConflict
 	if errors.As(err, &conflict) {
 		encode(w, http.StatusConflict, store.CommitReply{Rows: conflict.Rows})
 		return
@@ -253,7 +253,7 @@
 	if !p.admitRead(w) {
 		return
 	}
-	list := []platform.ListedInstance{}
+	list := []storage.ListedInstance{}
 	if p.endpoints != nil {
 		list = p.endpoints.listed(time.Now().Add(-listLag))
 	}
--- a/pkg/platform/memory.go
+++ b/pkg/storage/memory.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"context"
--- a/pkg/platform/platform.go
+++ b/pkg/storage/storage.go
@@ -1,7 +1,7 @@
-// Package platform is the one interface to what the platform gives: a
+// Package storage is the one interface to what the platform gives: a
 // transactional table service, an object store, and a lagging list of
 // instances.
-package platform
+package storage
 
 import (
 	"context"
@@ -107,3 +107,14 @@
 }
 
 func (e *ErrAbsent) Error() string { return fmt.Sprintf("object %q is absent", e.Name) }
+
+// ErrHistory says that the platform no longer has the changes that a feed asked
+// for: everything must be read anew.
+type ErrHistory struct {
+	Step string
+	Peer string
+}
+
+func (e *ErrHistory) Error() string {
+	return fmt.Sprintf("%s at %s: the history asked for is gone", e.Step, e.Peer)
+}
--- a/pkg/timer/timer.go
+++ b/pkg/timer/timer.go
@@ -7,6 +7,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clock tells the time. Wall clocks may step; Now of the service carries Go's
@@ -53,6 +55,30 @@
 // Once returns a subscription that is woken only when WakeAt asks for it.
 func (s *Service) Once() *Subscription { return s.newSubscription() }
 
+// Sleep waits for a while, or until the context ends. It reports whether the
+// whole time has passed.
+func (s *Service) Sleep(ctx context.Context, wait time.Duration) bool {
+	sub := s.Once()
+	defer sub.Stop()
+	sub.WakeAt(time.Now().Add(wait))
+	select {
+	case <-ctx.Done():
+		return false
+	case <-sub.C:
+		return true
+	}
+}
+
+// SinceBoot returns a time that also counts while the machine is suspended. Only
+// differences between two of its readings mean anything.
+func (s *Service) SinceBoot() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Now() // only a kernel without the clock gets here
+	}
+	return time.Unix(t.Sec, t.Nsec)
+}
+
 func (s *Service) newSubscription() *Subscription {
 	return &Subscription{C: make(chan time.Time, 1), service: s, index: -1}
 }
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -19,10 +19,10 @@
 	"crocusseam/pkg/client"
 	"crocusseam/pkg/dispatch"
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
 	"crocusseam/pkg/reference"
 	"crocusseam/pkg/routing"
 	"crocusseam/pkg/standin"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 	"crocusseam/service/entry"
 	"crocusseam/service/store"
@@ -197,7 +197,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode the rollout")
 	}
-	_, err = e.store.Commit(ctx, []platform.Write{
+	_, err = e.store.Commit(ctx, []storage.Write{
 		{Key: dispatch.DocumentKey(digest), Value: text},
 		{Key: dispatch.RolloutKey, Value: row},
 	})
--- a/service/entry/bench_test.go
+++ b/service/entry/bench_test.go
@@ -14,7 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"crocusseam/pkg/client"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 )
 
@@ -35,7 +35,7 @@
 // against endpoints that take no time. The processor time includes the callers'
 // and the endpoints' side, which run in the same process.
 func BenchmarkStarts(b *testing.B) {
-	p := &memoryPlatform{Memory: platform.NewMemory(), writeTime: 4 * time.Millisecond}
+	p := &memoryPlatform{Memory: storage.NewMemory(), writeTime: 4 * time.Millisecond}
 	withDocument(b, p, testDocument(withEndpoints(b, 8, echoTask), 64))
 	s := withServer(b, p, nil)
 	c := client.New(client.Config{})
@@ -77,7 +77,7 @@
 // the platform's write time.
 func BenchmarkIdleRequest(b *testing.B) {
 	const writeTime = 4 * time.Millisecond
-	p := &memoryPlatform{Memory: platform.NewMemory(), writeTime: writeTime}
+	p := &memoryPlatform{Memory: storage.NewMemory(), writeTime: writeTime}
 	withDocument(b, p, testDocument(withEndpoints(b, 8, echoTask), 8))
 	s := withServer(b, p, nil)
 	c := client.New(client.Config{})
--- a/service/entry/burn.go
+++ b/service/entry/burn.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 )
 
 // Burn sheets are kept in the table, one row for each instance and incarnation,
@@ -49,7 +49,7 @@
 		panic("a burn sheet cannot be encoded: " + err.Error())
 	}
 	key := fmt.Sprintf("%s%s/%d", BurnPrefix, s.config.Instance, s.config.Incarnation)
-	_, err = s.config.Platform.Commit(ctx, []platform.Write{{Key: key, Value: value, Expect: platform.AnyVersion}})
+	_, err = s.config.Platform.Commit(ctx, []storage.Write{{Key: key, Value: value, Expect: storage.AnyVersion}})
 	if err != nil {
 		s.burn.MarkUnsaved()
 		s.config.Logger.Named("burn").Warn("sheet not saved", zap.Error(err))
--- a/service/entry/environment_test.go
+++ b/service/entry/environment_test.go
@@ -15,25 +15,25 @@
 
 	"crocusseam/pkg/dispatch"
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 	"crocusseam/service/endpoint"
 )
 
 // memoryPlatform is a platform in memory whose commits take a while.
 type memoryPlatform struct {
-	*platform.Memory
+	*storage.Memory
 	writeTime time.Duration
 }
 
-func (m *memoryPlatform) Commit(ctx context.Context, writes []platform.Write) (platform.Version, error) {
+func (m *memoryPlatform) Commit(ctx context.Context, writes []storage.Write) (storage.Version, error) {
 	if m.writeTime > 0 {
 		time.Sleep(m.writeTime)
 	}
 	return m.Memory.Commit(ctx, writes)
 }
 
-func (m *memoryPlatform) Instances(context.Context) ([]platform.ListedInstance, error) {
+func (m *memoryPlatform) Instances(context.Context) ([]storage.ListedInstance, error) {
 	return nil, nil
 }
 
@@ -56,16 +56,16 @@
 	return list
 }
 
-func withDocument(tb testing.TB, table platform.Table, d *document.Document) {
+func withDocument(tb testing.TB, table storage.Table, d *document.Document) {
 	tb.Helper()
 	text, err := json.Marshal(d)
 	assert.NilError(tb, err)
 	digest := document.Digest(text)
 	row, err := json.Marshal(dispatch.Rollout{Active: dispatch.Revision{Version: 1, Digest: digest}})
 	assert.NilError(tb, err)
-	_, err = table.Commit(context.Background(), []platform.Write{
-		{Key: dispatch.DocumentKey(digest), Value: text, Expect: platform.AnyVersion},
-		{Key: dispatch.RolloutKey, Value: row, Expect: platform.AnyVersion},
+	_, err = table.Commit(context.Background(), []storage.Write{
+		{Key: dispatch.DocumentKey(digest), Value: text, Expect: storage.AnyVersion},
+		{Key: dispatch.RolloutKey, Value: row, Expect: storage.AnyVersion},
 	})
 	assert.NilError(tb, err)
 }
--- a/service/entry/input_test.go
+++ b/service/entry/input_test.go
@@ -14,7 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 	"crocusseam/service/api"
 )
@@ -46,7 +46,7 @@
 }
 
 func TestBadInputNamesFieldAndValue(t *testing.T) {
-	p := &memoryPlatform{Memory: platform.NewMemory()}
+	p := &memoryPlatform{Memory: storage.NewMemory()}
 	started := 0
 	endpoints := withEndpoints(t, 2, func(http.ResponseWriter, *http.Request) { started++ })
 	withDocument(t, p, testDocument(endpoints, 4))
@@ -83,7 +83,7 @@
 }
 
 func TestWrongTokenLeaksNothing(t *testing.T) {
-	p := &memoryPlatform{Memory: platform.NewMemory()}
+	p := &memoryPlatform{Memory: storage.NewMemory()}
 	d := testDocument(withEndpoints(t, 1, echoTask), 4)
 	d.Teams = []document.Team{{Name: "capstone", TokenHash: document.TokenHash("right")}, {Name: "other", TokenHash: document.TokenHash("theirs")}}
 	d.Operators = []string{document.TokenHash("operator")}
--- a/service/entry/openapi_test.go
+++ b/service/entry/openapi_test.go
@@ -11,7 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 	"crocusseam/service/api"
 )
 
@@ -62,7 +62,7 @@
 // it says with the description.
 func TestRunningServerKeepsToTheDescription(t *testing.T) {
 	d := withDescription(t)
-	p := &memoryPlatform{Memory: platform.NewMemory()}
+	p := &memoryPlatform{Memory: storage.NewMemory()}
 	withDocument(t, p, testDocument(withEndpoints(t, 1, echoTask), 4))
 	s := withServer(t, p, nil)
 	for _, c := range []struct{ method, path, described, body, schema string }{
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -20,7 +20,8 @@
 	"crocusseam/pkg/burn"
 	"crocusseam/pkg/dispatch"
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/mailbox"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 	"crocusseam/pkg/timer"
 	"crocusseam/service/endpoint"
@@ -29,9 +30,9 @@
 
 // Platform is everything that an instance needs of the platform.
 type Platform interface {
-	platform.Table
-	platform.Objects
-	platform.Listing
+	storage.Table
+	storage.Objects
+	storage.Listing
 }
 
 // Config constructs a Server.
@@ -60,8 +61,8 @@
 type Server struct {
 	config   Config
 	control  *dispatch.Control
-	mailbox  *mailbox
-	links    *peer.Links
+	mailbox  *mailbox.Box[dispatch.Input]
+	links    *peer.Links[dispatch.Message]
 	runner   *endpoint.Runner
 	timers   *timer.Service
 	group    *errgroup.Group
@@ -105,7 +106,7 @@
 		config.MaxBodyBytes = defaultMaxBody
 	}
 	s := &Server{
-		config: config, mailbox: newMailbox(), timers: timer.New(), stopped: make(chan struct{}),
+		config: config, mailbox: mailbox.New[dispatch.Input](), timers: timer.New(), stopped: make(chan struct{}),
 		exited: make(chan struct{}), waiting: make(map[dispatch.Handle]chan submission.Reply),
 	}
 	listener, err := net.Listen("tcp", config.Callers.String())
@@ -116,9 +117,13 @@
 		listener = tls.NewListener(listener, config.CallersTLS)
 	}
 	s.listener = listener
-	s.links, err = peer.Listen(peer.Config{
+	s.links, err = peer.Listen(peer.Config[dispatch.Message]{
 		Self: dispatch.PeerID{Instance: config.Instance, Incarnation: config.Incarnation}, Domain: config.Domain,
-		Listen: config.Peers, TLS: config.PeersTLS, Deliver: s.deliver, Logger: config.Logger.Named("peers"),
+		Listen: config.Peers, TLS: config.PeersTLS, Codec: peer.Codec[dispatch.Message]{Encode: peer.ToWire, Decode: peer.FromWire},
+		Up:       func(id dispatch.PeerID) { s.deliver(dispatch.PeerUp{Peer: id}) },
+		Down:     func(id dispatch.PeerID) { s.deliver(dispatch.PeerDown{Peer: id}) },
+		Received: func(id dispatch.PeerID, m dispatch.Message) { s.deliver(dispatch.Received{From: id, Message: m}) },
+		Logger:   config.Logger.Named("peers"),
 	})
 	if err != nil {
 		_ = listener.Close()
@@ -143,7 +148,7 @@
 // PeerAddress returns the address that peers reach.
 func (s *Server) PeerAddress() netip.AddrPort { return s.links.Address() }
 
-func (s *Server) deliver(in dispatch.Input) { s.mailbox.put(in) }
+func (s *Server) deliver(in dispatch.Input) { s.mailbox.Put(in) }
 
 // Run serves until Stop has finished, the context ends, or a part fails.
 func (s *Server) Run(ctx context.Context) error {
@@ -248,7 +253,7 @@
 	defer wake.Stop()
 	var statusDue time.Time
 	for {
-		inputs := s.mailbox.take()
+		inputs := s.mailbox.Take()
 		now := s.timers.Now()
 		effects, next := s.control.Step(now, inputs)
 		wake.WakeAt(next)
@@ -263,7 +268,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-s.mailbox.signal:
+		case <-s.mailbox.Signal:
 		case <-wake.C:
 		}
 	}
@@ -333,7 +338,7 @@
 }
 
 func (s *Server) logPlatform(step string, err error) {
-	var conflict *platform.ErrConflict
+	var conflict *storage.ErrConflict
 	if err != nil && !errors.As(err, &conflict) && !errors.Is(err, context.Canceled) {
 		s.config.Logger.Named("platform").Warn("call failed", zap.String("Step", step), zap.Error(err))
 	}
@@ -388,30 +393,3 @@
 	}
 	return nil
 }
-
-// mailbox holds the inputs that the control has not taken yet.
-type mailbox struct {
-	mu     sync.Mutex
-	inputs []dispatch.Input
-	signal chan struct{}
-}
-
-func newMailbox() *mailbox { return &mailbox{signal: make(chan struct{}, 1)} }
-
-func (m *mailbox) put(in dispatch.Input) {
-	m.mu.Lock()
-	m.inputs = append(m.inputs, in)
-	m.mu.Unlock()
-	select {
-	case m.signal <- struct{}{}:
-	default:
-	}
-}
-
-func (m *mailbox) take() []dispatch.Input {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	taken := m.inputs
-	m.inputs = nil
-	return taken
-}
--- a/service/entry/tls_test.go
+++ b/service/entry/tls_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"crocusseam/pkg/client"
-	"crocusseam/pkg/platform"
 	"crocusseam/pkg/settings"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 )
 
@@ -56,7 +56,7 @@
 	directory := t.TempDir()
 	_, err := settings.MakeKeys(directory)
 	assert.NilError(t, err)
-	p := &memoryPlatform{Memory: platform.NewMemory()}
+	p := &memoryPlatform{Memory: storage.NewMemory()}
 	withDocument(t, p, testDocument(withEndpoints(t, 4, echoTask), 4))
 	first := withServer(t, p, withTLS(t, "east-1", directory))
 	config := withTLS(t, "east-2", directory)
--- /dev/null
+++ b/service/gate/callers.go
@@ -0,0 +1,176 @@
+package gate
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/workload"
+	"crocusseam/platform"
+)
+
+// comeBack is when a caller is asked to return that was refused for a cause
+// that passes soon.
+const comeBack = time.Second
+
+// routeTable finds the route of a request.
+type routeTable struct {
+	configuration *workload.Configuration
+	byHost        map[string][]workload.Route // the longest prefix first
+}
+
+func newRouteTable(c *workload.Configuration) *routeTable {
+	t := &routeTable{configuration: c, byHost: make(map[string][]workload.Route)}
+	for _, r := range c.Routes {
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, routes := range t.byHost {
+		sort.SliceStable(routes, func(a, b int) bool { return len(routes[a].Prefix) > len(routes[b].Prefix) })
+	}
+	return t
+}
+
+// find returns the route with the longest prefix of the path, and the rest of
+// the path.
+func (t *routeTable) find(host, path string) (workload.Route, string, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.byHost[host] {
+		if rest, ok := strings.CutPrefix(path, r.Prefix); ok {
+			return r, rest, true
+		}
+	}
+	return workload.Route{}, "", false
+}
+
+func (s *Server) callersHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.Any("/*", s.serveCaller)
+	return e
+}
+
+// readyHandler tells the balancer whether to send new connections here.
+func (s *Server) readyHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.GET(platform.ReadinessPath, func(c echo.Context) error {
+		if s.leaving.Load() || !s.state().Ready {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+func (s *Server) serveCaller(c echo.Context) error {
+	routes := s.routes.Load()
+	if routes == nil {
+		return s.refuseEarly(c, http.StatusServiceUnavailable, "this instance has no configuration yet", comeBack)
+	}
+	request := c.Request()
+	route, rest, ok := routes.find(request.Host, request.URL.Path)
+	if !ok {
+		return s.refuseEarly(c, http.StatusNotFound, fmt.Sprintf("no route for host %q and path %q in version %d", request.Host, request.URL.Path, routes.configuration.Version), 0)
+	}
+	h, answer := s.expect()
+	if rest == "" && request.Method == http.MethodGet {
+		s.deliver(placement.Count{Handle: h, Route: route.Name})
+		return s.await(c, h, answer)
+	}
+	id, err := platform.ParseJobID(rest)
+	if err != nil {
+		s.forget(h)
+		return s.refuseEarly(c, http.StatusBadRequest, err.Error(), 0)
+	}
+	switch request.Method {
+	case http.MethodPost:
+		return s.submit(c, h, answer, route, id)
+	case http.MethodGet:
+		s.deliver(placement.Ask{Handle: h, ID: id})
+	case http.MethodDelete:
+		s.deliver(placement.Cancel{Handle: h, ID: id})
+	default:
+		s.forget(h)
+		return s.refuseEarly(c, http.StatusMethodNotAllowed, "method "+request.Method+" is not allowed", 0)
+	}
+	return s.await(c, h, answer)
+}
+
+func (s *Server) submit(c echo.Context, h placement.Handle, answer chan placement.Answer, route workload.Route, id workload.JobID) error {
+	j, err := s.readJob(c, id)
+	if err != nil {
+		s.forget(h)
+		status := http.StatusBadRequest
+		var tooLong *http.MaxBytesError
+		if errors.As(err, &tooLong) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		return s.refuseEarly(c, status, err.Error(), 0)
+	}
+	patience, err := platform.PatienceOf(c.Request().Header)
+	if err != nil {
+		s.forget(h)
+		return s.refuseEarly(c, http.StatusBadRequest, err.Error(), 0)
+	}
+	s.deliver(placement.Submit{Handle: h, Job: j, Route: route, Left: patience})
+	return s.await(c, h, answer)
+}
+
+func (s *Server) readJob(c echo.Context, id workload.JobID) (*workload.Job, error) {
+	limit := int64(maxBodyBytes)
+	if t := s.routes.Load(); t.configuration.Limits.BodyBytes > 0 {
+		limit = t.configuration.Limits.BodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	if err != nil {
+		return nil, fmt.Errorf("job %s: read the body: %w", id, err)
+	}
+	j, err := platform.DecodeJob(id, body)
+	if err != nil {
+		return nil, err
+	}
+	return j, j.Validate()
+}
+
+// await gives the caller the answer, or notes that the caller has left.
+func (s *Server) await(c echo.Context, h placement.Handle, answer chan placement.Answer) error {
+	select {
+	case a := <-answer:
+		return s.respond(c, platform.EncodeAnswer(a))
+	case <-c.Request().Context().Done():
+		s.forget(h)
+		return nil
+	}
+}
+
+// refuseEarly refuses a request that has not reached the control state.
+func (s *Server) refuseEarly(c echo.Context, status int, reason string, retryAfter time.Duration) error {
+	s.logger.Info("request refused", zap.String("Path", c.Request().URL.Path), zap.Int("Status", status), zap.String("Reason", reason))
+	return s.respond(c, platform.Refuse(status, reason, retryAfter))
+}
+
+func (s *Server) respond(c echo.Context, r platform.ResponseTo) error {
+	header := c.Response().Header()
+	if r.RetryAfter > 0 {
+		header.Set(echo.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	if s.leaving.Load() {
+		header.Set(echo.HeaderConnection, "close")
+	}
+	return c.JSON(r.Status, r.Body)
+}
--- /dev/null
+++ b/service/gate/follow.go
@@ -0,0 +1,134 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+	"crocusseam/platform"
+)
+
+// Periods of following the store.
+const (
+	feedWait        = 1500 * time.Millisecond // a silent connection is noticed within the bound of a configuration
+	followRetry     = 200 * time.Millisecond
+	discoveryPeriod = 700 * time.Millisecond // a draining endpoint is known well before the bound of draining
+)
+
+// dependency logs when an outside system is lost and when it is back.
+type dependency struct {
+	name   string
+	logger *zap.Logger
+	lost   time.Time
+}
+
+func (d *dependency) note(now time.Time, err error) {
+	switch {
+	case err != nil && d.lost.IsZero():
+		d.lost = now
+		d.logger.Warn("dependency lost", zap.String("Dependency", d.name), zap.Error(err))
+	case err == nil && !d.lost.IsZero():
+		d.logger.Info("dependency regained", zap.String("Dependency", d.name), zap.Duration("Away", now.Sub(d.lost)))
+		d.lost = time.Time{}
+	}
+}
+
+// followConfiguration keeps the operator's configuration current: it reads it,
+// then waits for changes, and reads anew when the history is gone.
+func (s *Server) followConfiguration(ctx context.Context) error {
+	d := dependency{name: "configuration feed", logger: s.logger}
+	var version storage.Version
+	known := false
+	for ctx.Err() == nil {
+		var rows []storage.Row
+		var next storage.Version
+		var err error
+		if known {
+			rows, next, err = s.config.Store.Feed(ctx, platform.OperatorTable, version, feedWait)
+			s.metrics.storeCall("feed", err)
+		} else {
+			rows, next, err = s.config.Store.ScanAt(ctx, platform.OperatorTable+"/", scanLimit)
+			s.metrics.storeCall("scan", err)
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		var forgotten *storage.ErrHistory
+		if errors.As(err, &forgotten) {
+			s.logger.Warn("configuration read anew", zap.Error(err))
+			known = false
+			continue
+		}
+		d.note(s.timers.Now(), err)
+		if err != nil {
+			s.timers.Sleep(ctx, followRetry)
+			continue
+		}
+		version, known = next, true
+		for _, r := range rows {
+			if r.Key == platform.ConfigurationKey && r.Version > 0 {
+				s.adopt(r.Value, "store")
+			}
+		}
+	}
+	return nil
+}
+
+// adopt puts a configuration in force unless a later one is.
+func (s *Server) adopt(raw []byte, source string) {
+	c, err := platform.DecodeConfiguration(raw)
+	if err != nil {
+		s.logger.Error("configuration not understood", zap.String("Source", source), zap.Error(err))
+		return
+	}
+	s.adopting.Lock()
+	defer s.adopting.Unlock()
+	if current := s.routes.Load(); current != nil && current.configuration.Version >= c.Version {
+		return
+	}
+	s.routes.Store(newRouteTable(c))
+	s.logger.Info("configuration adopted", zap.Uint64("Version", c.Version), zap.String("Source", source), zap.Int("Routes", len(c.Routes)))
+	s.deliver(placement.Configured{Configuration: c, Raw: raw})
+}
+
+// followEndpoints reads the discovery entries again and again.
+func (s *Server) followEndpoints(ctx context.Context) error {
+	d := dependency{name: "discovery", logger: s.logger}
+	damaged := ""
+	for ctx.Err() == nil {
+		rows, err := s.config.Store.Scan(ctx, platform.EndpointPrefix, scanLimit)
+		s.metrics.storeCall("scan", err)
+		if ctx.Err() != nil {
+			return nil
+		}
+		d.note(s.timers.Now(), err)
+		if err == nil {
+			var list []workload.Endpoint
+			var skipped []error
+			list, skipped = platform.DecodeEndpoints(rows)
+			if text := joined(skipped); text != damaged {
+				damaged = text
+				s.logger.Warn("discovery entries skipped", zap.Int("Count", len(skipped)), zap.String("Causes", text))
+			}
+			s.deliver(placement.Listed{Endpoints: list})
+		}
+		s.timers.Sleep(ctx, discoveryPeriod)
+	}
+	return nil
+}
+
+func joined(errs []error) string {
+	texts := make([]string, len(errs))
+	for i, err := range errs {
+		texts[i] = err.Error()
+	}
+	sort.Strings(texts)
+	return strings.Join(texts, "; ")
+}
--- /dev/null
+++ b/service/gate/metrics.go
@@ -0,0 +1,105 @@
+package gate
+
+import (
+	"expvar"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/labstack/echo/v4"
+
+	"crocusseam/pkg/placement"
+)
+
+// Range and precision of the histograms, in microseconds.
+const (
+	longestMeasured  = int64(time.Minute / time.Microsecond)
+	histogramDigits  = 2
+	metricsPath      = "/metrics"
+	expvarName       = "Gate"
+	histogramMinimum = 1
+)
+
+// metrics counts what the control state does not.
+type metrics struct {
+	server    *Server
+	calls     *expvar.Map // to the store, by step and outcome
+	reports   *expvar.Map // of endpoints, by outcome
+	mu        sync.Mutex
+	latencies map[string]*hdrhistogram.Histogram // by route and status
+}
+
+// Latency summarises a histogram, in microseconds.
+type Latency struct {
+	Count int64
+	P50   int64
+	P90   int64
+	P99   int64
+	P999  int64
+	Max   int64
+}
+
+func newMetrics(s *Server) *metrics {
+	m := &metrics{server: s, calls: new(expvar.Map).Init(), reports: new(expvar.Map).Init(), latencies: make(map[string]*hdrhistogram.Histogram)}
+	if expvar.Get(expvarName) == nil {
+		expvar.Publish(expvarName, expvar.Func(func() any { return m.snapshot() }))
+	}
+	return m
+}
+
+func (m *metrics) storeCall(step string, err error) {
+	outcome := "Ok"
+	if err != nil {
+		outcome = "Failed"
+	}
+	m.calls.Add(step+outcome, 1)
+}
+
+func (m *metrics) report(outcome placement.OrderOutcome) { m.reports.Add(outcome.String(), 1) }
+
+func (m *metrics) finished(f placement.Finished) {
+	key := f.Route + " " + f.Status.String()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, ok := m.latencies[key]
+	if !ok {
+		h = hdrhistogram.New(histogramMinimum, longestMeasured, histogramDigits)
+		m.latencies[key] = h
+	}
+	_ = h.RecordValue(min(max(f.Elapsed.Microseconds(), histogramMinimum), longestMeasured)) // within the range
+}
+
+func (m *metrics) snapshot() any {
+	s := m.server
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	latencies := make(map[string]Latency, len(m.latencies))
+	for key, h := range m.latencies {
+		latencies[key] = Latency{
+			Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P90: h.ValueAtQuantile(90),
+			P99: h.ValueAtQuantile(99), P999: h.ValueAtQuantile(99.9), Max: h.Max(),
+		}
+	}
+	return struct {
+		placement.Overview
+		Latencies         map[string]Latency
+		PeerBytesSent     int64
+		PeerBytesReceived int64
+		PeerMessagesSent  int64
+		LinesLeftOut      int64
+	}{
+		s.state(), latencies, s.links.Stats.SentBytes.Load(), s.links.Stats.ReceivedBytes.Load(),
+		s.links.Stats.SentMessages.Load(), s.config.LinesLeftOut(),
+	}
+}
+
+func (m *metrics) handler() http.Handler {
+	expvar.Publish("StoreCalls", m.calls)
+	expvar.Publish("EndpointReports", m.reports)
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.GET(metricsPath, echo.WrapHandler(expvar.Handler()))
+	return e
+}
--- /dev/null
+++ b/service/gate/server.go
@@ -0,0 +1,307 @@
+// Package gate is an instance on the users' platform: the control state of
+// package placement with the traffic around it.
+package gate
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/mailbox"
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/timer"
+	"crocusseam/platform"
+	"crocusseam/service/peer"
+)
+
+// Config constructs a Server.
+type Config struct {
+	Self   instance.ID
+	Domain string
+	Share  int // relative size of the instance
+	// Callers, Ready, Peers and Metrics are the addresses to listen at.
+	Callers netip.AddrPort
+	Ready   netip.AddrPort
+	Peers   netip.AddrPort
+	Metrics netip.AddrPort
+	Store   *platform.Store
+	Timing  placement.Timing
+	Logger  *zap.Logger
+	// LinesLeftOut counts the log lines that were left out.
+	LinesLeftOut func() int64
+}
+
+// Server is one instance.
+type Server struct {
+	config    Config
+	control   *placement.Control
+	mailbox   *mailbox.Box[placement.Input]
+	links     *peer.Links[placement.Message]
+	endpoints *platform.Endpoints
+	timers    *timer.Service
+	group     *errgroup.Group
+	logger    *zap.Logger
+	metrics   *metrics
+
+	callers net.Listener
+	ready   net.Listener
+	scrapes net.Listener
+	http    *http.Server
+
+	leaving  atomic.Bool
+	stopped  chan struct{}
+	stopOnce sync.Once
+	overview atomic.Pointer[placement.Overview]
+	routes   atomic.Pointer[routeTable]
+	adopting sync.Mutex
+	watches  map[string]*watch // owned by the control goroutine
+
+	nextHandle atomic.Uint64
+	mu         sync.Mutex
+	waiting    map[placement.Handle]chan placement.Answer
+}
+
+// Bounds of the server.
+const (
+	headerTimeout     = 3 * time.Second // until a configuration says otherwise
+	maxHeaderBytes    = 16 << 10
+	maxBodyBytes      = 256 << 10
+	lastAnswers       = 300 * time.Millisecond // for answers on their way at the end of a planned stop
+	orderTimeout      = 150 * time.Millisecond // many round trips in a failure domain
+	orderConnections  = 8                      // to one endpoint: its reports and orders at once
+	overviewPeriod    = 100 * time.Millisecond
+	storeCallPatience = 2 * time.Second
+)
+
+// New binds the addresses of an instance.
+func New(config Config) (*Server, error) {
+	s := &Server{
+		config: config, mailbox: mailbox.New[placement.Input](), timers: timer.New(), stopped: make(chan struct{}),
+		logger: config.Logger, waiting: make(map[placement.Handle]chan placement.Answer), watches: make(map[string]*watch),
+		endpoints: platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: orderTimeout}),
+	}
+	s.metrics = newMetrics(s)
+	for _, l := range []struct {
+		name    string
+		address netip.AddrPort
+		to      *net.Listener
+	}{{"callers", config.Callers, &s.callers}, {"readiness", config.Ready, &s.ready}, {"metrics", config.Metrics, &s.scrapes}} {
+		listener, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return nil, eris.Wrapf(err, "listen for %s at %s", l.name, l.address)
+		}
+		*l.to = listener
+	}
+	var err error
+	s.links, err = peer.Listen(peer.Config[placement.Message]{
+		Self: config.Self, Domain: config.Domain, Listen: config.Peers, Codec: peer.PlacementCodec(),
+		Up:       func(id instance.ID) { s.deliver(placement.PeerUp{Peer: id}) },
+		Down:     func(id instance.ID) { s.deliver(placement.PeerDown{Peer: id}) },
+		Received: func(id instance.ID, m placement.Message) { s.deliver(placement.Received{From: id, Message: m}) },
+		Logger:   config.Logger.Named("peers"),
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.control = placement.New(placement.Config{
+		Self: config.Self, Domain: config.Domain, Address: s.links.Address(), Share: config.Share,
+		Seed: config.Self.Incarnation, Timing: config.Timing,
+	})
+	s.http = &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return s, nil
+}
+
+func (s *Server) deliver(in placement.Input) { s.mailbox.Put(in) }
+
+// Run serves until a planned stop has finished, the context ends, or a part
+// fails.
+func (s *Server) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	s.group = group
+	group.Go(func() error { return s.timers.Run(ctx) })
+	group.Go(func() error { return s.runControl(ctx) })
+	group.Go(func() error { return s.links.Run(ctx) })
+	group.Go(func() error { return s.followConfiguration(ctx) })
+	group.Go(func() error { return s.followEndpoints(ctx) })
+	group.Go(func() error { return serve(s.http, s.callers) })
+	group.Go(func() error { return serveUntil(ctx, s.readyHandler(), s.ready) })
+	group.Go(func() error { return serveUntil(ctx, s.metrics.handler(), s.scrapes) })
+	group.Go(func() error {
+		defer cancel()
+		s.awaitStop(ctx)
+		return nil
+	})
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "serve at %s", listener.Addr())
+	}
+	return nil
+}
+
+// serveUntil serves a small internal listener until the context ends.
+func serveUntil(ctx context.Context, handler http.Handler, listener net.Listener) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return serve(server, listener)
+}
+
+// awaitStop waits for the end of a planned stop, and lets the last answers reach
+// their callers.
+func (s *Server) awaitStop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		_ = s.http.Close()
+	case <-s.stopped:
+		last, cancel := context.WithTimeout(ctx, lastAnswers)
+		defer cancel()
+		if err := s.http.Shutdown(last); err != nil {
+			s.logger.Warn("connections cut at the end of a planned stop", zap.Error(err))
+		}
+	}
+}
+
+// Stop begins a planned stop.
+func (s *Server) Stop() {
+	s.leaving.Store(true)
+	s.deliver(placement.Stop{})
+}
+
+// runControl is the one goroutine that owns the control state.
+func (s *Server) runControl(ctx context.Context) error {
+	wake := s.timers.Once()
+	defer wake.Stop()
+	var overviewDue time.Time
+	for {
+		inputs := s.mailbox.Take()
+		now := s.timers.SinceBoot()
+		effects, next := s.control.Step(now, inputs)
+		for _, e := range effects {
+			s.perform(ctx, e)
+		}
+		if !now.Before(overviewDue) {
+			overviewDue = now.Add(overviewPeriod)
+			o := s.control.Overview()
+			s.overview.Store(&o)
+		}
+		wake.WakeAt(s.timers.Now().Add(next.Sub(now)))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.mailbox.Signal:
+		case <-wake.C:
+		}
+	}
+}
+
+// perform carries out an effect. Nothing here blocks the control goroutine.
+func (s *Server) perform(ctx context.Context, e placement.Effect) {
+	switch m := e.(type) {
+	case placement.Decision:
+		s.logger.Info(m.Event, m.Fields...)
+	case placement.Reply:
+		s.reply(m)
+	case placement.Send:
+		s.links.Send(m.Peer, m.Message)
+	case placement.Connect:
+		s.links.SetPeers(m.Peers)
+	case placement.DropSession:
+		s.links.Drop(m.Peer)
+	case placement.Watch:
+		s.startWatch(ctx, m)
+	case placement.Unwatch:
+		s.endWatch(m.Endpoint.Name)
+	case placement.Finished:
+		s.metrics.finished(m)
+	case placement.Stopped:
+		s.stopOnce.Do(func() { close(s.stopped) })
+	default:
+		s.group.Go(func() error {
+			s.call(ctx, e)
+			return nil
+		})
+	}
+}
+
+// call carries out an effect that waits for an answer from elsewhere.
+func (s *Server) call(ctx context.Context, e placement.Effect) {
+	switch m := e.(type) {
+	case placement.Start:
+		s.deliver(s.endpoints.Start(ctx, &m))
+	case placement.StopRun:
+		s.deliver(s.endpoints.Stop(ctx, &m))
+	case placement.Probe:
+		s.probe(ctx, m)
+	case placement.Commit:
+		version, err := s.config.Store.Commit(ctx, m.Writes)
+		s.metrics.storeCall("commit", err)
+		s.deliver(placement.CommitDone{ID: m.ID, Version: version, Err: err})
+	case placement.Scan:
+		rows, err := s.config.Store.Scan(ctx, m.Prefix, scanLimit)
+		s.metrics.storeCall("scan", err)
+		s.deliver(placement.ScanDone{ID: m.ID, Rows: rows, Err: err})
+	case placement.Adopt:
+		s.adopt(m.Raw, "peer "+m.From.String())
+	}
+}
+
+// scanLimit bounds the rows of a scan: more than instances or endpoints of a
+// failure domain.
+const scanLimit = 5000
+
+// expect registers a request that waits for an answer.
+func (s *Server) expect() (placement.Handle, chan placement.Answer) {
+	h := placement.Handle(s.nextHandle.Add(1))
+	answer := make(chan placement.Answer, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[h] = answer
+	return h, answer
+}
+
+func (s *Server) reply(m placement.Reply) {
+	s.mu.Lock()
+	answer, ok := s.waiting[m.Handle]
+	delete(s.waiting, m.Handle)
+	s.mu.Unlock()
+	if ok {
+		answer <- m.Answer
+	}
+}
+
+// forget drops a request whose caller has gone.
+func (s *Server) forget(h placement.Handle) {
+	s.mu.Lock()
+	_, ok := s.waiting[h]
+	delete(s.waiting, h)
+	s.mu.Unlock()
+	if ok {
+		s.deliver(placement.Abandon{Handle: h})
+	}
+}
+
+func (s *Server) state() placement.Overview {
+	if o := s.overview.Load(); o != nil {
+		return *o
+	}
+	return placement.Overview{}
+}
--- /dev/null
+++ b/service/gate/watch.go
@@ -0,0 +1,93 @@
+package gate
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"crocusseam/pkg/placement"
+	"crocusseam/platform"
+)
+
+// Times of the reports of an endpoint.
+const (
+	reportWait  = 400 * time.Millisecond // less than half a lease, so that a lost report can be repeated
+	reportRetry = 50 * time.Millisecond
+)
+
+// watch keeps asking one endpoint for reports.
+type watch struct {
+	target placement.Watch
+	renew  atomic.Bool
+	cancel context.CancelFunc
+}
+
+// startWatch begins to watch an endpoint, or changes whether its lease is
+// renewed.
+func (s *Server) startWatch(ctx context.Context, m placement.Watch) {
+	if w, ok := s.watches[m.Endpoint.Name]; ok {
+		if w.target.Endpoint == m.Endpoint && w.target.Token == m.Token {
+			w.renew.Store(m.Renew)
+			return
+		}
+		w.cancel()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watch{target: m, cancel: cancel}
+	w.renew.Store(m.Renew)
+	s.watches[m.Endpoint.Name] = w
+	s.group.Go(func() error {
+		s.runWatch(ctx, w)
+		return nil
+	})
+}
+
+func (s *Server) endWatch(endpoint string) {
+	if w, ok := s.watches[endpoint]; ok {
+		w.cancel()
+		delete(s.watches, endpoint)
+	}
+}
+
+// runWatch asks until the watch ends or the endpoint says that this instance no
+// longer holds it. The last end that was delivered is taken note of with the
+// next question.
+func (s *Server) runWatch(ctx context.Context, w *watch) {
+	q := platform.Question{Endpoint: w.target.Endpoint, Address: w.target.Address, Token: w.target.Token}
+	var clock time.Duration // of the endpoint, at clockAt
+	var clockAt time.Time
+	for ctx.Err() == nil {
+		sent := s.timers.SinceBoot()
+		q.Until = 0
+		if w.renew.Load() && !clockAt.IsZero() {
+			q.Until = clock + sent.Sub(clockAt) + s.config.Timing.Lease
+		}
+		report, outcome, err := s.endpoints.Report(ctx, q)
+		if ctx.Err() != nil {
+			return
+		}
+		received := s.timers.SinceBoot()
+		s.metrics.report(outcome)
+		if outcome != placement.Accepted {
+			s.deliver(placement.Silent{Endpoint: q.Endpoint, Token: q.Token, Outcome: outcome, Err: err})
+			if outcome == placement.Fenced || outcome == placement.OtherLife || !s.timers.Sleep(ctx, reportRetry) {
+				return
+			}
+			q.Wait = 0
+			continue
+		}
+		clock, clockAt = report.Clock, received
+		for _, e := range report.Ended {
+			q.Seen = max(q.Seen, e.Sequence)
+		}
+		q.Wait = reportWait
+		s.deliver(placement.Reported{Endpoint: q.Endpoint, Token: q.Token, Sent: sent, Received: received, Report: report})
+	}
+}
+
+// probe asks whether an endpoint can be reached. A token of 0 orders nothing: an
+// endpoint that is held refuses it.
+func (s *Server) probe(ctx context.Context, m placement.Probe) {
+	_, outcome, _ := s.endpoints.Report(ctx, platform.Question{Endpoint: m.Endpoint, Address: m.Address})
+	s.deliver(placement.ProbeDone{Endpoint: m.Endpoint.Name, Reachable: outcome == placement.Accepted || outcome == placement.Fenced})
+}
--- a/service/peer/convert.go
+++ b/service/peer/convert.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"crocusseam/pkg/dispatch"
-	"crocusseam/pkg/platform"
 	"crocusseam/pkg/routing"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 	"crocusseam/service/peer/wire"
 )
@@ -455,17 +455,17 @@
 func (r *reader) relay(m *wire.Relay) dispatch.Message {
 	out := &dispatch.Relay{ID: m.GetId()}
 	for _, w := range m.GetWrites() {
-		out.Writes = append(out.Writes, platform.Write{
-			Key: w.GetKey(), Value: w.GetValue(), Expect: platform.Version(w.GetExpect()), Delete: w.GetDelete(),
+		out.Writes = append(out.Writes, storage.Write{
+			Key: w.GetKey(), Value: w.GetValue(), Expect: storage.Version(w.GetExpect()), Delete: w.GetDelete(),
 		})
 	}
 	return out
 }
 
 func (r *reader) relayDone(m *wire.RelayDone) dispatch.Message {
-	out := &dispatch.RelayDone{ID: m.GetId(), Version: platform.Version(m.GetVersion()), Outcome: dispatch.CommitOutcome(m.GetOutcome())}
+	out := &dispatch.RelayDone{ID: m.GetId(), Version: storage.Version(m.GetVersion()), Outcome: dispatch.CommitOutcome(m.GetOutcome())}
 	for _, row := range m.GetRows() {
-		out.Rows = append(out.Rows, platform.Row{Key: row.GetKey(), Value: row.GetValue(), Version: platform.Version(row.GetVersion())})
+		out.Rows = append(out.Rows, storage.Row{Key: row.GetKey(), Value: row.GetValue(), Version: storage.Version(row.GetVersion())})
 	}
 	return out
 }
--- a/service/peer/convert_test.go
+++ b/service/peer/convert_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 
 	"crocusseam/pkg/dispatch"
-	"crocusseam/pkg/platform"
 	"crocusseam/pkg/routing"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 	"crocusseam/service/peer/wire"
 )
@@ -44,8 +44,8 @@
 		&dispatch.AttachReply{Key: key, Reply: submission.Reply{Refusal: &submission.Refusal{Reason: submission.Overloaded, NotRun: true, RetryAfter: time.Second, Detail: "d"}}},
 		&dispatch.AttachReply{Key: key, Absent: true},
 		&dispatch.CancelJob{Key: key},
-		&dispatch.Relay{ID: 5, Writes: []platform.Write{{Key: "k", Value: []byte("v"), Expect: platform.AnyVersion, Delete: true}}},
-		&dispatch.RelayDone{ID: 5, Version: 6, Outcome: dispatch.Conflicted, Rows: []platform.Row{{Key: "k", Value: []byte("v"), Version: 3}}},
+		&dispatch.Relay{ID: 5, Writes: []storage.Write{{Key: "k", Value: []byte("v"), Expect: storage.AnyVersion, Delete: true}}},
+		&dispatch.RelayDone{ID: 5, Version: 6, Outcome: dispatch.Conflicted, Rows: []storage.Row{{Key: "k", Value: []byte("v"), Version: 3}}},
 		&dispatch.Forward{Submission: &submission.Submission{
 			Key: key, Class: "Door", Deadline: time.Unix(5, 6).UTC(), Repeatable: true, HomeDomain: "east", Attempt: 1,
 			Tasks: []submission.Task{{Name: "t", Kind: "k", Payload: []byte("p"), DeclaredRunTime: time.Second, Processors: 1, MemoryBytes: 2, Accelerators: 3}},
