--- a/service/peer/links.go
+++ b/service/peer/links.go
@@ -23,7 +23,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
-	"crocusseam/pkg/dispatch"
+	"crocusseam/pkg/instance"
 	"crocusseam/service/peer/wire"
 )
 
@@ -46,17 +46,26 @@
 	streamWindow     = 4 << 20
 )
 
-// Config constructs Links.
-type Config struct {
-	Self   dispatch.PeerID
+// Codec turns the messages of a control state into those of the wire and back.
+type Codec[M any] struct {
+	Encode func(M) *wire.Message
+	Decode func(*wire.Message) (M, error)
+}
+
+// Config constructs Links for messages of type M.
+type Config[M any] struct {
+	Self   instance.ID
 	Domain string
 	// Listen is the address for peers; port 0 picks one.
 	Listen netip.AddrPort
 	// TLS is nil for plain sessions.
 	TLS *tls.Config
-	// Deliver takes what comes from peers. It must not block.
-	Deliver func(dispatch.Input)
-	Logger  *zap.Logger
+	// Up, Down and Received take what happens. They must not block.
+	Up       func(instance.ID)
+	Down     func(instance.ID)
+	Received func(instance.ID, M)
+	Codec    Codec[M]
+	Logger   *zap.Logger
 }
 
 // Stats counts the traffic with peers, in both directions.
@@ -69,46 +78,46 @@
 }
 
 // Links keeps a session with every peer that it is told of.
-type Links struct {
+type Links[M any] struct {
 	Stats Stats
 
-	config   Config
+	config   Config[M]
 	listener net.Listener
 	mu       sync.Mutex
-	wanted   map[dispatch.PeerID]context.CancelFunc
-	sessions map[dispatch.PeerID]*session
-	dials    chan dispatch.Peer
+	wanted   map[instance.ID]context.CancelFunc
+	sessions map[instance.ID]*session[M]
+	dials    chan instance.Peer
 }
 
 // session is one yamux session with its single stream of frames.
-type session struct {
-	peer   dispatch.PeerID
+type session[M any] struct {
+	peer   instance.ID
 	stream net.Conn
 	closer io.Closer
 	mu     sync.Mutex
-	queue  []dispatch.Message
+	queue  []M
 	signal chan struct{}
 }
 
 // Listen binds the address for peers.
-func Listen(config Config) (*Links, error) {
+func Listen[M any](config Config[M]) (*Links[M], error) {
 	listener, err := net.Listen("tcp", config.Listen.String())
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for peers at %s", config.Listen)
 	}
-	return &Links{
-		config: config, listener: listener, wanted: make(map[dispatch.PeerID]context.CancelFunc),
-		sessions: make(map[dispatch.PeerID]*session), dials: make(chan dispatch.Peer, 1024),
+	return &Links[M]{
+		config: config, listener: listener, wanted: make(map[instance.ID]context.CancelFunc),
+		sessions: make(map[instance.ID]*session[M]), dials: make(chan instance.Peer, 1024),
 	}, nil
 }
 
 // Address returns the address that peers reach.
-func (l *Links) Address() netip.AddrPort {
+func (l *Links[M]) Address() netip.AddrPort {
 	return l.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // Run serves sessions until the context ends.
-func (l *Links) Run(ctx context.Context) error {
+func (l *Links[M]) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.accept(ctx, group) })
 	group.Go(func() error { return l.dialWanted(ctx, group) })
@@ -120,7 +129,7 @@
 	return group.Wait()
 }
 
-func (l *Links) close() {
+func (l *Links[M]) close() {
 	_ = l.listener.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,7 +138,7 @@
 	}
 }
 
-func (l *Links) accept(ctx context.Context, group *errgroup.Group) error {
+func (l *Links[M]) accept(ctx context.Context, group *errgroup.Group) error {
 	for {
 		conn, err := l.listener.Accept()
 		if err != nil {
@@ -147,7 +156,7 @@
 	}
 }
 
-func (l *Links) secure(conn net.Conn, dialed bool) net.Conn {
+func (l *Links[M]) secure(conn net.Conn, dialed bool) net.Conn {
 	switch {
 	case l.config.TLS == nil:
 		return conn
@@ -157,15 +166,15 @@
 	return tls.Server(conn, l.config.TLS)
 }
 
-// SetPeers names the peers to keep sessions with. Of two instances the one with
-// the lower name dials.
-func (l *Links) SetPeers(peers []dispatch.Peer) {
+// SetPeers names the peers to keep sessions with. Of two instances the one that
+// has started later dials: it knows the other's address first.
+func (l *Links[M]) SetPeers(peers []instance.Peer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	named := make(map[dispatch.PeerID]bool, len(peers))
+	named := make(map[instance.ID]bool, len(peers))
 	for _, p := range peers {
 		named[p.ID] = true
-		if _, known := l.wanted[p.ID]; known || l.config.Self.Instance >= p.ID.Instance {
+		if _, known := l.wanted[p.ID]; known || !l.dialsTo(p.ID) {
 			continue
 		}
 		l.wanted[p.ID] = func() {}
@@ -183,7 +192,26 @@
 	}
 }
 
-func (l *Links) dialWanted(ctx context.Context, group *errgroup.Group) error {
+func (l *Links[M]) dialsTo(other instance.ID) bool {
+	self := l.config.Self
+	if self.Incarnation != other.Incarnation {
+		return self.Incarnation > other.Incarnation
+	}
+	return self.Instance < other.Instance
+}
+
+// Drop ends the session with a peer, if there is one, so that it is set up
+// anew.
+func (l *Links[M]) Drop(id instance.ID) {
+	l.mu.Lock()
+	s := l.sessions[id]
+	l.mu.Unlock()
+	if s != nil {
+		_ = s.closer.Close()
+	}
+}
+
+func (l *Links[M]) dialWanted(ctx context.Context, group *errgroup.Group) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -203,7 +231,7 @@
 }
 
 // keep dials a peer again and again, with jittered back-off.
-func (l *Links) keep(ctx context.Context, p dispatch.Peer) {
+func (l *Links[M]) keep(ctx context.Context, p instance.Peer) {
 	backoff := firstRedial
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -220,7 +248,7 @@
 	}
 }
 
-func (l *Links) dial(ctx context.Context, p dispatch.Peer) error {
+func (l *Links[M]) dial(ctx context.Context, p instance.Peer) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", p.Address.String())
 	if err != nil {
@@ -239,7 +267,7 @@
 }
 
 // serve runs one session until it ends.
-func (l *Links) serve(ctx context.Context, conn net.Conn, dialed bool) error {
+func (l *Links[M]) serve(ctx context.Context, conn net.Conn, dialed bool) error {
 	defer func() { _ = conn.Close() }()
 	counted := &countingConn{Conn: conn, stats: &l.Stats}
 	mux, stream, err := openStream(counted, dialed)
@@ -252,8 +280,8 @@
 	if err != nil {
 		return eris.Wrap(err, "greet")
 	}
-	s := &session{
-		peer:   dispatch.PeerID{Instance: hello.GetInstance(), Incarnation: hello.GetIncarnation()},
+	s := &session[M]{
+		peer:   instance.ID{Instance: hello.GetInstance(), Incarnation: hello.GetIncarnation()},
 		stream: stream, closer: mux, signal: make(chan struct{}, 1),
 	}
 	l.register(s)
@@ -286,7 +314,7 @@
 }
 
 // greet exchanges greetings. Both sides must speak the same version.
-func (l *Links) greet(stream net.Conn, reader *bufio.Reader) (*wire.Hello, error) {
+func (l *Links[M]) greet(stream net.Conn, reader *bufio.Reader) (*wire.Hello, error) {
 	_ = stream.SetDeadline(time.Now().Add(helloTimeout))
 	own := &wire.Hello{
 		Version: ProtocolVersion, Instance: l.config.Self.Instance,
@@ -308,20 +336,20 @@
 	return hello, stream.SetDeadline(time.Time{})
 }
 
-func (l *Links) register(s *session) {
+func (l *Links[M]) register(s *session[M]) {
 	l.mu.Lock()
 	old := l.sessions[s.peer]
 	l.sessions[s.peer] = s
 	l.mu.Unlock()
 	if old != nil {
 		_ = old.closer.Close()
-		l.config.Deliver(dispatch.PeerDown{Peer: s.peer})
+		l.config.Down(s.peer)
 	}
 	l.config.Logger.Info("session up", zap.String("Peer", s.peer.String()))
-	l.config.Deliver(dispatch.PeerUp{Peer: s.peer})
+	l.config.Up(s.peer)
 }
 
-func (l *Links) unregister(s *session) {
+func (l *Links[M]) unregister(s *session[M]) {
 	l.mu.Lock()
 	current := l.sessions[s.peer] == s
 	if current {
@@ -330,13 +358,13 @@
 	l.mu.Unlock()
 	if current {
 		l.config.Logger.Info("session down", zap.String("Peer", s.peer.String()))
-		l.config.Deliver(dispatch.PeerDown{Peer: s.peer})
+		l.config.Down(s.peer)
 	}
 }
 
 // Send queues a message for a peer. Without a session it is lost, as the
 // control state expects.
-func (l *Links) Send(to dispatch.PeerID, m dispatch.Message) {
+func (l *Links[M]) Send(to instance.ID, m M) {
 	l.mu.Lock()
 	s := l.sessions[to]
 	l.mu.Unlock()
@@ -357,7 +385,7 @@
 	}
 }
 
-func (s *session) take() []dispatch.Message {
+func (s *session[M]) take() []M {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := min(len(s.queue), maxFrameMessages)
@@ -366,7 +394,7 @@
 	return taken
 }
 
-func (l *Links) writeFrames(ctx context.Context, s *session) error {
+func (l *Links[M]) writeFrames(ctx context.Context, s *session[M]) error {
 	writer := bufio.NewWriterSize(s.stream, 64<<10)
 	for {
 		select {
@@ -387,11 +415,11 @@
 
 // writeFrame writes messages in one frame, or in several if they are long: a
 // frame beyond the bound would end the session at the other side.
-func (l *Links) writeFrame(w io.Writer, messages []dispatch.Message) error {
+func (l *Links[M]) writeFrame(w io.Writer, messages []M) error {
 	frame := &wire.Frame{}
 	size := 0
 	for _, m := range messages {
-		message := ToWire(m)
+		message := l.config.Codec.Encode(m)
 		next := proto.Size(message)
 		if size > 0 && size+next > fullFrameBytes {
 			if err := l.sendFrame(w, frame); err != nil {
@@ -405,14 +433,14 @@
 	return l.sendFrame(w, frame)
 }
 
-func (l *Links) sendFrame(w io.Writer, frame *wire.Frame) error {
+func (l *Links[M]) sendFrame(w io.Writer, frame *wire.Frame) error {
 	l.Stats.SentMessages.Add(int64(len(frame.GetMessages())))
 	l.Stats.SentFrames.Add(1)
 	_, err := protodelim.MarshalTo(w, frame)
 	return err
 }
 
-func (l *Links) readFrames(s *session, reader *bufio.Reader) error {
+func (l *Links[M]) readFrames(s *session[M], reader *bufio.Reader) error {
 	options := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
 	for {
 		frame := &wire.Frame{}
@@ -423,12 +451,12 @@
 			return eris.Wrapf(err, "read from peer %s", s.peer)
 		}
 		for _, m := range frame.GetMessages() {
-			message, err := FromWire(m)
+			message, err := l.config.Codec.Decode(m)
 			if err != nil {
 				l.Stats.BadMessages.Add(1)
 				return eris.Wrapf(err, "read from peer %s", s.peer)
 			}
-			l.config.Deliver(dispatch.Received{From: s.peer, Message: message})
+			l.config.Received(s.peer, message)
 		}
 	}
 }
--- /dev/null
+++ b/service/peer/placement.go
@@ -0,0 +1,157 @@
+package peer
+
+import (
+	"math"
+	"time"
+
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+	"crocusseam/service/peer/wire"
+)
+
+// PlacementCodec returns the codec of the messages of package placement.
+func PlacementCodec() Codec[placement.Message] {
+	return Codec[placement.Message]{Encode: placementToWire, Decode: placementFromWire}
+}
+
+func placementToWire(m placement.Message) *wire.Message {
+	switch m := m.(type) {
+	case *placement.Place:
+		return &wire.Message{Kind: &wire.Message_PlaceTasks{PlaceTasks: placeToWire(m)}}
+	case *placement.Drop:
+		runs := make([]*wire.Run, len(m.Runs))
+		for i, r := range m.Runs {
+			runs[i] = runToWire(r)
+		}
+		return &wire.Message{Kind: &wire.Message_DropRuns{DropRuns: &wire.DropRuns{Runs: runs}}}
+	case *placement.Ended:
+		return &wire.Message{Kind: &wire.Message_RunEnded{RunEnded: &wire.RunEnded{
+			Run: runToWire(m.Run), How: uint32(m.How), Endpoint: m.Endpoint, ElapsedNanos: int64(m.Elapsed), Detail: m.Detail,
+		}}}
+	case *placement.Waiting:
+		return &wire.Message{Kind: &wire.Message_RunWaiting{RunWaiting: &wire.RunWaiting{Run: runToWire(m.Run), ForNanos: int64(m.For)}}}
+	case *placement.Advert:
+		return &wire.Message{Kind: &wire.Message_Advert{Advert: advertToWire(m)}}
+	case *placement.Beat:
+		return &wire.Message{Kind: &wire.Message_SignOfLife{SignOfLife: &wire.SignOfLife{
+			Leaving: m.Leaving, Configuration: m.Configuration, UptimeNanos: int64(m.Uptime),
+		}}}
+	case *placement.Settings:
+		return &wire.Message{Kind: &wire.Message_Settings{Settings: &wire.Settings{Version: m.Version, Raw: m.Raw}}}
+	case *placement.Yield:
+		return &wire.Message{Kind: &wire.Message_YieldRequest{YieldRequest: &wire.YieldRequest{Endpoints: m.Endpoints}}}
+	case *placement.Yielded:
+		return &wire.Message{Kind: &wire.Message_Yielded{Yielded: &wire.Yielded{Endpoint: m.Endpoint, Version: uint64(m.Version)}}}
+	case *placement.CancelJob:
+		return &wire.Message{Kind: &wire.Message_CancelById{CancelById: &wire.CancelByID{Job: string(m.ID)}}}
+	}
+	panic("a message of package placement has no wire form")
+}
+
+func resourcesToWire(r workload.Resources) *wire.Resources {
+	return &wire.Resources{MilliCpu: int64(r.MilliCPU), MemoryMb: int64(r.MemoryMB), Accelerators: int64(r.Accelerators)}
+}
+
+func resourcesFromWire(r *wire.Resources) workload.Resources {
+	return workload.Resources{MilliCPU: int(r.GetMilliCpu()), MemoryMB: int(r.GetMemoryMb()), Accelerators: int(r.GetAccelerators())}
+}
+
+func runToWire(r workload.Run) *wire.Run {
+	return &wire.Run{Job: string(r.Task.Job), Step: uint32(r.Task.Step), Index: uint32(r.Task.Index), Number: uint32(r.Number)}
+}
+
+func runFromWire(r *wire.Run) workload.Run {
+	return workload.Run{
+		Task:   workload.TaskID{Job: workload.JobID(r.GetJob()), Step: int(r.GetStep()), Index: int(r.GetIndex())},
+		Number: int(r.GetNumber()),
+	}
+}
+
+func placeToWire(m *placement.Place) *wire.PlaceTasks {
+	tasks := make([]*wire.PlacedTask, len(m.Tasks))
+	for i, t := range m.Tasks {
+		tasks[i] = &wire.PlacedTask{Index: uint32(t.Index), Number: uint32(t.Number), Avoid: t.Avoid}
+	}
+	return &wire.PlaceTasks{
+		Sequence: m.Sequence, Job: string(m.Job), Spec: []byte(m.Spec), Step: uint32(m.Step), Service: m.Service,
+		Need: resourcesToWire(m.Need), Label: m.Label, Rack: m.Rack, EstimateNanos: int64(m.Estimate),
+		ObjectiveNanos: int64(m.Objective), LeftNanos: int64(m.Left), Priority: int64(m.Priority), Tasks: tasks,
+	}
+}
+
+func placeFromWire(m *wire.PlaceTasks) *placement.Place {
+	tasks := make([]placement.PlacedTask, len(m.GetTasks()))
+	for i, t := range m.GetTasks() {
+		tasks[i] = placement.PlacedTask{Index: int(t.GetIndex()), Number: int(t.GetNumber()), Avoid: t.GetAvoid()}
+	}
+	return &placement.Place{
+		Sequence: m.GetSequence(), Job: workload.JobID(m.GetJob()), Spec: string(m.GetSpec()), Step: int(m.GetStep()), Service: m.GetService(),
+		Need: resourcesFromWire(m.GetNeed()), Label: m.GetLabel(), Rack: m.GetRack(), Estimate: time.Duration(m.GetEstimateNanos()),
+		Objective: time.Duration(m.GetObjectiveNanos()), Left: time.Duration(m.GetLeftNanos()), Priority: int(m.GetPriority()), Tasks: tasks,
+	}
+}
+
+func advertToWire(m *placement.Advert) *wire.Advert {
+	rooms := make([]*wire.Room, len(m.Rooms))
+	for i := range m.Rooms {
+		r := &m.Rooms[i]
+		rooms[i] = &wire.Room{Endpoint: r.Endpoint, Free: resourcesToWire(r.Free), Speed: float32(r.Speed)}
+	}
+	return &wire.Advert{Seen: m.Seen, Rooms: rooms, WaitNanos: int64(m.Wait), Total: resourcesToWire(m.Total)}
+}
+
+func advertFromWire(m *wire.Advert) (*placement.Advert, error) {
+	rooms := make([]placement.Room, len(m.GetRooms()))
+	for i, r := range m.GetRooms() {
+		speed := float64(r.GetSpeed())
+		if math.IsNaN(speed) || math.IsInf(speed, 0) || speed <= 0 {
+			return nil, errSpeed
+		}
+		rooms[i] = placement.Room{Endpoint: r.GetEndpoint(), Free: resourcesFromWire(r.GetFree()), Speed: speed}
+	}
+	return &placement.Advert{Seen: m.GetSeen(), Rooms: rooms, Wait: time.Duration(m.GetWaitNanos()), Total: resourcesFromWire(m.GetTotal())}, nil
+}
+
+func placementFromWire(m *wire.Message) (placement.Message, error) {
+	switch k := m.GetKind().(type) {
+	case *wire.Message_PlaceTasks:
+		return placeFromWire(k.PlaceTasks), nil
+	case *wire.Message_DropRuns:
+		runs := make([]workload.Run, len(k.DropRuns.GetRuns()))
+		for i, r := range k.DropRuns.GetRuns() {
+			runs[i] = runFromWire(r)
+		}
+		return &placement.Drop{Runs: runs}, nil
+	case *wire.Message_RunEnded:
+		how := workload.How(k.RunEnded.GetHow())
+		if how < workload.Done || how > workload.Unknown {
+			return nil, &ErrMessage{Kind: "RunEnded", Cause: errOutcome}
+		}
+		return &placement.Ended{
+			Run: runFromWire(k.RunEnded.GetRun()), How: how, Endpoint: k.RunEnded.GetEndpoint(),
+			Elapsed: time.Duration(k.RunEnded.GetElapsedNanos()), Detail: k.RunEnded.GetDetail(),
+		}, nil
+	case *wire.Message_RunWaiting:
+		return &placement.Waiting{Run: runFromWire(k.RunWaiting.GetRun()), For: time.Duration(k.RunWaiting.GetForNanos())}, nil
+	case *wire.Message_Advert:
+		a, err := advertFromWire(k.Advert)
+		if err != nil {
+			return nil, &ErrMessage{Kind: "Advert", Cause: err}
+		}
+		return a, nil
+	case *wire.Message_SignOfLife:
+		return &placement.Beat{
+			Leaving: k.SignOfLife.GetLeaving(), Configuration: k.SignOfLife.GetConfiguration(), Uptime: time.Duration(k.SignOfLife.GetUptimeNanos()),
+		}, nil
+	case *wire.Message_Settings:
+		return &placement.Settings{Version: k.Settings.GetVersion(), Raw: k.Settings.GetRaw()}, nil
+	case *wire.Message_YieldRequest:
+		return &placement.Yield{Endpoints: k.YieldRequest.GetEndpoints()}, nil
+	case *wire.Message_Yielded:
+		return &placement.Yielded{Endpoint: k.Yielded.GetEndpoint(), Version: storage.Version(k.Yielded.GetVersion())}, nil
+	case *wire.Message_CancelById:
+		return &placement.CancelJob{ID: workload.JobID(k.CancelById.GetJob())}, nil
+	}
+	return nil, &ErrMessage{Kind: "unknown", Cause: errKind}
+}
--- a/service/store/store.go
+++ b/service/store/store.go
@@ -18,7 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 )
 
 // Paths of the platform's interface.
@@ -40,16 +40,16 @@
 }
 
 // RowsReply carries rows.
-type RowsReply struct{ Rows []platform.Row }
+type RowsReply struct{ Rows []storage.Row }
 
 // CommitRequest asks for a commit.
-type CommitRequest struct{ Writes []platform.Write }
+type CommitRequest struct{ Writes []storage.Write }
 
 // CommitReply answers a commit that took effect (status 200) or one that did
 // not because expectations did not hold (status 409).
 type CommitReply struct {
-	Version platform.Version
-	Rows    []platform.Row `json:",omitempty"`
+	Version storage.Version
+	Rows    []storage.Row `json:",omitempty"`
 }
 
 // Config constructs a Client.
@@ -103,7 +103,7 @@
 func (c *Client) peer() string { return c.config.Address.String() }
 
 func (c *Client) unavailable(step string, err error) error {
-	return &platform.ErrUnavailable{Step: step, Peer: c.peer(), Cause: err}
+	return &storage.ErrUnavailable{Step: step, Peer: c.peer(), Cause: err}
 }
 
 func statusError(k call) error { return fmt.Errorf("status %d: %.200s", k.status, k.body) }
@@ -129,27 +129,27 @@
 	return nil
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (c *Client) Get(ctx context.Context, key string) (storage.Row, error) {
 	var reply RowsReply
 	if err := c.read(ctx, "get", PathGet, GetRequest{key}, &reply); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	if len(reply.Rows) != 1 || reply.Rows[0].Key != key {
-		return platform.Row{}, c.unavailable("get", errors.New("the answer is not the row asked for"))
+		return storage.Row{}, c.unavailable("get", errors.New("the answer is not the row asked for"))
 	}
 	return reply.Rows[0], nil
 }
 
-// Scan implements platform.Table.
-func (c *Client) Scan(ctx context.Context, prefix string, limit int) ([]platform.Row, error) {
+// Scan implements storage.Table.
+func (c *Client) Scan(ctx context.Context, prefix string, limit int) ([]storage.Row, error) {
 	var reply RowsReply
 	err := c.read(ctx, "scan", PathScan, ScanRequest{prefix, limit}, &reply)
 	return reply.Rows, err
 }
 
-// Commit implements platform.Table.
-func (c *Client) Commit(ctx context.Context, writes []platform.Write) (platform.Version, error) {
+// Commit implements storage.Table.
+func (c *Client) Commit(ctx context.Context, writes []storage.Write) (storage.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.config.WriteTimeout)
 	defer cancel()
 	body, err := json.Marshal(CommitRequest{writes})
@@ -165,14 +165,14 @@
 
 func (c *Client) commitError(written bool, err error) error {
 	if written {
-		return &platform.ErrUncertain{Step: "commit", Peer: c.peer(), Cause: err}
+		return &storage.ErrUncertain{Step: "commit", Peer: c.peer(), Cause: err}
 	}
 	return c.unavailable("commit", err)
 }
 
 // commitReply reads the answer to a commit. Only a refusal with 503 or 429 is
 // known to have had no effect; any answer that cannot be understood is uncertain.
-func (c *Client) commitReply(k call) (platform.Version, error) {
+func (c *Client) commitReply(k call) (storage.Version, error) {
 	if k.status == http.StatusServiceUnavailable || k.status == http.StatusTooManyRequests {
 		return 0, c.unavailable("commit", statusError(k))
 	}
@@ -182,12 +182,12 @@
 	case err == nil && k.status == http.StatusOK && reply.Version > 0:
 		return reply.Version, nil
 	case err == nil && k.status == http.StatusConflict && len(reply.Rows) > 0:
-		return 0, &platform.ErrConflict{Rows: reply.Rows}
+		return 0, &storage.ErrConflict{Rows: reply.Rows}
 	}
-	return 0, &platform.ErrUncertain{Step: "commit", Peer: c.peer(), Cause: statusError(k)}
+	return 0, &storage.ErrUncertain{Step: "commit", Peer: c.peer(), Cause: statusError(k)}
 }
 
-// Put implements platform.Objects.
+// Put implements storage.Objects.
 func (c *Client) Put(ctx context.Context, name string, content []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, c.config.WriteTimeout)
 	defer cancel()
@@ -201,7 +201,7 @@
 	return nil
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements storage.Objects.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.config.ReadTimeout)
 	defer cancel()
@@ -210,16 +210,16 @@
 	case err != nil:
 		return nil, c.unavailable("get object", err)
 	case k.status == http.StatusNotFound:
-		return nil, &platform.ErrAbsent{Name: name}
+		return nil, &storage.ErrAbsent{Name: name}
 	case k.status != http.StatusOK:
 		return nil, c.unavailable("get object", statusError(k))
 	}
 	return k.body, nil
 }
 
-// Instances implements platform.Listing.
-func (c *Client) Instances(ctx context.Context) ([]platform.ListedInstance, error) {
-	var list []platform.ListedInstance
+// Instances implements storage.Listing.
+func (c *Client) Instances(ctx context.Context) ([]storage.ListedInstance, error) {
+	var list []storage.ListedInstance
 	err := c.read(ctx, "list", PathInstances, struct{}{}, &list)
 	return list, err
 }
--- a/service/store/store_test.go
+++ b/service/store/store_test.go
@@ -11,7 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"crocusseam/pkg/platform"
+	"crocusseam/pkg/storage"
 )
 
 func withReply(tb testing.TB, status int, body []byte) *Client {
@@ -29,12 +29,12 @@
 
 func TestAnswersToACommitAreToldApart(t *testing.T) {
 	commit := func(status int, body string) error {
-		_, err := withReply(t, status, []byte(body)).Commit(context.Background(), []platform.Write{{Key: "k"}})
+		_, err := withReply(t, status, []byte(body)).Commit(context.Background(), []storage.Write{{Key: "k"}})
 		return err
 	}
-	var conflict *platform.ErrConflict
-	var unavailable *platform.ErrUnavailable
-	var uncertain *platform.ErrUncertain
+	var conflict *storage.ErrConflict
+	var unavailable *storage.ErrUnavailable
+	var uncertain *storage.ErrUncertain
 	assert.NilError(t, commit(200, `{"Version":7}`))
 	assert.Assert(t, errors.As(commit(409, `{"Rows":[{"Key":"k","Version":3}]}`), &conflict))
 	assert.Assert(t, errors.As(commit(503, "busy"), &unavailable))
@@ -53,8 +53,8 @@
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
 	server.Close()
 	c := New(Config{Address: address, ReadTimeout: time.Second, WriteTimeout: time.Second})
-	_, err := c.Commit(context.Background(), []platform.Write{{Key: "k"}})
-	var unavailable *platform.ErrUnavailable
+	_, err := c.Commit(context.Background(), []storage.Write{{Key: "k"}})
+	var unavailable *storage.ErrUnavailable
 	assert.Assert(t, errors.As(err, &unavailable))
 	assert.Equal(t, unavailable.Step, "commit")
 	assert.Equal(t, unavailable.Peer, address.String())
@@ -72,7 +72,7 @@
 			assert.Assert(t, version > 0 && status == 200)
 			return
 		}
-		var conflict *platform.ErrConflict
+		var conflict *storage.ErrConflict
 		if errors.As(err, &conflict) {
 			assert.Assert(t, status == 409 && len(conflict.Rows) > 0)
 		}
