Bound a job by its caller's own deadline, not by the route's timeout

Cause: every job was cut at the route's 1.5 s; the callers say in their header that they wait 4 to 8 s, and payment tasks of 1 to 3 s cannot end earlier. 20 of 113 payment confirmations failed.

--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -96,7 +96,7 @@
 
 func (c *Control) newJob(m Submit) *job {
 	left := m.Left
-	if m.Route.Timeout > 0 && (left == 0 || m.Route.Timeout < left) {
+	if left == 0 {
 		left = m.Route.Timeout
 	}
 	j := &job{
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -226,7 +226,7 @@
 	Host        string
 	Prefix      string
 	Service     string
-	Timeout     time.Duration // longest time for an answer; 0 is none
+	Timeout     time.Duration // for callers that do not say how long they wait
 	Slack       time.Duration // added to the stretched run time in the objective
 	Stretch     float64       // objective as a multiple of the longest chain
 	Priority    int           // 0 goes first
