--- a/pkg/hold/plan.go
+++ b/pkg/hold/plan.go
@@ -6,6 +6,7 @@
 
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/storage"
+	"crocusseam/pkg/table"
 	"crocusseam/pkg/workload"
 )
 
@@ -17,7 +18,7 @@
 	// Take holds the commits to make, one for a domain.
 	Take []Take
 	// Ask holds the endpoints to ask other holders for.
-	Ask map[instance.ID][]string
+	Ask *table.Table[instance.ID, []string]
 	// Probe holds endpoints of other failure domains: they are taken only once
 	// they were reached, so that an instance that is cut off from them does not
 	// fence a holder that is not.
@@ -35,7 +36,7 @@
 	if b.stale {
 		b.divide()
 	}
-	plan := Plan{Ask: make(map[instance.ID][]string)}
+	plan := Plan{Ask: table.New[instance.ID, []string]()}
 	if b.leaving {
 		return plan
 	}
@@ -52,7 +53,8 @@
 		if holder, alive := b.liveHolder(e); alive {
 			if now.Sub(e.asked) >= b.config.AskPeriod {
 				e.asked = now
-				plan.Ask[holder] = append(plan.Ask[holder], name)
+				names, _ := plan.Ask.Get(holder)
+				plan.Ask.Put(holder, append(names, name))
 			}
 			continue
 		}
--- /dev/null
+++ b/pkg/model/load.go
@@ -0,0 +1,132 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"crocusseam/pkg/workload"
+)
+
+// Kind is a kind of job in a load.
+type Kind struct {
+	Name     string
+	PerSec   float64
+	Tasks    float64 // mean number, spread as a Poisson number, at least 1
+	Work     time.Duration
+	Spread   float64 // of the work, as the deviation of its logarithm
+	MilliCPU int
+	Priority int
+	Worth    float64 // of a job
+}
+
+// Load hands in jobs of several kinds at random moments.
+type Load struct {
+	Kinds    []Kind
+	Stretch  float64
+	Slack    time.Duration
+	Patience float64 // multiple of the objective that callers wait
+	// Tries is how often a caller hands its job in again after a refusal.
+	For time.Duration
+}
+
+// Mix is a load in the proportions of a seat booking service: many short jobs of
+// several tasks, few long ones. Rate 1 keeps 79 tasks of 27 processors at work.
+func Mix(rate float64) []Kind {
+	return []Kind{
+		{Name: "hold", PerSec: 34.4 * rate, Tasks: 8, Work: 60 * time.Millisecond, Spread: 0.4, MilliCPU: 27000, Priority: 0, Worth: 0.0291},
+		{Name: "pay", PerSec: 6.25 * rate, Tasks: 4, Work: 900 * time.Millisecond, Spread: 0.4, MilliCPU: 27000, Priority: 2, Worth: 0.16},
+		{Name: "check", PerSec: 100 * rate, Tasks: 2, Work: 200 * time.Millisecond, Spread: 0.4, MilliCPU: 27000, Priority: 1, Worth: 0.01},
+	}
+}
+
+// Offer lets the load arrive at the instances that are up, each job at a random
+// one.
+func (w *World) Offer(l Load) {
+	end := w.Now.Add(l.For)
+	for i := range l.Kinds {
+		w.arrive(&l, &l.Kinds[i], end)
+	}
+}
+
+func (w *World) arrive(l *Load, k *Kind, end time.Time) {
+	gap := time.Duration(w.random.ExpFloat64() / k.PerSec * float64(time.Second))
+	if w.Now.Add(gap).After(end) {
+		return
+	}
+	w.After(gap, func() {
+		w.submitOne(l, k)
+		w.arrive(l, k, end)
+	})
+}
+
+func (w *World) submitOne(l *Load, k *Kind) {
+	var up []*Node
+	for _, n := range w.Nodes {
+		if n.Up {
+			up = append(up, n)
+		}
+	}
+	j := w.NewJob(k)
+	route := w.Route(l, k)
+	if len(up) == 0 {
+		w.Jobs[j.ID] = &Outcome{Job: j, Kind: k.Name, Submitted: w.Now, Answered: w.Now, Objective: route.Objective(j), Worth: k.Worth}
+		return
+	}
+	n := up[w.random.IntN(len(up))]
+	o := w.Submit(n, j, route, time.Duration(float64(route.Objective(j))*l.Patience))
+	o.Kind, o.Worth = k.Name, k.Worth
+}
+
+// Route is the route of a kind of job.
+func (w *World) Route(l *Load, k *Kind) workload.Route {
+	return workload.Route{
+		Name: k.Name, Service: w.Config.Service, Stretch: l.Stretch, Slack: l.Slack,
+		Priority: k.Priority, MaxAttempts: w.Config.MaxAttempts,
+	}
+}
+
+// NewJob draws a job of a kind.
+func (w *World) NewJob(k *Kind) *workload.Job {
+	w.jobs++
+	work := time.Duration(float64(k.Work) * math.Exp(w.random.NormFloat64()*k.Spread))
+	cpu := int(float64(k.MilliCPU) * (0.8 + 0.4*w.random.Float64()))
+	return &workload.Job{
+		ID: workload.JobID(fmt.Sprintf("%016x", w.jobs)), Ephemeral: true,
+		Steps: []workload.Step{{
+			Count: max(1, w.poisson(k.Tasks)), Estimate: work,
+			Need: workload.Resources{MilliCPU: cpu, MemoryMB: 64},
+		}},
+	}
+}
+
+func (w *World) poisson(mean float64) int {
+	limit, product, n := math.Exp(-mean), w.random.Float64(), 0
+	for product > limit {
+		product *= w.random.Float64()
+		n++
+	}
+	return n
+}
+
+// Credit is the share of the worth of all jobs that was earned: all of it in
+// time, a fifth up to three times the objective.
+func (w *World) Credit() float64 {
+	earned, owed := 0.0, 0.0
+	for _, o := range w.Jobs {
+		owed += o.Worth
+		switch {
+		case o.InTime():
+			earned += o.Worth
+		case o.Late():
+			earned += o.Worth * lateShare
+		}
+	}
+	return earned / max(owed, 1e-9)
+}
+
+// Lateness that is still worth something, and how much.
+const (
+	lateFactor = 3
+	lateShare  = 0.2
+)
--- /dev/null
+++ b/pkg/model/store.go
@@ -0,0 +1,94 @@
+package model
+
+import (
+	"errors"
+	"sort"
+	"strings"
+	"time"
+
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/storage"
+)
+
+// Store is the platform's store.
+type Store struct {
+	// Away makes every call fail, Refuses those of the instances named.
+	Away    bool
+	Refuses map[string]bool
+	// LoseAnswers is the share of commits that take effect and are not answered.
+	LoseAnswers float64
+	// Slow delays every answer.
+	Slow time.Duration
+
+	world   *World
+	version storage.Version
+	rows    map[string]storage.Row
+}
+
+var errAway = errors.New("the store is away")
+
+func (s *Store) serves(n *Node) bool {
+	return !s.Away && !s.Refuses[n.ID.Instance] && s.world.reaches(n.place(), place{"store", "store"})
+}
+
+func (s *Store) commit(n *Node, m placement.Commit) {
+	way := s.world.Config.ToStore
+	if !s.serves(n) {
+		n.later(storeTimeout, func() {
+			n.deliver(placement.CommitDone{ID: m.ID, Err: &storage.ErrUncertain{Step: "commit", Peer: "store", Cause: errAway}})
+		})
+		return
+	}
+	s.world.After(way, func() {
+		version, err := s.apply(m.Writes)
+		if s.LoseAnswers > 0 && s.world.random.Float64() < s.LoseAnswers {
+			n.later(storeTimeout, func() {
+				n.deliver(placement.CommitDone{ID: m.ID, Err: &storage.ErrUncertain{Step: "commit", Peer: "store", Cause: errAway}})
+			})
+			return
+		}
+		n.later(way+s.Slow, func() { n.deliver(placement.CommitDone{ID: m.ID, Version: version, Err: err}) })
+	})
+}
+
+func (s *Store) apply(writes []storage.Write) (storage.Version, error) {
+	conflict := &storage.ErrConflict{}
+	for _, w := range writes {
+		if w.Expect != storage.AnyVersion && s.rows[w.Key].Version != w.Expect {
+			if row, ok := s.rows[w.Key]; ok {
+				conflict.Rows = append(conflict.Rows, row)
+			}
+		}
+	}
+	for _, w := range writes {
+		if w.Expect != storage.AnyVersion && s.rows[w.Key].Version != w.Expect {
+			return 0, conflict
+		}
+	}
+	s.version++
+	for _, w := range writes {
+		if w.Delete {
+			delete(s.rows, w.Key)
+			continue
+		}
+		s.rows[w.Key] = storage.Row{Key: w.Key, Value: w.Value, Version: s.version}
+	}
+	return s.version, nil
+}
+
+func (s *Store) scan(n *Node, m placement.Scan) {
+	if !s.serves(n) {
+		n.later(storeTimeout, func() {
+			n.deliver(placement.ScanDone{ID: m.ID, Err: &storage.ErrUnavailable{Step: "scan", Peer: "store", Cause: errAway}})
+		})
+		return
+	}
+	var rows []storage.Row
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, m.Prefix) {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	n.later(2*s.world.Config.ToStore+s.Slow, func() { n.deliver(placement.ScanDone{ID: m.ID, Rows: rows}) })
+}
--- /dev/null
+++ b/pkg/model/world.go
@@ -0,0 +1,239 @@
+// Package model runs the control states of package placement in virtual time
+// with endpoints, a store and a network of its own, for tests and experiments.
+// The same seed always leads to the same run.
+package model
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+)
+
+// Config constructs a World.
+type Config struct {
+	Seed    uint64
+	Domains []Domain
+	Service string
+	Timing  placement.Timing
+	// InDomain, BetweenDomains and ToStore are one-way times of the network.
+	InDomain       time.Duration
+	BetweenDomains time.Duration
+	ToStore        time.Duration
+	// MaxAttempts is how often a task may fail.
+	MaxAttempts int
+}
+
+// Domain is a failure domain with its instances and endpoints.
+type Domain struct {
+	Name      string
+	Instances int
+	Endpoints []EndpointConfig
+}
+
+// EndpointConfig describes an endpoint.
+type EndpointConfig struct {
+	Capacity workload.Resources
+	Speed    float64
+}
+
+// Periods of what surrounds the control states.
+const (
+	reportWait      = 400 * time.Millisecond
+	reportRetry     = 50 * time.Millisecond
+	orderTimeout    = 150 * time.Millisecond
+	storeTimeout    = time.Second
+	discoveryPeriod = 700 * time.Millisecond
+	stopTime        = 30 * time.Millisecond
+	redial          = 50 * time.Millisecond
+)
+
+// World is everything in virtual time.
+type World struct {
+	Config    Config
+	Now       time.Time
+	Nodes     []*Node
+	Endpoints []*Endpoint
+	Store     *Store
+	// Breaches lists what must never happen and did.
+	Breaches []string
+	// Jobs holds what became of every job.
+	Jobs map[workload.JobID]*Outcome
+
+	random   *rand.Rand
+	events   events
+	sequence uint64
+	cuts     map[[2]string]bool
+	jobs     int
+}
+
+// Outcome is what became of a job.
+type Outcome struct {
+	Job       *workload.Job
+	Kind      string
+	Worth     float64
+	Submitted time.Time
+	Objective time.Duration
+	Answered  time.Time
+	Answer    placement.Answer
+	Started   bool // an endpoint has started a task of it
+}
+
+// InTime reports whether the job was completed within its objective.
+func (o *Outcome) InTime() bool {
+	return o.Answer.Status == placement.Completed && o.Answered.Sub(o.Submitted) <= o.Objective
+}
+
+// Late reports whether the job was completed after its objective, but while it
+// was still worth something.
+func (o *Outcome) Late() bool {
+	elapsed := o.Answered.Sub(o.Submitted)
+	return o.Answer.Status == placement.Completed && elapsed > o.Objective && elapsed <= lateFactor*o.Objective
+}
+
+type event struct {
+	at       time.Time
+	sequence uint64
+	do       func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].sequence < e[j].sequence
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// New returns a world whose instances start at its first moment.
+func New(config Config) *World {
+	w := &World{
+		Config: config, Now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(config.Seed, 1)),
+		Jobs: make(map[workload.JobID]*Outcome), cuts: make(map[[2]string]bool),
+	}
+	w.Store = &Store{world: w, rows: make(map[string]storage.Row)}
+	for _, d := range config.Domains {
+		for _, e := range d.Endpoints {
+			w.AddEndpoint(d.Name, e)
+		}
+	}
+	for _, d := range config.Domains {
+		for range d.Instances {
+			w.AddNode(d.Name)
+		}
+	}
+	return w
+}
+
+// After does something after a while.
+func (w *World) After(wait time.Duration, do func()) {
+	w.sequence++
+	heap.Push(&w.events, event{w.Now.Add(max(wait, 0)), w.sequence, do})
+}
+
+// Run lets time pass.
+func (w *World) Run(span time.Duration) {
+	end := w.Now.Add(span)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.Now = e.at
+		e.do()
+	}
+	w.Now = end
+}
+
+func (w *World) breach(text string) { w.Breaches = append(w.Breaches, text) }
+
+// Cut parts two places from each other, or heals the cut. A place is an
+// instance, an endpoint, a failure domain or "store".
+func (w *World) Cut(a, b string, cut bool) {
+	w.cuts[[2]string{a, b}] = cut
+	w.cuts[[2]string{b, a}] = cut
+	if !cut {
+		return
+	}
+	for _, n := range w.Nodes {
+		for _, o := range w.Nodes {
+			if n != o && !w.reaches(n.place(), o.place()) {
+				n.loseSession(o)
+			}
+		}
+	}
+}
+
+// place names where something stands: itself and its failure domain.
+type place struct {
+	name   string
+	domain string
+}
+
+func (w *World) reaches(a, b place) bool {
+	for _, x := range []string{a.name, a.domain} {
+		for _, y := range []string{b.name, b.domain} {
+			if w.cuts[[2]string{x, y}] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (w *World) oneWay(a, b place) time.Duration {
+	if a.domain == b.domain {
+		return w.Config.InDomain
+	}
+	return w.Config.BetweenDomains
+}
+
+// Submit hands a job to an instance on a route.
+func (w *World) Submit(n *Node, j *workload.Job, route workload.Route, patience time.Duration) *Outcome {
+	o := &Outcome{Job: j, Submitted: w.Now, Objective: route.Objective(j)}
+	w.Jobs[j.ID] = o
+	if !n.Up {
+		o.Answered = w.Now
+		return o
+	}
+	n.handles++
+	h := placement.Handle(n.handles)
+	n.callers[h] = o
+	n.deliver(placement.Submit{Handle: h, Job: j, Route: route, Left: patience})
+	return o
+}
+
+// Settled checks what must hold at the end: a refused job has not started, and
+// every job handed to an instance that lives has its answer.
+func (w *World) Settled() []string {
+	for id, o := range w.Jobs {
+		if o.Answered.IsZero() {
+			w.breach("job " + string(id) + " has no answer")
+		}
+		if o.Answer.Status == placement.Refused && o.Started {
+			w.breach("job " + string(id) + " was refused, and a task of it started")
+		}
+	}
+	return w.Breaches
+}
+
+// Peer returns the instance with this identity if it is up.
+func (w *World) peer(id instance.ID) *Node {
+	for _, n := range w.Nodes {
+		if n.ID == id {
+			return n
+		}
+	}
+	return nil
+}
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -182,7 +182,7 @@
 	}
 	c.yieldIdle()
 	plan := h.book.Plan(c.now)
-	for holder, names := range plan.Ask {
+	for holder, names := range plan.Ask.All() {
 		c.decide("hold asked for", zap.Stringer("Holder", holder), zap.Strings("Endpoints", names))
 		c.send(holder, &Yield{Endpoints: names})
 	}
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -330,7 +330,7 @@
 			t.retryAt = c.now
 		}
 	case workload.Unknown:
-		t.phase, t.lostAt = lost, c.now.Add(c.config.Timing.leaseEnd())
+		j.lose(t, c.now.Add(c.config.Timing.leaseEnd()))
 		return
 	default:
 		c.counted.Retries++
@@ -360,6 +360,13 @@
 	}
 }
 
+// lose marks a task whose run cannot be asked for any more: it may have run, and
+// has certainly ended at that time.
+func (j *job) lose(t *task, endedAt time.Time) {
+	j.ran = true
+	t.phase, t.lostAt = lost, endedAt
+}
+
 // loseRuns marks the runs at a holder that is gone: each has certainly ended
 // some time after the holder was last heard.
 func (c *Control) loseRuns(holder instance.ID, heardAt time.Time) {
@@ -367,7 +374,7 @@
 		for s := range j.steps {
 			for i := range j.steps[s] {
 				if t := &j.steps[s][i]; t.phase == placed && t.holder == holder {
-					t.phase, t.lostAt = lost, heardAt.Add(c.config.Timing.lossTerm())
+					j.lose(t, heardAt.Add(c.config.Timing.lossTerm()))
 				}
 			}
 		}
@@ -427,7 +434,7 @@
 			t := &j.steps[s][i]
 			if t.phase == placed && !c.reachable(t.holder) {
 				if m, ok := c.roster.members.Get(t.holder.Instance); ok && m.id == t.holder && c.now.Sub(m.heardAt) > c.config.Timing.lossTerm() {
-					t.phase, t.lostAt = lost, c.now
+					j.lose(t, c.now)
 				}
 			}
 			if t.phase == lost && !c.now.Before(t.lostAt) {
--- /dev/null
+++ b/pkg/placement/patterns_test.go
@@ -0,0 +1,272 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"crocusseam/pkg/model"
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/workload"
+)
+
+// deployment is a service of 48 endpoints in four failure domains.
+func deployment(seed uint64) model.Config {
+	config := model.Config{
+		Seed: seed, Service: "booking", Timing: placement.DefaultTiming(), MaxAttempts: 3,
+		InDomain: 200 * time.Microsecond, BetweenDomains: 500 * time.Microsecond, ToStore: 4 * time.Millisecond,
+	}
+	speeds := []float64{0.6, 1, 1.6}
+	for i, instances := range []int{2, 2, 1, 1} {
+		d := model.Domain{Name: fmt.Sprintf("domain-%c", 'a'+i), Instances: instances}
+		for j := range 12 {
+			capacity := workload.Resources{MilliCPU: 64000, MemoryMB: 262144}
+			if j%3 == 2 {
+				capacity.MilliCPU = 96000
+			}
+			d.Endpoints = append(d.Endpoints, model.EndpointConfig{Capacity: capacity, Speed: speeds[(i+j)%3]})
+		}
+		config.Domains = append(config.Domains, d)
+	}
+	return config
+}
+
+// day is a load on a deployment that has settled.
+func day(w *model.World, rate float64, span time.Duration) {
+	w.Run(4 * time.Second)
+	w.Offer(model.Load{Kinds: model.Mix(rate), Stretch: 1.6, Slack: 60 * time.Millisecond, Patience: 4, For: span})
+}
+
+// settle lets everything end and checks what must always hold.
+func settle(t *testing.T, w *model.World) {
+	t.Helper()
+	w.Run(15 * time.Second)
+	breaches := w.Settled()
+	if len(breaches) > 5 {
+		breaches = breaches[:5]
+	}
+	assert.Check(t, cmp.Len(breaches, 0))
+}
+
+const seeds = 4
+
+func eachSeed(t *testing.T, do func(t *testing.T, seed uint64)) {
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { do(t, seed) })
+	}
+}
+
+func TestCalmDay(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.6, 10*time.Second)
+		w.Run(10 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+		assert.Check(t, w.Credit() > 0.99)
+	})
+}
+
+func TestHoldersKilled(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.8, 10*time.Second)
+		w.Run(2 * time.Second)
+		w.Nodes[0].Kill()
+		w.Run(2 * time.Second)
+		w.Nodes[5].Kill()
+		w.Run(2 * time.Second)
+		w.Nodes[0].Start()
+		w.Run(5 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+func TestEverythingKilledAtOnce(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.8, 12*time.Second)
+		w.Run(3 * time.Second)
+		for _, n := range w.Nodes {
+			n.Kill()
+		}
+		w.Run(time.Second)
+		for _, n := range w.Nodes {
+			n.Start()
+		}
+		w.Run(8 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+func TestHolderFrozen(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.8, 10*time.Second)
+		w.Run(2 * time.Second)
+		w.Nodes[1].Freeze(4 * time.Second)
+		w.Run(8 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+func TestDomainCutOff(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.8, 12*time.Second)
+		w.Run(2 * time.Second)
+		others := []string{"domain-b", "domain-c", "domain-d", "store"}
+		for _, o := range others {
+			w.Cut("domain-a", o, true)
+		}
+		w.Run(5 * time.Second)
+		for _, o := range others {
+			w.Cut("domain-a", o, false)
+		}
+		w.Run(5 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+func TestOrdersCarriedOutLate(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		for _, e := range w.Endpoints {
+			e.LateOrders, e.LateBy, e.LoseAnswers = 0.05, 3*time.Second, 0.03
+		}
+		day(w, 0.8, 8*time.Second)
+		w.Run(8 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+func TestEndpointsHang(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.8, 10*time.Second)
+		w.Run(2 * time.Second)
+		for i := range 5 {
+			w.Endpoints[i*9].Hangs = true
+		}
+		w.Run(8 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+func TestEndpointsFailEverything(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.8, 10*time.Second)
+		w.Run(2 * time.Second)
+		for i := range 5 {
+			w.Endpoints[i*9].FailsAll = true
+		}
+		w.Run(8 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+func TestEndpointsCrashAndReturnUnderTheirNames(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.8, 10*time.Second)
+		w.Run(2 * time.Second)
+		for i := range 6 {
+			e := w.Endpoints[i*7]
+			e.Crash()
+			w.After(time.Duration(i)*300*time.Millisecond, e.Restart)
+		}
+		w.Run(8 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+func TestStoreAway(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.8, 10*time.Second)
+		w.Run(2 * time.Second)
+		w.Store.Away = true
+		w.Run(5 * time.Second)
+		w.Store.Away = false
+		w.Run(4 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+		assert.Check(t, w.Credit() > 0.95)
+	})
+}
+
+func TestStoreLosesAnswers(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Store.LoseAnswers = 0.35
+		day(w, 0.8, 10*time.Second)
+		w.Run(3 * time.Second)
+		w.Nodes[2].Kill()
+		w.Run(8 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+func TestBurstOfLongJobs(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.9, 10*time.Second)
+		w.Run(3 * time.Second)
+		long := model.Mix(0.9)[1:2]
+		w.Offer(model.Load{Kinds: long, Stretch: 1.6, Slack: 60 * time.Millisecond, Patience: 4, For: 4 * time.Second})
+		w.Run(8 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+func TestInstancesStoppedInTurn(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		day(w, 0.8, 16*time.Second)
+		for _, n := range w.Nodes {
+			w.Run(2 * time.Second)
+			n.Leave()
+			w.After(5500*time.Millisecond, func() {
+				n.Kill()
+				n.Start()
+			})
+		}
+		w.Run(8 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+	})
+}
+
+// A job whose only run was lost with its holder may have run: to its caller it
+// is not refused as not run.
+func TestJobLostWithItsHolderIsNotRefused(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		config := deployment(seed)
+		config.Domains[0].Instances, config.Domains[1].Instances = 1, 1
+		w := model.New(config)
+		day(w, 0.8, 8*time.Second)
+		w.Run(2 * time.Second)
+		for _, o := range []string{"domain-b", "domain-c", "domain-d"} {
+			w.Cut("domain-a", o, true)
+		}
+		w.Run(time.Second)
+		w.Nodes[1].Kill()
+		w.Nodes[2].Kill()
+		w.Run(6 * time.Second)
+		settle(t, w)
+	})
+}
