One client for the platform: the project's own interface runs on it too

service/store and its made-up calls go. platform.Store is the client of both programs, the stand-in of the store speaks the platform's calls, with feeds and a history that can be forgotten.

--- a/pkg/cmds/crocus.go
+++ b/pkg/cmds/crocus.go
@@ -21,7 +21,7 @@
 	"crocusseam/pkg/rollout"
 	"crocusseam/pkg/settings"
 	"crocusseam/pkg/submission"
-	"crocusseam/service/store"
+	"crocusseam/platform"
 )
 
 // command is one command of crocus. The table of commands is the one source of
@@ -202,7 +202,7 @@
 
 // environment returns the environment of that name. With --platform it is the
 // one at that address.
-func (s *session) environment(name string) (*rollout.Environment, *store.Client, error) {
+func (s *session) environment(name string) (*rollout.Environment, *platform.Store, error) {
 	address := s.options.Platform.AddrPort
 	if !address.IsValid() {
 		text, err := os.ReadFile(s.options.Environments)
@@ -219,7 +219,7 @@
 		}
 		address = e.Platform
 	}
-	client := store.New(store.Config{Address: address, ReadTimeout: platformReadTimeout, WriteTimeout: platformWriteTimeout})
+	client := platform.NewStore(platform.StoreConfig{Address: address, ReadTimeout: platformReadTimeout, WriteTimeout: platformWriteTimeout, Connections: platformConnections})
 	return &rollout.Environment{Name: name, Table: client}, client, nil
 }
 
--- a/pkg/cmds/entry.go
+++ b/pkg/cmds/entry.go
@@ -19,8 +19,8 @@
 	"crocusseam/pkg/settings"
 	"crocusseam/pkg/standin"
 	"crocusseam/pkg/submission"
+	"crocusseam/platform"
 	"crocusseam/service/entry"
-	"crocusseam/service/store"
 )
 
 // Bounds of a planned stop and of calls to the platform.
@@ -28,6 +28,7 @@
 	plannedStopTimeout   = 2 * time.Minute
 	platformReadTimeout  = time.Second
 	platformWriteTimeout = 2 * time.Second
+	platformConnections  = 64
 )
 
 type entryOptions struct {
@@ -116,8 +117,8 @@
 		Callers: o.Callers.AddrPort, Peers: o.Peers.AddrPort, Limits: limits, Timing: timing, MaxBodyBytes: o.MaxBodyBytes,
 		CallersTLS: callersTLS, PeersTLS: peersTLS, Seed: uint64(now.UnixNano()),
 		Logger: layered(logger, o.LogLayers).Named(o.Instance),
-		Platform: store.New(store.Config{
-			Address: o.Platform.AddrPort, ReadTimeout: platformReadTimeout, WriteTimeout: platformWriteTimeout,
+		Platform: platform.NewStore(platform.StoreConfig{
+			Address: o.Platform.AddrPort, ReadTimeout: platformReadTimeout, WriteTimeout: platformWriteTimeout, Connections: platformConnections,
 		}),
 	})
 }
--- a/pkg/hold/row.go
+++ b/pkg/hold/row.go
@@ -9,9 +9,9 @@
 	"crocusseam/pkg/storage"
 )
 
-// Prefix is where the rows of holds stand: one for each endpoint, under its
-// failure domain, so that one commit covers a domain.
-const Prefix = "holds/"
+// DomainPrefix is the prefix of the rows of the holds of a failure domain, which
+// are one part of a table, so that one commit covers a domain.
+func DomainPrefix(domain string) string { return "holds:" + domain + "/" }
 
 // Row is the row of one hold. Its version is the fencing token.
 type Row struct {
@@ -20,7 +20,7 @@
 }
 
 // Key returns the key of an endpoint's row.
-func Key(domain, endpoint string) string { return Prefix + domain + "/" + endpoint }
+func Key(domain, endpoint string) string { return DomainPrefix(domain) + endpoint }
 
 // endpointOf returns the endpoint whose row has this key.
 func endpointOf(key string) string {
--- a/pkg/model/store.go
+++ b/pkg/model/store.go
@@ -1,9 +1,8 @@
 package model
 
 import (
+	"context"
 	"errors"
-	"sort"
-	"strings"
 	"time"
 
 	"crocusseam/pkg/placement"
@@ -20,11 +19,12 @@
 	// Slow delays every answer.
 	Slow time.Duration
 
-	world   *World
-	version storage.Version
-	rows    map[string]storage.Row
+	world  *World
+	memory *storage.Memory
 }
 
+const scanLimit = 5000
+
 var errAway = errors.New("the store is away")
 
 func (s *Store) serves(n *Node) bool {
@@ -40,7 +40,7 @@
 		return
 	}
 	s.world.After(way, func() {
-		version, err := s.apply(m.Writes)
+		version, err := s.memory.Commit(context.Background(), m.Writes)
 		if s.LoseAnswers > 0 && s.world.random.Float64() < s.LoseAnswers {
 			n.later(storeTimeout, func() {
 				n.deliver(placement.CommitDone{ID: m.ID, Err: &storage.ErrUncertain{Step: "commit", Peer: "store", Cause: errAway}})
@@ -51,31 +51,6 @@
 	})
 }
 
-func (s *Store) apply(writes []storage.Write) (storage.Version, error) {
-	conflict := &storage.ErrConflict{}
-	for _, w := range writes {
-		if w.Expect != storage.AnyVersion && s.rows[w.Key].Version != w.Expect {
-			if row, ok := s.rows[w.Key]; ok {
-				conflict.Rows = append(conflict.Rows, row)
-			}
-		}
-	}
-	for _, w := range writes {
-		if w.Expect != storage.AnyVersion && s.rows[w.Key].Version != w.Expect {
-			return 0, conflict
-		}
-	}
-	s.version++
-	for _, w := range writes {
-		if w.Delete {
-			delete(s.rows, w.Key)
-			continue
-		}
-		s.rows[w.Key] = storage.Row{Key: w.Key, Value: w.Value, Version: s.version}
-	}
-	return s.version, nil
-}
-
 func (s *Store) scan(n *Node, m placement.Scan) {
 	if !s.serves(n) {
 		n.later(storeTimeout, func() {
@@ -83,12 +58,6 @@
 		})
 		return
 	}
-	var rows []storage.Row
-	for key, row := range s.rows {
-		if strings.HasPrefix(key, m.Prefix) {
-			rows = append(rows, row)
-		}
-	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	n.later(2*s.world.Config.ToStore+s.Slow, func() { n.deliver(placement.ScanDone{ID: m.ID, Rows: rows}) })
+	rows, err := s.memory.Scan(context.Background(), m.Prefix, scanLimit)
+	n.later(2*s.world.Config.ToStore+s.Slow, func() { n.deliver(placement.ScanDone{ID: m.ID, Rows: rows, Err: err}) })
 }
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -125,7 +125,7 @@
 		Config: config, Now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(config.Seed, 1)),
 		Jobs: make(map[workload.JobID]*Outcome), cuts: make(map[[2]string]bool),
 	}
-	w.Store = &Store{world: w, rows: make(map[string]storage.Row)}
+	w.Store = &Store{world: w, memory: storage.NewMemory()}
 	for _, d := range config.Domains {
 		for _, e := range d.Endpoints {
 			w.AddEndpoint(d.Name, e)
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -213,7 +213,7 @@
 			continue
 		}
 		h.rowsRead[domain] = false
-		c.scan(hold.Prefix+domain+"/", func(m ScanDone) {
+		c.scan(hold.DomainPrefix(domain), func(m ScanDone) {
 			if m.Err != nil {
 				delete(h.rowsRead, domain)
 				h.bookDue = c.now.Add(commitPause)
@@ -236,7 +236,7 @@
 		h.commits--
 		if m.Err != nil {
 			c.counted.FailedCommits++
-			h.book.Refused(t, conflictRows(m.Err, t))
+			h.book.Refused(t, conflictRows(m.Err))
 			if !isConflict(m.Err) {
 				h.bookDue = c.now.Add(commitPause)
 			}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"crocusseam/pkg/hold"
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/storage"
 	"crocusseam/pkg/workload"
@@ -362,20 +361,14 @@
 	}
 }
 
-// conflictRows returns the rows of a conflict, with version 0 for rows of the
-// take that are absent.
-func conflictRows(err error, t hold.Take) []storage.Row {
+// conflictRows returns the present state of the rows that a commit found
+// changed, if that is why it failed.
+func conflictRows(err error) []storage.Row {
 	var conflict *storage.ErrConflict
 	if !errors.As(err, &conflict) {
 		return nil
 	}
-	rows := slices.Clone(conflict.Rows)
-	for _, w := range t.Writes {
-		if !slices.ContainsFunc(rows, func(r storage.Row) bool { return r.Key == w.Key }) {
-			rows = append(rows, storage.Row{Key: w.Key})
-		}
-	}
-	return rows
+	return conflict.Rows
 }
 
 func isConflict(err error) bool {
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -8,10 +8,12 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,7 +22,8 @@
 
 	"crocusseam/pkg/document"
 	"crocusseam/pkg/storage"
-	"crocusseam/service/store"
+	"crocusseam/pkg/workload"
+	"crocusseam/platform"
 )
 
 // Figures of the platform's stand-in.
@@ -31,6 +34,8 @@
 	writesPerSec   = 400
 	readsPerSec    = 2000
 	longestQueue   = time.Second
+	maxPageRows    = 500
+	feedPoll       = 10 * time.Millisecond
 	listLag        = time.Second
 	maxRequestBody = 64 << 20
 )
@@ -51,6 +56,8 @@
 	// neither take effect nor are answered.
 	LoseAnswers int `json:",omitempty"`
 	LoseWrites  int `json:",omitempty"`
+	// Forget drops the history that feeds go on from.
+	Forget bool `json:",omitempty"`
 	// Endpoints switches the faults of endpoints, by address.
 	Endpoints map[netip.AddrPort]EndpointFaults `json:",omitempty"`
 }
@@ -67,6 +74,7 @@
 	slowBy      time.Duration
 	loseAnswers int
 	loseWrites  int
+	compacted   uint64
 	nextWrite   time.Time
 	nextRead    time.Time
 	writes      int64
@@ -82,11 +90,11 @@
 	}
 	p := &Platform{memory: storage.NewMemory(), listener: listener, endpoints: endpoints}
 	mux := http.NewServeMux()
-	mux.HandleFunc(store.PathGet, p.get)
-	mux.HandleFunc(store.PathScan, p.scan)
-	mux.HandleFunc(store.PathCommit, p.commit)
-	mux.HandleFunc(store.PathObjects, p.object)
-	mux.HandleFunc(store.PathInstances, p.list)
+	mux.HandleFunc(platform.PathRows, p.rows)
+	mux.HandleFunc(platform.PathFeed, p.feed)
+	mux.HandleFunc(platform.PathTransact, p.commit)
+	mux.HandleFunc(platform.PathPut, p.putObject)
+	mux.HandleFunc(platform.PathGet, p.getObject)
 	mux.HandleFunc(PathControl, p.control)
 	mux.HandleFunc(PathLedger, p.ledger)
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
@@ -156,22 +164,77 @@
 	_ = json.NewEncoder(w).Encode(out)
 }
 
-func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
-	var in store.GetRequest
-	if !p.admitRead(w) || !decode(w, r, &in) {
+// rows serves the rows of a part of a table between two keys.
+func (p *Platform) rows(w http.ResponseWriter, r *http.Request) {
+	if !p.admitRead(w) {
 		return
 	}
-	row, _ := p.memory.Get(r.Context(), in.Key)
-	encode(w, http.StatusOK, store.RowsReply{Rows: []storage.Row{row}})
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit < 1 || limit > maxPageRows {
+		limit = maxPageRows
+	}
+	prefix := platform.RowName{Table: q.Get("table"), Part: q.Get("part")}
+	all, _ := p.memory.Scan(r.Context(), prefix.String(), math.MaxInt)
+	if prefix.String() == platform.EndpointPrefix {
+		all = p.entries()
+	}
+	page := platform.Page{Rows: []platform.StoredRow{}, Ver: uint64(p.memory.Version())}
+	for i := range all {
+		row := stored(&all[i])
+		if row.Key < q.Get("from") || (q.Has("to") && row.Key >= q.Get("to")) {
+			continue
+		}
+		if page.HasMore = len(page.Rows) == limit; page.HasMore {
+			break
+		}
+		page.Rows = append(page.Rows, row)
+	}
+	encode(w, http.StatusOK, page)
 }
 
-func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
-	var in store.ScanRequest
-	if !p.admitRead(w) || !decode(w, r, &in) {
+func stored(r *storage.Row) platform.StoredRow {
+	return platform.StoredRow{RowName: platform.NameOf(r.Key), Value: r.Value, Ver: uint64(r.Version)}
+}
+
+// feed waits until a row of a table is newer than the version given.
+func (p *Platform) feed(w http.ResponseWriter, r *http.Request) {
+	if !p.admitRead(w) {
+		return
+	}
+	q := r.URL.Query()
+	after, errAfter := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, errWait := strconv.Atoi(q.Get("waitMs"))
+	if errAfter != nil || errWait != nil {
+		http.Error(w, "after and waitMs must be numbers", http.StatusBadRequest)
 		return
 	}
-	rows, _ := p.memory.Scan(r.Context(), in.Prefix, in.Limit)
-	encode(w, http.StatusOK, store.RowsReply{Rows: rows})
+	if after < p.forgotten() {
+		http.Error(w, "the history is gone", http.StatusGone)
+		return
+	}
+	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	page := platform.Page{Rows: []platform.StoredRow{}}
+	for len(page.Rows) == 0 && time.Now().Before(deadline) && r.Context().Err() == nil {
+		page.Ver = max(after, uint64(p.memory.Version()))
+		all, _ := p.memory.Scan(r.Context(), q.Get("table")+"/", math.MaxInt)
+		for i := range all {
+			if uint64(all[i].Version) > after {
+				page.Rows = append(page.Rows, stored(&all[i]))
+			}
+		}
+		if len(page.Rows) == 0 {
+			sleep(feedPoll)
+		}
+	}
+	encode(w, http.StatusOK, page)
+}
+
+// forgotten returns the version up to which feeds have no history.
+func (p *Platform) forgotten() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.compacted
 }
 
 // writeFaults is what happens to one commit.
@@ -201,7 +264,7 @@
 }
 
 func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
-	var in store.CommitRequest
+	var in platform.Transaction
 	if !decode(w, r, &in) {
 		return
 	}
@@ -214,34 +277,64 @@
 	if f.loseWrite {
 		panic(http.ErrAbortHandler)
 	}
-	version, err := p.memory.Commit(r.Context(), in.Writes)
+	version, err := p.memory.Commit(r.Context(), writesOf(&in))
 	if f.loseAnswer {
 		panic(http.ErrAbortHandler)
 	}
-	var conflict *storage.ErrConflict
-	if errors.As(err, &conflict) {
-		encode(w, http.StatusConflict, store.CommitReply{Rows: conflict.Rows})
+	if err == nil {
+		encode(w, http.StatusOK, platform.Page{Rows: []platform.StoredRow{}, Ver: uint64(version)})
 		return
 	}
-	encode(w, http.StatusOK, store.CommitReply{Version: version})
+	page := platform.Page{Rows: []platform.StoredRow{}}
+	for _, e := range in.ExpectRev {
+		if row, _ := p.memory.Get(r.Context(), e.String()); row.Version > 0 {
+			page.Rows = append(page.Rows, stored(&row))
+		}
+	}
+	encode(w, http.StatusPreconditionFailed, page)
+}
+
+// writesOf returns the writes of a transaction with their conditions.
+func writesOf(t *platform.Transaction) []storage.Write {
+	expected := make(map[string]storage.Version, len(t.ExpectRev))
+	for _, e := range t.ExpectRev {
+		expected[e.String()] = storage.Version(e.Ver)
+	}
+	expect := func(key string) storage.Version {
+		if v, ok := expected[key]; ok {
+			return v
+		}
+		return storage.AnyVersion
+	}
+	var writes []storage.Write
+	for i := range t.SetKeys {
+		key := t.SetKeys[i].String()
+		writes = append(writes, storage.Write{Key: key, Value: t.SetKeys[i].Value, Expect: expect(key)})
+	}
+	for _, n := range t.Remove {
+		writes = append(writes, storage.Write{Key: n.String(), Delete: true, Expect: expect(n.String())})
+	}
+	return writes
 }
 
-func (p *Platform) object(w http.ResponseWriter, r *http.Request) {
-	name := strings.TrimPrefix(r.URL.Path, store.PathObjects)
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
 	if !p.admitRead(w) {
 		return
 	}
-	if r.Method == http.MethodPut {
-		content, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBody))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		_ = p.memory.Put(r.Context(), name, content)
-		w.WriteHeader(http.StatusOK)
+	content, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	_ = p.memory.Put(r.Context(), strings.TrimPrefix(r.URL.Path, platform.PathPut), content)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	if !p.admitRead(w) {
 		return
 	}
-	content, err := p.memory.GetObject(r.Context(), name)
+	content, err := p.memory.GetObject(r.Context(), strings.TrimPrefix(r.URL.Path, platform.PathGet))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
@@ -249,15 +342,20 @@
 	_, _ = w.Write(content)
 }
 
-func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
-	if !p.admitRead(w) {
-		return
+// entries are the discovery entries of the endpoints, and those that were
+// written as rows.
+func (p *Platform) entries() []storage.Row {
+	rows, _ := p.memory.Scan(context.Background(), platform.EndpointPrefix, math.MaxInt)
+	if p.endpoints == nil {
+		return rows
 	}
-	list := []storage.ListedInstance{}
-	if p.endpoints != nil {
-		list = p.endpoints.listed(time.Now().Add(-listLag))
+	for _, e := range p.endpoints.listed(time.Now().Add(-listLag)) {
+		name := strings.ReplaceAll(e.Address.String(), ":", "-")
+		rows = append(rows, storage.Row{Key: platform.EndpointPrefix + name, Value: platform.EncodeEndpoint(workload.Endpoint{
+			Service: "tasks", Address: e.Address, Domain: "any", Draining: e.Leaving,
+		}), Version: 1})
 	}
-	encode(w, http.StatusOK, list)
+	return rows
 }
 
 // Switch switches faults.
@@ -271,6 +369,9 @@
 	}
 	p.loseAnswers += f.LoseAnswers
 	p.loseWrites += f.LoseWrites
+	if f.Forget {
+		p.compacted = uint64(p.memory.Version()) + 1
+	}
 	p.mu.Unlock()
 	if p.endpoints == nil {
 		return
--- a/pkg/storage/memory.go
+++ b/pkg/storage/memory.go
@@ -79,6 +79,13 @@
 	return m.version, nil
 }
 
+// Version returns the number of commits so far.
+func (m *Memory) Version() Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
 // Put stores an object.
 func (m *Memory) Put(_ context.Context, name string, content []byte) error {
 	m.mu.Lock()
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -118,3 +118,13 @@
 func (e *ErrHistory) Error() string {
 	return fmt.Sprintf("%s at %s: the history asked for is gone", e.Step, e.Peer)
 }
+
+// ErrFull says that the object store has no room left.
+type ErrFull struct {
+	Step string
+	Peer string
+}
+
+func (e *ErrFull) Error() string {
+	return fmt.Sprintf("%s at %s: the object store is full", e.Step, e.Peer)
+}
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -24,8 +24,8 @@
 	"crocusseam/pkg/standin"
 	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
+	"crocusseam/platform"
 	"crocusseam/service/entry"
-	"crocusseam/service/store"
 )
 
 // Config constructs a trial.
@@ -77,6 +77,7 @@
 	leavingGrace       = 3 * time.Second
 	readTimeout        = time.Second
 	writeTimeout       = 2 * time.Second
+	connections        = 64 // to the platform, of one instance
 )
 
 // environment is a whole environment in this process.
@@ -84,7 +85,7 @@
 	config    Config
 	endpoints *standin.Endpoints
 	platform  *standin.Platform
-	store     *store.Client
+	store     *platform.Store
 	servers   []*entry.Server
 	group     *errgroup.Group
 	cancel    context.CancelFunc
@@ -155,7 +156,7 @@
 	}
 	e.group.Go(func() error { return e.endpoints.Run(ctx) })
 	e.group.Go(func() error { return e.platform.Run(ctx) })
-	e.store = store.New(store.Config{Address: e.platform.Address(), ReadTimeout: readTimeout, WriteTimeout: writeTimeout})
+	e.store = platform.NewStore(platform.StoreConfig{Address: e.platform.Address(), ReadTimeout: readTimeout, WriteTimeout: writeTimeout, Connections: connections})
 	if err := e.writeDocument(ctx); err != nil {
 		return nil, err
 	}
@@ -175,7 +176,7 @@
 	return entry.New(entry.Config{
 		Instance: c.name, Incarnation: uint64(time.Now().UnixNano()), Domain: c.domain, Capacity: c.capacity,
 		Callers: loopback, Peers: loopback, Seed: seed,
-		Platform: store.New(store.Config{Address: e.platform.Address(), ReadTimeout: readTimeout, WriteTimeout: writeTimeout}),
+		Platform: platform.NewStore(platform.StoreConfig{Address: e.platform.Address(), ReadTimeout: readTimeout, WriteTimeout: writeTimeout, Connections: connections}),
 		Limits:   submission.DefaultLimits(), Timing: dispatch.DefaultTiming(), Logger: e.config.Logger.Named(c.name),
 	})
 }
