Stand-ins of workers with a capacity; tests of the gate, of holds and of orders

Unit tests for two holders, late orders, capacity after a take-over, an end listed twice, lost answers.

--- /dev/null
+++ b/pkg/hold/hold_test.go
@@ -0,0 +1,194 @@
+package hold
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+)
+
+var start = time.Unix(1000, 0)
+
+func bookOf(name string, incarnation uint64) *Book {
+	b := New(Config{
+		Self: instance.ID{Instance: name, Incarnation: incarnation}, Domain: "east", Share: 1,
+		AskPeriod: 500 * time.Millisecond, YieldTerm: 2 * time.Second,
+	})
+	b.SetEndpoints(fleet(6))
+	return b
+}
+
+func fleet(n int) []workload.Endpoint {
+	list := make([]workload.Endpoint, n)
+	for i := range list {
+		list[i] = workload.Endpoint{ID: workload.EndpointID{Name: fmt.Sprintf("e-%d", i), Born: 1}, Domain: "east"}
+	}
+	return list
+}
+
+func memberOf(b *Book) Member {
+	return Member{ID: b.config.Self, Domain: "east", Share: 1, Settled: true}
+}
+
+// carryOut makes the commits of a plan and returns what it has gained.
+func carryOut(t *testing.T, b *Book, table *storage.Memory, now time.Time) []string {
+	t.Helper()
+	var gained []string
+	for _, take := range b.Plan(now).Take {
+		version, err := table.Commit(context.Background(), take.Writes)
+		var conflict *storage.ErrConflict
+		if errors.As(err, &conflict) {
+			b.Refused(take, conflict.Rows)
+			continue
+		}
+		assert.NilError(t, err)
+		gained = append(gained, b.Taken(take, version)...)
+	}
+	return gained
+}
+
+func TestNothingIsTakenBeforeSettling(t *testing.T) {
+	b := bookOf("a", 1)
+	assert.Equal(t, len(b.Plan(start).Take), 0)
+	b.Settle()
+	assert.Equal(t, len(b.Plan(start).Take), 1)
+}
+
+// Two instances that do not see each other want the same endpoints: the row
+// decides, and the later token is the higher one.
+func TestTwoHolders(t *testing.T) {
+	table := storage.NewMemory()
+	a, b := bookOf("a", 1), bookOf("b", 2)
+	a.Settle()
+	b.Settle()
+	assert.Equal(t, len(carryOut(t, a, table, start)), 6)
+	assert.Equal(t, len(carryOut(t, b, table, start)), 0)
+	// b has read the rows now; it knows nobody of that name, so a is dead to it.
+	assert.Equal(t, len(carryOut(t, b, table, start.Add(time.Second))), 6)
+	old, _ := a.Token("e-0")
+	later, mayStart := b.Token("e-0")
+	assert.Assert(t, mayStart)
+	assert.Assert(t, later > old)
+	a.Fenced("e-0")
+	_, mayStart = a.Token("e-0")
+	assert.Assert(t, !mayStart)
+}
+
+func TestLiveHolderIsAskedAndYields(t *testing.T) {
+	table := storage.NewMemory()
+	a, b := bookOf("a", 1), bookOf("b", 2)
+	a.Settle()
+	carryOut(t, a, table, start)
+	a.SetMembers([]Member{memberOf(b)})
+	b.SetMembers([]Member{memberOf(a)})
+	b.Settle()
+	carryOut(t, b, table, start) // refused: the rows name a
+	plan := b.Plan(start.Add(time.Second))
+	assert.Equal(t, len(plan.Take), 0)
+	names, ok := plan.Ask.Get(a.config.Self)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(names), 3)
+	now := start.Add(time.Second)
+	for _, name := range names {
+		assert.Assert(t, a.Asked(b.config.Self, name))
+		_, mayStart := a.Token(name)
+		assert.Assert(t, !mayStart, "nothing starts at an endpoint that is being yielded")
+		to, yes := a.Yield(name, now)
+		assert.Assert(t, yes)
+		assert.Equal(t, to, b.config.Self)
+		b.Yielded(name, a.Version(name))
+	}
+	assert.Equal(t, len(carryOut(t, b, table, now)), 3)
+	assert.Equal(t, len(a.Held()), 3)
+}
+
+func TestHolderKeepsWhatTheDivisionGivesIt(t *testing.T) {
+	table := storage.NewMemory()
+	a, b := bookOf("a", 1), bookOf("b", 2)
+	a.Settle()
+	carryOut(t, a, table, start)
+	stranger := memberOf(b)
+	stranger.Settled = false
+	a.SetMembers([]Member{stranger})
+	for _, name := range a.Held() {
+		assert.Assert(t, !a.Asked(b.config.Self, name), "an instance that has just started is given nothing")
+	}
+}
+
+// After a restart of everything each instance takes back what it held, before
+// it knows the others.
+func TestRestartTakesOwnRowsAtOnce(t *testing.T) {
+	table := storage.NewMemory()
+	a, b := bookOf("a", 1), bookOf("b", 2)
+	a.SetMembers([]Member{memberOf(b)})
+	b.SetMembers([]Member{memberOf(a)})
+	a.Settle()
+	b.Settle()
+	carryOut(t, a, table, start)
+	carryOut(t, b, table, start)
+	again := bookOf("a", 3)
+	rows, err := table.Scan(context.Background(), DomainPrefix("east"), 10)
+	assert.NilError(t, err)
+	again.Read(rows)
+	assert.Equal(t, len(carryOut(t, again, table, start)), 3)
+}
+
+// A commit whose answer was lost may have taken effect: the row is taken again
+// under a new version, so that a late copy of the first commit fails.
+func TestLostAnswerToATake(t *testing.T) {
+	table := storage.NewMemory()
+	a := bookOf("a", 1)
+	a.Settle()
+	take := a.Plan(start).Take[0]
+	first, err := table.Commit(context.Background(), take.Writes)
+	assert.NilError(t, err)
+	a.Refused(take, nil)
+	assert.Equal(t, len(a.Held()), 0)
+	assert.Equal(t, len(carryOut(t, a, table, start)), 0) // conflict shows the rows
+	assert.Equal(t, len(carryOut(t, a, table, start)), 6)
+	token, _ := a.Token("e-0")
+	assert.Assert(t, token > first)
+	_, err = table.Commit(context.Background(), take.Writes)
+	var conflict *storage.ErrConflict
+	assert.Assert(t, errors.As(err, &conflict))
+}
+
+// An endpoint that returns under its name knows no token: it is held anew.
+func TestNewLifeEndsTheHold(t *testing.T) {
+	table := storage.NewMemory()
+	a := bookOf("a", 1)
+	a.Settle()
+	carryOut(t, a, table, start)
+	old, _ := a.Token("e-2")
+	list := fleet(6)
+	list[2].ID.Born = 9
+	assert.DeepEqual(t, a.SetEndpoints(list), []string{"e-2"})
+	assert.DeepEqual(t, carryOut(t, a, table, start), []string{"e-2"})
+	token, _ := a.Token("e-2")
+	assert.Assert(t, token > old)
+}
+
+func TestEndpointsOfOtherDomainsAreProbedFirst(t *testing.T) {
+	table := storage.NewMemory()
+	a := New(Config{Self: instance.ID{Instance: "a", Incarnation: 1}, Domain: "west", Share: 1, AskPeriod: time.Second, YieldTerm: 2 * time.Second})
+	a.SetEndpoints(fleet(2))
+	a.Settle()
+	plan := a.Plan(start)
+	assert.Equal(t, len(plan.Take), 0)
+	assert.Equal(t, len(plan.Probe), 2)
+	a.Reached("e-1", start)
+	assert.DeepEqual(t, carryOut(t, a, table, start), []string{"e-1"})
+}
+
+func TestDamagedRowsAreReported(t *testing.T) {
+	a := bookOf("a", 1)
+	errs := a.Read([]storage.Row{{Key: Key("east", "e-0"), Value: []byte("{"), Version: 4}, {Key: Key("east", "e-1"), Value: []byte(`{"Holder":{"Instance":"b"}}`), Version: 5}})
+	assert.Equal(t, len(errs), 1)
+}
--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -88,7 +88,8 @@
 	return nil
 }
 
-func (x *Endpoint) clock() time.Duration { return x.world.Now.Sub(x.born) }
+// Clock is the endpoint's steady clock.
+func (x *Endpoint) Clock() time.Duration { return x.world.Now.Sub(x.born) }
 
 // used is the room that runs take.
 func (x *Endpoint) used() workload.Resources {
@@ -115,10 +116,10 @@
 }
 
 func (x *Endpoint) extend(until time.Duration) {
-	x.until = max(x.until, min(until, x.clock()+x.world.Config.Timing.Lease))
+	x.until = max(x.until, min(until, x.Clock()+x.world.Config.Timing.Lease))
 	at := x.until
-	x.world.After(at-x.clock(), func() {
-		if x.until <= x.clock() {
+	x.world.After(at-x.Clock(), func() {
+		if x.until <= x.Clock() {
 			x.lapse()
 		}
 	})
@@ -130,7 +131,8 @@
 	}
 }
 
-func (x *Endpoint) start(m *placement.Start) placement.OrderOutcome {
+// Start carries out a start order.
+func (x *Endpoint) Start(m *placement.Start) placement.OrderOutcome {
 	w := x.world
 	if !x.Up || x.Info.ID != m.Endpoint {
 		return placement.OtherLife
@@ -145,7 +147,7 @@
 		x.extend(m.Until)
 		return placement.TooOld
 	}
-	if m.Until <= x.clock() {
+	if m.Until <= x.Clock() {
 		return placement.TooLate
 	}
 	x.extend(m.Until)
@@ -184,7 +186,8 @@
 	return placement.Accepted
 }
 
-func (x *Endpoint) stop(m *placement.StopRun) placement.OrderOutcome {
+// Stop carries out a stop order.
+func (x *Endpoint) Stop(m *placement.StopRun) placement.OrderOutcome {
 	if !x.Up || x.Info.ID != m.Endpoint {
 		return placement.OtherLife
 	}
@@ -218,7 +221,9 @@
 	}
 }
 
-func (x *Endpoint) hold(token workload.Token, seen int64, until time.Duration) placement.OrderOutcome {
+// Hold takes note of ends up to seen, and renews the lease of what runs until
+// that time on the endpoint's clock unless it is 0.
+func (x *Endpoint) Hold(token workload.Token, seen int64, until time.Duration) placement.OrderOutcome {
 	if !x.Up {
 		return placement.Unanswered
 	}
@@ -234,8 +239,8 @@
 	return placement.Accepted
 }
 
-// whenEnded calls back once, when something has ended or the wait is over.
-func (x *Endpoint) whenEnded(wait time.Duration, do func()) {
+// WhenEnded calls back once, when something has ended or the wait is over.
+func (x *Endpoint) WhenEnded(wait time.Duration, do func()) {
 	if len(x.ended) > 0 || wait == 0 {
 		do()
 		return
@@ -251,8 +256,9 @@
 	x.world.After(wait, once)
 }
 
-func (x *Endpoint) report() workload.Report {
-	r := workload.Report{Clock: x.clock(), Ended: append([]workload.EndedRun(nil), x.ended...)}
+// Report lists what runs and what has ended.
+func (x *Endpoint) Report() workload.Report {
+	r := workload.Report{Clock: x.Clock(), Ended: append([]workload.EndedRun(nil), x.ended...)}
 	for _, id := range x.ids() {
 		run := x.runs[id]
 		percent := 0
--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -175,11 +175,11 @@
 			delete(n.watches, m.Endpoint.Name)
 		}
 	case placement.Start:
-		n.order(m.Endpoint, func(x *Endpoint) placement.OrderOutcome { return x.start(&m) }, func(o placement.OrderOutcome) {
+		n.order(m.Endpoint, func(x *Endpoint) placement.OrderOutcome { return x.Start(&m) }, func(o placement.OrderOutcome) {
 			n.deliver(placement.StartDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Outcome: o})
 		})
 	case placement.StopRun:
-		n.order(m.Endpoint, func(x *Endpoint) placement.OrderOutcome { return x.stop(&m) }, func(o placement.OrderOutcome) {
+		n.order(m.Endpoint, func(x *Endpoint) placement.OrderOutcome { return x.Stop(&m) }, func(o placement.OrderOutcome) {
 			n.deliver(placement.StopDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Outcome: o})
 		})
 	case placement.Probe:
@@ -319,13 +319,13 @@
 	var report workload.Report
 	answered := false
 	n.order(x.Endpoint, func(e *Endpoint) placement.OrderOutcome {
-		outcome := e.hold(x.Token, x.seen, until)
+		outcome := e.Hold(x.Token, x.seen, until)
 		if outcome != placement.Accepted {
 			return outcome
 		}
 		way := w.oneWay(n.place(), e.place())
-		e.whenEnded(wait, func() {
-			report = e.report()
+		e.WhenEnded(wait, func() {
+			report = e.Report()
 			if !w.reaches(n.place(), e.place()) || !e.Up {
 				return
 			}
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -52,6 +52,8 @@
 	redial          = 50 * time.Millisecond
 )
 
+var firstMoment = time.Unix(1_000_000, 0)
+
 // World is everything in virtual time.
 type World struct {
 	Config    Config
@@ -122,7 +124,7 @@
 // New returns a world whose instances start at its first moment.
 func New(config Config) *World {
 	w := &World{
-		Config: config, Now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(config.Seed, 1)),
+		Config: config, Now: firstMoment, random: rand.New(rand.NewPCG(config.Seed, 1)),
 		Jobs: make(map[workload.JobID]*Outcome), cuts: make(map[[2]string]bool),
 	}
 	w.Store = &Store{world: w, memory: storage.NewMemory()}
@@ -145,6 +147,9 @@
 	heap.Push(&w.events, event{w.Now.Add(max(wait, 0)), w.sequence, do})
 }
 
+// Elapsed is how much time has passed since the world's first moment.
+func (w *World) Elapsed() time.Duration { return w.Now.Sub(firstMoment) }
+
 // Run lets time pass.
 func (w *World) Run(span time.Duration) {
 	end := w.Now.Add(span)
--- /dev/null
+++ b/pkg/placement/orders_test.go
@@ -0,0 +1,223 @@
+package placement
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/workload"
+)
+
+// bench drives one control state by hand. It holds one endpoint.
+type bench struct {
+	t       *testing.T
+	control *Control
+	now     time.Time
+	effects []Effect
+	jobs    int
+}
+
+var benchEndpoint = workload.Endpoint{
+	ID: workload.EndpointID{Name: "e-1", Born: 5}, Service: "s", Domain: "east",
+	Capacity: workload.Resources{MilliCPU: 64000, MemoryMB: 1000}, Address: netip.MustParseAddrPort("127.0.0.1:9"),
+}
+
+const benchToken = 3
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, now: time.Unix(1000, 0)}
+	b.control = New(Config{Self: instance.ID{Instance: "a", Incarnation: 1}, Domain: "east", Share: 1, Timing: DefaultTiming()})
+	b.step(Configured{Configuration: &workload.Configuration{Version: 1, Services: []workload.Service{{Name: "s"}}}}, Listed{Endpoints: []workload.Endpoint{benchEndpoint}})
+	b.serveStore()
+	for range 200 {
+		b.pass(10 * time.Millisecond)
+		b.serveStore()
+	}
+	b.report(nil, nil)
+	assert.Equal(t, b.control.Overview().Held, 1)
+	assert.Assert(t, b.control.Overview().Ready)
+	return b
+}
+
+func (b *bench) step(inputs ...Input) {
+	b.effects, _ = b.control.Step(b.now, inputs)
+}
+
+func (b *bench) pass(span time.Duration) {
+	b.now = b.now.Add(span)
+	b.step()
+}
+
+// serveStore answers the calls to the store, and those that follow.
+func (b *bench) serveStore() {
+	calls := b.effects
+	for len(calls) > 0 {
+		e := calls[0]
+		calls = calls[1:]
+		switch m := e.(type) {
+		case Commit:
+			b.step(CommitDone{ID: m.ID, Version: benchToken})
+			calls = append(calls, b.effects...)
+		case Scan:
+			b.step(ScanDone{ID: m.ID})
+			calls = append(calls, b.effects...)
+		}
+	}
+}
+
+func (b *bench) report(running []workload.RunningRun, ended []workload.EndedRun) {
+	sent := b.now
+	b.now = b.now.Add(time.Millisecond)
+	b.step(Reported{Endpoint: benchEndpoint.ID, Token: benchToken, Sent: sent, Received: b.now, Report: workload.Report{Clock: time.Minute, Running: running, Ended: ended}})
+}
+
+// submit hands in a job of one step and returns the start orders.
+func (b *bench) submit(tasks, milliCPU int) []Start {
+	b.jobs++
+	j := &workload.Job{ID: workload.JobID(rune('a' + b.jobs)), Ephemeral: true, Steps: []workload.Step{{
+		Count: tasks, Estimate: 100 * time.Millisecond, Need: workload.Resources{MilliCPU: milliCPU},
+	}}}
+	b.step(Submit{Handle: Handle(b.jobs), Job: j, Route: workload.Route{Service: "s", Stretch: 1.6, Slack: time.Second, MaxAttempts: 2}, Left: 5 * time.Second})
+	return find[Start](b)
+}
+
+func find[E Effect](b *bench) []E {
+	var list []E
+	for _, e := range b.effects {
+		if m, ok := e.(E); ok {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (b *bench) answerStart(m *Start, outcome OrderOutcome) {
+	b.step(StartDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Outcome: outcome})
+}
+
+// A start that was not answered is sent again, then stopped. Its room stays
+// reserved until the endpoint has accepted the stop and a later report does not
+// list it: until then it might still be carried out.
+func TestUnansweredStartKeepsItsRoom(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 40000)
+	assert.Equal(t, len(starts), 1)
+	b.answerStart(&starts[0], Unanswered)
+	again := find[Start](b)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Run, starts[0].Run)
+	b.answerStart(&again[0], Unanswered)
+	stops := find[StopRun](b)
+	assert.Equal(t, len(stops), 1)
+	b.report(nil, nil)
+	assert.Equal(t, len(b.submit(1, 40000)), 0, "there is no room beside a start that may come late")
+	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: stops[0].Run, Outcome: Accepted})
+	assert.Equal(t, len(find[Start](b)), 0)
+	b.pass(time.Millisecond)
+	b.report(nil, nil)
+	assert.Equal(t, len(find[Start](b)), 1, "both jobs wait, and one fits")
+}
+
+// The same run is never started twice here, and a stop that is not answered is
+// repeated until it is.
+func TestUnansweredStopIsRepeated(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 40000)
+	b.answerStart(&starts[0], Accepted)
+	b.step(Abandon{Handle: Handle(b.jobs)})
+	stops := find[StopRun](b)
+	assert.Equal(t, len(stops), 1)
+	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: stops[0].Run, Outcome: Unanswered})
+	b.pass(250 * time.Millisecond)
+	assert.Equal(t, len(find[StopRun](b)), 1)
+	assert.Equal(t, b.control.Overview().Runs, 1)
+}
+
+// An end that is listed twice, as its acknowledgement was lost, ends its run
+// once and frees its room once.
+func TestEndListedTwice(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(2, 30000)
+	assert.Equal(t, len(starts), 2)
+	for i := range starts {
+		b.answerStart(&starts[i], Accepted)
+	}
+	end := []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Done}}
+	running := []workload.RunningRun{{Run: starts[1].Run, Percent: 50}}
+	b.report(running, end)
+	b.report(running, end)
+	assert.Equal(t, b.control.Overview().Runs, 1)
+	assert.Equal(t, len(b.submit(3, 30000)), 1, "one of the three fits beside what runs")
+}
+
+// What an earlier holder left at an endpoint is stopped, and nothing starts
+// before it is gone.
+func TestCapacityAfterTakeOver(t *testing.T) {
+	b := newBench(t)
+	left := workload.Run{Task: workload.TaskID{Job: "old"}, Number: 1}
+	b.report([]workload.RunningRun{{Run: left}}, nil)
+	stops := find[StopRun](b)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Run, left)
+	assert.Equal(t, len(b.submit(1, 1000)), 0)
+	b.report(nil, nil)
+	assert.Equal(t, len(b.submit(1, 1000)), 1)
+}
+
+// An order that is refused for its token ends the hold; what ran there may still
+// run, so the task waits until its lease is certainly over.
+func TestFencedOrderEndsTheHold(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], Fenced)
+	assert.Equal(t, b.control.Overview().Held, 0)
+	assert.Equal(t, b.control.Overview().Jobs, 1)
+	assert.Equal(t, len(find[Start](b)), 0)
+}
+
+// A lease is renewed on the endpoint's own clock.
+func TestLeaseIsOnTheEndpointsClock(t *testing.T) {
+	b := newBench(t)
+	b.pass(100 * time.Millisecond)
+	starts := b.submit(1, 1000)
+	assert.Equal(t, starts[0].Until, time.Minute+100*time.Millisecond+DefaultTiming().Lease)
+}
+
+// A late copy of a start that has ended is refused as too old: its end is on the
+// list and decides.
+func TestRefusedCopyOfAStartWaitsForTheReport(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], Unanswered)
+	b.answerStart(&starts[0], TooOld)
+	assert.Equal(t, b.control.Overview().Runs, 1)
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Done}})
+	replies := find[Reply](b)
+	assert.Equal(t, len(replies), 1)
+	assert.Equal(t, replies[0].Answer.Status, Completed)
+}
+
+func TestTaskThatFailsTooOftenFailsItsJob(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], Accepted)
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Failed}})
+	assert.Equal(t, len(find[Reply](b)), 0)
+}
+
+// Callers that are refused together are asked to come back at different times.
+func TestRefusedCallersAreSpread(t *testing.T) {
+	b := newBench(t)
+	times := make(map[time.Duration]bool)
+	for range 20 {
+		b.submit(1, 99000)
+		replies := find[Reply](b)
+		assert.Equal(t, replies[0].Answer.Status, Refused)
+		assert.Assert(t, replies[0].Answer.RetryAfter >= time.Second)
+		times[replies[0].Answer.RetryAfter] = true
+	}
+	assert.Assert(t, len(times) > 10)
+}
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -68,6 +68,7 @@
 	listener  net.Listener
 	server    *http.Server
 	endpoints *Endpoints
+	workers   *Workers
 
 	mu          sync.Mutex
 	away        bool
@@ -101,6 +102,9 @@
 	return p, nil
 }
 
+// List lets the discovery show these workers.
+func (p *Platform) List(w *Workers) { p.workers = w }
+
 // Address returns the stand-in's address.
 func (p *Platform) Address() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
 
@@ -346,6 +350,9 @@
 // written as rows.
 func (p *Platform) entries() []storage.Row {
 	rows, _ := p.memory.Scan(context.Background(), platform.EndpointPrefix, math.MaxInt)
+	if p.workers != nil {
+		rows = append(rows, p.workers.Entries()...)
+	}
 	if p.endpoints == nil {
 		return rows
 	}
--- /dev/null
+++ b/pkg/standin/workers.go
@@ -0,0 +1,212 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"crocusseam/pkg/model"
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+	"crocusseam/platform"
+)
+
+// WorkersConfig constructs Workers.
+type WorkersConfig struct {
+	Service string
+	Lease   time.Duration
+	Domains []model.Domain
+}
+
+// Workers are stand-ins of endpoints with a capacity: those of package model, in
+// real time and behind the platform's calls.
+type Workers struct {
+	mu        sync.Mutex
+	world     *model.World
+	began     time.Time
+	listeners []net.Listener
+}
+
+// workersTick is how often the workers' world catches up with the real time.
+const workersTick = time.Millisecond
+
+// NewWorkers binds an address on loopback for each endpoint.
+func NewWorkers(config WorkersConfig) (*Workers, error) {
+	timing := placement.DefaultTiming()
+	timing.Lease = config.Lease
+	w := &Workers{began: time.Now(), world: model.New(model.Config{Service: config.Service, Timing: timing})}
+	for _, d := range config.Domains {
+		for _, e := range d.Endpoints {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return nil, eris.Wrap(err, "listen for a worker's stand-in")
+			}
+			w.listeners = append(w.listeners, listener)
+			x := w.world.AddEndpoint(d.Name, e)
+			x.Info.Address = listener.Addr().(*net.TCPAddr).AddrPort()
+		}
+	}
+	return w, nil
+}
+
+// Run serves until the context ends.
+func (w *Workers) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for i, l := range w.listeners {
+		server := &http.Server{Handler: w.handler(w.world.Endpoints[i]), ReadHeaderTimeout: time.Second}
+		group.Go(func() error {
+			stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+			defer stop()
+			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				return eris.Wrapf(err, "serve a worker's stand-in at %s", l.Addr())
+			}
+			return nil
+		})
+	}
+	group.Go(func() error {
+		for ctx.Err() == nil {
+			w.With(func(*model.World) {})
+			sleep(workersTick)
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// With lets the workers' world catch up and gives it to do.
+func (w *Workers) With(do func(*model.World)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if behind := time.Since(w.began) - w.world.Elapsed(); behind > 0 {
+		w.world.Run(behind)
+	}
+	do(w.world)
+}
+
+// Expect tells the workers of a job, so that they know what its tasks need. A
+// start of a job that was not expected is a breach.
+func (w *Workers) Expect(j *workload.Job) {
+	w.With(func(m *model.World) { m.Jobs[j.ID] = &model.Outcome{Job: j} })
+}
+
+// Entries are the discovery entries of the workers.
+func (w *Workers) Entries() []storage.Row {
+	var rows []storage.Row
+	w.With(func(m *model.World) {
+		for _, x := range m.Endpoints {
+			if x.Listed {
+				rows = append(rows, storage.Row{Key: platform.EndpointPrefix + x.Info.ID.Name, Value: platform.EncodeEndpoint(x.Info), Version: 1})
+			}
+		}
+	})
+	return rows
+}
+
+// Addresses returns the addresses of the workers.
+func (w *Workers) Addresses() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, l := range w.listeners {
+		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return list
+}
+
+func (w *Workers) handler(x *model.Endpoint) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.PathStart, func(out http.ResponseWriter, r *http.Request) {
+		w.order(out, r, x, func(body []byte) (placement.OrderOutcome, error) {
+			m, err := platform.DecodeStart(body)
+			if err != nil {
+				return placement.Malformed, err
+			}
+			m.Endpoint = x.Info.ID
+			return x.Start(m), nil
+		})
+	})
+	mux.HandleFunc(platform.PathStop, func(out http.ResponseWriter, r *http.Request) {
+		w.order(out, r, x, func(body []byte) (placement.OrderOutcome, error) {
+			m, err := platform.DecodeStop(body)
+			if err != nil {
+				return placement.Malformed, err
+			}
+			m.Endpoint = x.Info.ID
+			return x.Stop(m), nil
+		})
+	})
+	mux.HandleFunc(platform.PathReport, func(out http.ResponseWriter, r *http.Request) { w.report(out, r, x) })
+	return mux
+}
+
+// order reads a body and carries an order out in the workers' world.
+func (w *Workers) order(out http.ResponseWriter, r *http.Request, x *model.Endpoint, do func([]byte) (placement.OrderOutcome, error)) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBody))
+	if err != nil {
+		return
+	}
+	var status int
+	var answer []byte
+	w.With(func(*model.World) {
+		outcome := placement.OtherLife
+		if platform.TargetOf(r.Header) == x.Info.ID.Name {
+			outcome, err = do(body)
+		}
+		report := workload.Report{Clock: x.Clock()}
+		status, answer = platform.EncodeOutcome(outcome, x.Info.ID.Born, &report)
+	})
+	if err != nil {
+		http.Error(out, err.Error(), http.StatusBadRequest)
+		return
+	}
+	write(out, status, answer)
+}
+
+func (w *Workers) report(out http.ResponseWriter, r *http.Request, x *model.Endpoint) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBody))
+	if err != nil {
+		return
+	}
+	q, err := platform.DecodeQuestion(body)
+	if err != nil {
+		http.Error(out, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ended := make(chan struct{})
+	outcome := placement.OtherLife
+	w.With(func(*model.World) {
+		if platform.TargetOf(r.Header) == x.Info.ID.Name {
+			outcome = x.Hold(q.Token, q.Seen, q.Until)
+		}
+		if outcome == placement.Accepted {
+			x.WhenEnded(q.Wait, func() { close(ended) })
+		}
+	})
+	if outcome == placement.Accepted {
+		select {
+		case <-ended:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	var status int
+	var answer []byte
+	w.With(func(*model.World) {
+		report := x.Report()
+		status, answer = platform.EncodeOutcome(outcome, x.Info.ID.Born, &report)
+	})
+	write(out, status, answer)
+}
+
+func write(out http.ResponseWriter, status int, body []byte) {
+	out.Header().Set("Content-Type", "application/json")
+	out.WriteHeader(status)
+	_, _ = out.Write(body)
+}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -5,15 +5,15 @@
 failed=0
 say() { echo "check: $*"; failed=1; }
 
-unformatted=$(go tool gofumpt -l cmd pkg service | grep -v '\.pb\.go$' || true)
+unformatted=$(go tool gofumpt -l cmd pkg service platform | grep -v '\.pb\.go$' || true)
 [ -z "$unformatted" ] || say "not formatted: $unformatted"
 
 go vet ./... || say "go vet found faults"
 go tool staticcheck ./... || say "staticcheck found faults"
-go tool revive -config scripts/revive.toml -set_exit_status ./pkg/... ./service/... ./cmd/... || say "revive found faults"
+go tool revive -config scripts/revive.toml -set_exit_status ./pkg/... ./service/... ./cmd/... ./platform/... || say "revive found faults"
 
 # Goroutines are started through a group only.
-bare=$(grep -rnE '^\s*go (func|[a-zA-Z_.]+\()' --include='*.go' cmd pkg service || true)
+bare=$(grep -rnE '^\s*go (func|[a-zA-Z_.]+\()' --include='*.go' cmd pkg service platform || true)
 [ -z "$bare" ] || say "bare go statements: $bare"
 
 if command -v protoc >/dev/null; then
--- /dev/null
+++ b/service/gate/gate_test.go
@@ -0,0 +1,298 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/model"
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/standin"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+	"crocusseam/platform"
+)
+
+// environment is stand-ins of the platform with gates in front.
+type environment struct {
+	tb       testing.TB
+	group    *errgroup.Group
+	ctx      context.Context
+	store    *standin.Platform
+	workers  *standin.Workers
+	gates    []*Server
+	cancels  []context.CancelFunc
+	client   *http.Client
+	mu       sync.Mutex
+	jobs     int
+	statuses map[int]int
+	broken   []string
+}
+
+const testService = "booking"
+
+func newEnvironment(tb testing.TB, domains ...string) *environment {
+	tb.Helper()
+	config := standin.WorkersConfig{Service: testService, Lease: time.Second}
+	for _, name := range domains {
+		d := model.Domain{Name: name}
+		for range 4 {
+			d.Endpoints = append(d.Endpoints, model.EndpointConfig{Capacity: workload.Resources{MilliCPU: 64000, MemoryMB: 1024}, Speed: 1})
+		}
+		config.Domains = append(config.Domains, d)
+	}
+	workers, err := standin.NewWorkers(config)
+	assert.NilError(tb, err)
+	store, err := standin.NewPlatform(netip.MustParseAddrPort("127.0.0.1:0"), nil)
+	assert.NilError(tb, err)
+	store.List(workers)
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	e := &environment{
+		tb: tb, group: group, ctx: ctx, store: store, workers: workers, client: &http.Client{Timeout: 5 * time.Second},
+		statuses: make(map[int]int),
+	}
+	group.Go(func() error { return workers.Run(ctx) })
+	group.Go(func() error { return store.Run(ctx) })
+	tb.Cleanup(func() {
+		cancel()
+		assert.Check(tb, group.Wait())
+	})
+	e.configure(7, "/seats/")
+	for _, name := range domains {
+		e.start(name)
+	}
+	return e
+}
+
+func (e *environment) start(domain string) *Server {
+	e.tb.Helper()
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	timing := placement.DefaultTiming()
+	timing.Leave = 500 * time.Millisecond
+	s, err := New(Config{
+		Self:   instance.ID{Instance: fmt.Sprintf("%s-%d", domain, len(e.gates)+1), Incarnation: uint64(time.Now().UnixNano())},
+		Domain: domain, Share: 1, Callers: any, Ready: any, Peers: any, Metrics: any, Timing: timing,
+		Store: platform.NewStore(platform.StoreConfig{
+			Address: e.store.Address(), ReadTimeout: time.Second, WriteTimeout: time.Second, Connections: 8,
+		}),
+		Logger: zap.NewNop(), LinesLeftOut: func() int64 { return 0 },
+	})
+	assert.NilError(e.tb, err)
+	ctx, cancel := context.WithCancel(e.ctx)
+	e.gates = append(e.gates, s)
+	e.cancels = append(e.cancels, cancel)
+	e.group.Go(func() error { return s.Run(ctx) })
+	return s
+}
+
+// configure writes the operator's configuration.
+func (e *environment) configure(version uint64, prefixes ...string) {
+	e.tb.Helper()
+	var routes []string
+	for i, p := range prefixes {
+		routes = append(routes, fmt.Sprintf(`{"name":"route-%d","host":"seats.example","prefix":%q,"timeoutMs":1500,"sloMs":60,"service":%q,"maxAttempts":3,"stretch":1.6}`, i, p, testService))
+	}
+	value := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q}],"limits":{}}`, version, strings.Join(routes, ","), testService)
+	store := platform.NewStore(platform.StoreConfig{Address: e.store.Address(), ReadTimeout: time.Second, WriteTimeout: time.Second, Connections: 1})
+	_, err := store.Commit(context.Background(), []storage.Write{{Key: platform.ConfigurationKey, Value: []byte(value), Expect: storage.AnyVersion}})
+	assert.NilError(e.tb, err)
+}
+
+// eventually waits until a condition holds.
+func (e *environment) eventually(what string, condition func() bool) {
+	e.tb.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	e.tb.Fatalf("%s: not within 10 s", what)
+}
+
+func (e *environment) ready() {
+	e.tb.Helper()
+	e.eventually("all gates hold endpoints", func() bool {
+		held := 0
+		for _, s := range e.gates {
+			held += s.state().Held
+		}
+		return held == len(e.workers.Addresses())
+	})
+}
+
+func (e *environment) request(s *Server, method, path string, body []byte) (*http.Response, map[string]any) {
+	request, err := http.NewRequest(method, "http://"+s.callers.Addr().String()+path, bytes.NewReader(body))
+	assert.NilError(e.tb, err)
+	request.Host = "seats.example"
+	response, err := e.client.Do(request)
+	if err != nil {
+		e.mu.Lock()
+		e.broken = append(e.broken, err.Error())
+		e.mu.Unlock()
+		return nil, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer map[string]any
+	_ = json.NewDecoder(response.Body).Decode(&answer)
+	return response, answer
+}
+
+// submit hands a job of equal tasks in and returns the status and the answer.
+func (e *environment) submit(s *Server, tasks, milliCPU int, estimate time.Duration) (*http.Response, map[string]any) {
+	e.mu.Lock()
+	e.jobs++
+	id := workload.JobID(fmt.Sprintf("%016x", e.jobs))
+	e.mu.Unlock()
+	e.workers.Expect(&workload.Job{ID: id, Steps: []workload.Step{{
+		Count: tasks, Estimate: estimate, Need: workload.Resources{MilliCPU: milliCPU, MemoryMB: 1},
+	}}})
+	body := fmt.Sprintf(`{"spec":"seat","bestEffort":true,"steps":[{"count":%d,"cpu":%d,"memMb":1,"estMs":%d}]}`, tasks, milliCPU, estimate.Milliseconds())
+	response, answer := e.request(s, http.MethodPost, "/seats/"+string(id), []byte(body))
+	if response != nil {
+		e.mu.Lock()
+		e.statuses[response.StatusCode]++
+		e.mu.Unlock()
+	}
+	return response, answer
+}
+
+func (e *environment) check() {
+	e.tb.Helper()
+	e.workers.With(func(m *model.World) { assert.Check(e.tb, cmp.Len(m.Breaches, 0)) })
+	assert.Check(e.tb, cmp.Len(e.broken, 0))
+}
+
+func TestJobsAreServedThroughEveryGate(t *testing.T) {
+	e := newEnvironment(t, "east", "west")
+	e.ready()
+	var group errgroup.Group
+	for i := range 40 {
+		group.Go(func() error {
+			response, answer := e.submit(e.gates[i%2], 1+i%5, 27000, 30*time.Millisecond)
+			assert.Check(t, response != nil && response.StatusCode == http.StatusOK)
+			assert.Check(t, cmp.Equal(answer["state"], "completed"))
+			return nil
+		})
+	}
+	assert.NilError(t, group.Wait())
+	e.check()
+}
+
+func TestRefusalsSayWhy(t *testing.T) {
+	e := newEnvironment(t, "east")
+	e.ready()
+	s := e.gates[0]
+	response, answer := e.submit(s, 1, 99000, 30*time.Millisecond)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, answer["notRun"], true)
+	response, answer = e.request(s, http.MethodPost, "/seats/5c0e7a21d94b36f8", []byte(`{"steps":[{"count":1,"cpu":1}]}`))
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, cmp.Contains(answer["error"], "stored"))
+	response, _ = e.request(s, http.MethodPost, "/seats/5c0e7a21d94b36f8", []byte(`{"steps":[]}`))
+	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+	response, _ = e.request(s, http.MethodPost, "/seats/xyz", nil)
+	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+	response, _ = e.request(s, http.MethodGet, "/nowhere/", nil)
+	assert.Equal(t, response.StatusCode, http.StatusNotFound)
+	response, _ = e.request(s, http.MethodGet, "/seats/5c0e7a21d94b36f8", nil)
+	assert.Equal(t, response.StatusCode, http.StatusGone)
+	response, answer = e.request(s, http.MethodGet, "/seats/", nil)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, answer["waiting"], 0.0)
+	e.check()
+}
+
+// A change is in force on every gate, also after the store has forgotten its
+// history, and never goes back.
+func TestConfigurationIsFollowed(t *testing.T) {
+	e := newEnvironment(t, "east", "west")
+	e.ready()
+	e.store.Switch(standin.Faults{Forget: true})
+	e.configure(12, "/seats/", "/added/")
+	status := func(s *Server) int {
+		response, _ := e.request(s, http.MethodGet, "/added/", nil)
+		return response.StatusCode
+	}
+	for _, s := range e.gates {
+		e.eventually("the new route is served", func() bool { return status(s) == http.StatusOK })
+		s.adopt([]byte(`{"version":11,"routes":[]}`), "test")
+		assert.Equal(t, status(s), http.StatusOK)
+	}
+	e.check()
+}
+
+// A planned stop cuts off nothing while callers go on using their connections,
+// and another gate takes the endpoints over.
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	e := newEnvironment(t, "east", "west")
+	e.ready()
+	var group errgroup.Group
+	for i := range 4 {
+		group.Go(func() error {
+			for range 30 {
+				response, _ := e.submit(e.gates[i%2], 2, 27000, 20*time.Millisecond)
+				if response == nil || response.Close {
+					return nil
+				}
+			}
+			return nil
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	e.gates[0].Stop()
+	assert.NilError(t, group.Wait())
+	e.eventually("the other gate holds everything", func() bool { return e.gates[1].state().Held == len(e.workers.Addresses()) })
+	assert.Check(t, e.statuses[http.StatusOK] > 30)
+	assert.Check(t, cmp.Equal(len(e.statuses), 1), "%v", e.statuses)
+	e.check()
+}
+
+// The endpoints of a gate that was killed are taken over by another one.
+func TestKilledGateIsReplaced(t *testing.T) {
+	e := newEnvironment(t, "east", "west")
+	e.ready()
+	e.cancels[0]()
+	e.eventually("the other gate holds everything", func() bool { return e.gates[1].state().Held == len(e.workers.Addresses()) })
+	response, _ := e.submit(e.gates[1], 8, 27000, 20*time.Millisecond)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	e.check()
+}
+
+// While the store is away, gates go on serving with the endpoints they hold.
+func TestStoreAwayStopsNothing(t *testing.T) {
+	e := newEnvironment(t, "east", "west")
+	e.ready()
+	away := true
+	e.store.Switch(standin.Faults{Away: &away})
+	for i := range 20 {
+		response, _ := e.submit(e.gates[i%2], 3, 27000, 20*time.Millisecond)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	e.check()
+}
+
+func TestMetricsAreServed(t *testing.T) {
+	e := newEnvironment(t, "east")
+	e.ready()
+	_, _ = e.submit(e.gates[0], 2, 27000, 20*time.Millisecond)
+	e.eventually("the job is counted", func() bool {
+		snapshot, err := json.Marshal(e.gates[0].metrics.snapshot())
+		assert.NilError(t, err)
+		return strings.Contains(string(snapshot), `"Completed":1`) && strings.Contains(string(snapshot), `route-0 Completed`)
+	})
+}
--- a/service/gate/metrics.go
+++ b/service/gate/metrics.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"encoding/json"
 	"expvar"
 	"net/http"
 	"sync"
@@ -17,10 +18,12 @@
 	longestMeasured  = int64(time.Minute / time.Microsecond)
 	histogramDigits  = 2
 	metricsPath      = "/metrics"
-	expvarName       = "Gate"
 	histogramMinimum = 1
 )
 
+// published is the expvar map of the gates in this process, by instance.
+var published = expvar.NewMap("Gates")
+
 // metrics counts what the control state does not.
 type metrics struct {
 	server    *Server
@@ -42,9 +45,7 @@
 
 func newMetrics(s *Server) *metrics {
 	m := &metrics{server: s, calls: new(expvar.Map).Init(), reports: new(expvar.Map).Init(), latencies: make(map[string]*hdrhistogram.Histogram)}
-	if expvar.Get(expvarName) == nil {
-		expvar.Publish(expvarName, expvar.Func(func() any { return m.snapshot() }))
-	}
+	published.Set(s.config.Self.Instance, expvar.Func(func() any { return m.snapshot() }))
 	return m
 }
 
@@ -84,19 +85,19 @@
 	return struct {
 		placement.Overview
 		Latencies         map[string]Latency
+		StoreCalls        json.RawMessage
+		EndpointReports   json.RawMessage
 		PeerBytesSent     int64
 		PeerBytesReceived int64
 		PeerMessagesSent  int64
 		LinesLeftOut      int64
 	}{
-		s.state(), latencies, s.links.Stats.SentBytes.Load(), s.links.Stats.ReceivedBytes.Load(),
+		s.state(), latencies, json.RawMessage(m.calls.String()), json.RawMessage(m.reports.String()), s.links.Stats.SentBytes.Load(), s.links.Stats.ReceivedBytes.Load(),
 		s.links.Stats.SentMessages.Load(), s.config.LinesLeftOut(),
 	}
 }
 
 func (m *metrics) handler() http.Handler {
-	expvar.Publish("StoreCalls", m.calls)
-	expvar.Publish("EndpointReports", m.reports)
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
