Count down the own room while a job is placed; move only what waits; wait for an endpoint where a task is in time

Long tasks were started at once on slow endpoints where they must be late; queues ignored the routes' priorities.

--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -91,8 +91,8 @@
 // Clock is the endpoint's steady clock.
 func (x *Endpoint) Clock() time.Duration { return x.world.Now.Sub(x.born) }
 
-// used is the room that runs take.
-func (x *Endpoint) used() workload.Resources {
+// Used is the room that runs take.
+func (x *Endpoint) Used() workload.Resources {
 	var sum workload.Resources
 	for _, r := range x.runs {
 		sum = sum.Add(r.need)
@@ -165,10 +165,14 @@
 			}
 		}
 	}
-	length := time.Duration(float64(s.Estimate) / x.Speed)
+	length := s.Estimate
+	if m.Run.Task.Step == 0 && m.Run.Task.Index < len(o.Lengths) {
+		length = o.Lengths[m.Run.Task.Index]
+	}
+	length = time.Duration(float64(length) / x.Speed)
 	x.runs[m.Run] = &endpointRun{need: s.Need, started: w.Now, length: length}
-	if !x.used().Fits(x.Info.Capacity) {
-		w.breach(fmt.Sprintf("%s is over its capacity: %v of %v", x.Info.ID.Name, x.used(), x.Info.Capacity))
+	if !x.Used().Fits(x.Info.Capacity) {
+		w.breach(fmt.Sprintf("%s is over its capacity: %v of %v", x.Info.ID.Name, x.Used(), x.Info.Capacity))
 	}
 	how := workload.Done
 	if x.FailsAll {
--- a/pkg/model/load.go
+++ b/pkg/model/load.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"crocusseam/pkg/workload"
@@ -25,9 +26,12 @@
 	Kinds    []Kind
 	Stretch  float64
 	Slack    time.Duration
-	Patience float64 // multiple of the objective that callers wait
-	// Tries is how often a caller hands its job in again after a refusal.
-	For time.Duration
+	Patience time.Duration // that callers have beyond the time when an answer is worth something
+	For      time.Duration
+	// EstimateError is the deviation of the logarithm of a job's estimate, Uneven
+	// that of its tasks' run times from each other.
+	EstimateError float64
+	Uneven        float64
 }
 
 // Mix is a load in the proportions of a seat booking service: many short jobs of
@@ -67,37 +71,45 @@
 			up = append(up, n)
 		}
 	}
-	j := w.NewJob(k)
-	route := w.Route(l, k)
 	if len(up) == 0 {
-		w.Jobs[j.ID] = &Outcome{Job: j, Kind: k.Name, Submitted: w.Now, Answered: w.Now, Objective: route.Objective(j), Worth: k.Worth}
-		return
+		up = w.Nodes // nobody answers
 	}
-	n := up[w.random.IntN(len(up))]
-	o := w.Submit(n, j, route, time.Duration(float64(route.Objective(j))*l.Patience))
-	o.Kind, o.Worth = k.Name, k.Worth
+	w.SubmitTo(up[w.random.IntN(len(up))], l, k)
+}
+
+// SubmitTo hands a job of a kind to an instance.
+func (w *World) SubmitTo(n *Node, l *Load, k *Kind) *Outcome {
+	j, lengths := w.newJob(l, k)
+	route := w.route(l, k)
+	objective := time.Duration(float64(slices.Max(lengths))*l.Stretch) + l.Slack
+	o := w.Submit(n, j, route, lateFactor*objective+l.Patience)
+	o.Kind, o.Worth, o.Objective, o.Lengths = k.Name, k.Worth, objective, lengths
+	return o
 }
 
-// Route is the route of a kind of job.
-func (w *World) Route(l *Load, k *Kind) workload.Route {
+func (w *World) route(l *Load, k *Kind) workload.Route {
 	return workload.Route{
 		Name: k.Name, Service: w.Config.Service, Stretch: l.Stretch, Slack: l.Slack,
 		Priority: k.Priority, MaxAttempts: w.Config.MaxAttempts,
 	}
 }
 
-// NewJob draws a job of a kind.
-func (w *World) NewJob(k *Kind) *workload.Job {
+// newJob draws a job of a kind, and the true lengths of its tasks.
+func (w *World) newJob(l *Load, k *Kind) (*workload.Job, []time.Duration) {
 	w.jobs++
-	work := time.Duration(float64(k.Work) * math.Exp(w.random.NormFloat64()*k.Spread))
+	work := float64(k.Work) * math.Exp(w.random.NormFloat64()*k.Spread)
+	lengths := make([]time.Duration, max(1, w.poisson(k.Tasks)))
+	for i := range lengths {
+		lengths[i] = time.Duration(work * math.Exp(w.random.NormFloat64()*l.Uneven))
+	}
 	cpu := int(float64(k.MilliCPU) * (0.8 + 0.4*w.random.Float64()))
 	return &workload.Job{
 		ID: workload.JobID(fmt.Sprintf("%016x", w.jobs)), Ephemeral: true,
 		Steps: []workload.Step{{
-			Count: max(1, w.poisson(k.Tasks)), Estimate: work,
+			Count: len(lengths), Estimate: time.Duration(work * math.Exp(w.random.NormFloat64()*l.EstimateError)),
 			Need: workload.Resources{MilliCPU: cpu, MemoryMB: 64},
 		}},
-	}
+	}, lengths
 }
 
 func (w *World) poisson(mean float64) int {
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -80,6 +80,7 @@
 	Worth     float64
 	Submitted time.Time
 	Objective time.Duration
+	Lengths   []time.Duration // of the tasks of the first step, where they differ from the estimate
 	Answered  time.Time
 	Answer    placement.Answer
 	Started   bool // an endpoint has started a task of it
--- a/pkg/placement/choice.go
+++ b/pkg/placement/choice.go
@@ -9,10 +9,24 @@
 
 // offer is a holder that a task may be placed with.
 type offer struct {
-	holder instance.ID
+	member *member
+	room   int           // the index of the room, or noRoom
 	wait   time.Duration // until the task is expected to start; 0 with room
 }
 
+const noRoom = -1
+
+// reserve notes in the view of the holder that a task is placed there.
+func (o offer) reserve(s *workload.Step) {
+	m := o.member
+	m.pending = append(m.pending, pendingTask{sequence: m.sequence + 1, need: s.Need, estimate: s.Estimate})
+	if o.room == noRoom {
+		m.backlog += coreTime(s.Need, s.Estimate)
+		return
+	}
+	m.rooms[o.room].Free = m.rooms[o.room].Free.Sub(s.Need)
+}
+
 // Figures of the choice of a place.
 const (
 	hopBetweenDomains = time.Millisecond
@@ -33,6 +47,11 @@
 	left     time.Duration // until the objective
 }
 
+// atUsualSpeed is how long the task is expected to take on a usual endpoint.
+func (d demand) atUsualSpeed() time.Duration {
+	return time.Duration(float64(d.estimate) * estimateMargin)
+}
+
 // fit rates the room at an endpoint for a task.
 type fit struct {
 	inTime   bool
@@ -60,7 +79,7 @@
 	case f.far != other.far:
 		return !f.far
 	case !similarSpeed(f.speed, other.speed):
-		return (f.speed < other.speed) == f.inTime
+		return f.speed > other.speed
 	}
 	return f.leftover < other.leftover
 }
@@ -82,7 +101,7 @@
 		return s.Need.Fits(r.Free) && c.suits(r.Endpoint, j.route.Service, s.Label) && !avoids(t, r.Endpoint)
 	}
 	for m, rooms := range c.allRooms() {
-		far := m != nil && m.row.Domain != c.config.Domain
+		far := m.id != c.self && m.row.Domain != c.config.Domain
 		for i := range rooms {
 			if !suits(&rooms[i]) {
 				continue
@@ -92,14 +111,15 @@
 			}
 		}
 	}
-	if bestRoom >= 0 {
-		if bestMember == nil {
-			return offer{holder: c.self}, true
+	if bestRoom >= 0 && !best.inTime {
+		if o, ok := c.shortestWait(j.route, s); ok && o.wait+d.atUsualSpeed() <= d.left {
+			return o, true
 		}
-		bestMember.reserve(bestRoom, s)
-		return offer{holder: bestMember.id}, true
 	}
-	return c.shortestWait(j.route.Service, s)
+	if bestRoom >= 0 {
+		return offer{member: bestMember, room: bestRoom}, true
+	}
+	return c.shortestWait(j.route, s)
 }
 
 func avoids(t *task, endpoint string) bool {
@@ -117,11 +137,21 @@
 	return ok && e.Service == service && !e.Draining && e.HasLabel(label)
 }
 
-// allRooms yields the rooms of this instance, with a nil member, and of every
+// refreshOwn brings the home's view of this instance's own endpoints up to date.
+// Like the view of a member it then shrinks with each task that is placed.
+func (c *Control) refreshOwn() {
+	own := &c.home.own
+	own.id = c.self
+	own.advert = &Advert{Rooms: c.ownRooms(), Waits: c.ownWaits(), Total: c.holder.total}
+	own.rooms = append(own.rooms[:0], own.advert.Rooms...)
+	own.pending, own.backlog = own.pending[:0], 0
+}
+
+// allRooms yields the rooms of this instance, as last refreshed, and of every
 // member that it hears and whose advert is fresh.
 func (c *Control) allRooms() func(yield func(*member, []Room) bool) {
 	return func(yield func(*member, []Room) bool) {
-		if c.stop == serving && !yield(nil, c.ownRooms()) {
+		if c.stop == serving && !yield(&c.home.own, c.home.own.rooms) {
 			return
 		}
 		for _, m := range c.roster.members.All() {
@@ -153,30 +183,31 @@
 }
 
 // shortestWait finds the holder where a task that fits nowhere now starts first.
-func (c *Control) shortestWait(service string, s *workload.Step) (offer, bool) {
-	var best offer
-	found := false
-	consider := func(id instance.ID, wait time.Duration, total workload.Resources) {
-		if s.Need.Fits(total) && (!found || wait < best.wait) {
-			best, found = offer{holder: id, wait: max(wait, time.Nanosecond)}, true
+func (c *Control) shortestWait(route workload.Route, s *workload.Step) (offer, bool) {
+	var best *member
+	var shortest time.Duration
+	consider := func(m *member, hop time.Duration) {
+		wait := max(m.advert.Waits.of(route.Priority)+m.backlogWait()+hop, time.Nanosecond)
+		if s.Need.Fits(m.advert.Total) && (best == nil || wait < shortest) {
+			best, shortest = m, wait
 		}
 	}
-	if c.stop == serving && c.holdsService(service) {
-		consider(c.self, c.ownWait(), c.holder.total)
+	if c.stop == serving && c.holdsService(route.Service) {
+		consider(&c.home.own, 0)
 	}
 	for _, m := range c.roster.members.All() {
-		if c.offers(m) {
-			wait := m.advert.Wait + m.backlogWait()
-			if m.row.Domain != c.config.Domain {
-				wait += hopBetweenDomains
-			}
-			consider(m.id, wait, m.advert.Total)
+		switch {
+		case !c.offers(m):
+		case m.row.Domain == c.config.Domain:
+			consider(m, 0)
+		default:
+			consider(m, hopBetweenDomains)
 		}
 	}
-	if found {
-		c.addBacklog(best.holder, s)
+	if best == nil {
+		return offer{}, false
 	}
-	return best, found
+	return offer{member: best, room: noRoom, wait: shortest}, true
 }
 
 func (c *Control) holdsService(service string) bool {
@@ -188,19 +219,6 @@
 	return false
 }
 
-// reserve takes a task's need from the copy of a member's room.
-func (m *member) reserve(room int, s *workload.Step) {
-	m.rooms[room].Free = m.rooms[room].Free.Sub(s.Need)
-	m.pending = append(m.pending, pendingTask{sequence: m.sequence + 1, need: s.Need, estimate: s.Estimate})
-}
-
-func (c *Control) addBacklog(id instance.ID, s *workload.Step) {
-	if m, ok := c.roster.members.Get(id.Instance); ok && m.id == id {
-		m.backlog += coreTime(s.Need, s.Estimate)
-		m.pending = append(m.pending, pendingTask{sequence: m.sequence + 1, need: s.Need, estimate: s.Estimate})
-	}
-}
-
 // coreTime is work in thousandths of a processor times time.
 func coreTime(need workload.Resources, estimate time.Duration) float64 {
 	return float64(need.MilliCPU) * estimate.Seconds()
@@ -269,17 +287,15 @@
 func (c *Control) expectedWait(j *job) (time.Duration, bool) {
 	need := j.Steps[0].Need
 	wait, found := time.Duration(0), false
+	c.refreshOwn()
 	for m, rooms := range c.allRooms() {
 		for i := range rooms {
 			if need.Fits(rooms[i].Free) && c.suits(rooms[i].Endpoint, j.route.Service, j.Steps[0].Label) {
 				return 0, true
 			}
 		}
-		holderWait, total := c.ownWait(), c.holder.total
-		if m != nil {
-			holderWait, total = m.advert.Wait+m.backlogWait(), m.advert.Total
-		}
-		if need.Fits(total) && (!found || holderWait < wait) {
+		holderWait := m.advert.Waits.of(j.route.Priority) + m.backlogWait()
+		if need.Fits(m.advert.Total) && (!found || holderWait < wait) {
 			wait, found = holderWait, true
 		}
 	}
--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -16,10 +16,12 @@
 
 // Bounds of the learned speed.
 const (
-	samplesToTrust = 6
-	maxSamples     = 64 // older ones fade
-	minSpeed       = 0.1
-	maxSpeed       = 10
+	// priorSamples is the weight of the speed 1 that an endpoint is taken to have
+	// before anything is known of it.
+	priorSamples = 1.5
+	maxSamples   = 64 // older ones fade
+	minSpeed     = 0.1
+	maxSpeed     = 10
 )
 
 func (s *speedModel) observe(estimate, elapsed time.Duration) {
@@ -34,12 +36,9 @@
 	s.logSum += math.Log(float64(estimate) / float64(elapsed))
 }
 
-// value is the speed, 1 while it is not known.
+// value is the speed, 1 while nothing is known of it.
 func (s *speedModel) value() float64 {
-	if s.samples < samplesToTrust {
-		return 1
-	}
-	return min(max(math.Exp(s.logSum/float64(s.samples)), minSpeed), maxSpeed)
+	return min(max(math.Exp(s.logSum/(float64(s.samples)+priorSamples)), minSpeed), maxSpeed)
 }
 
 // health tells an endpoint that fails what it starts from jobs that fail
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -36,17 +36,16 @@
 
 // task is one task of a job.
 type task struct {
-	phase    phase
-	number   int // of the last run
-	holder   instance.ID
-	waiting  bool // its holder has no room for it
-	waitAt   time.Time
-	failed   int // runs that have failed
-	bounced  int
-	avoid    []string
-	retryAt  time.Time
-	lostAt   time.Time // when its last run has certainly ended
-	placedAt time.Time
+	phase   phase
+	number  int // of the last run
+	holder  instance.ID
+	waiting bool // its holder has no room for it
+	waitAt  time.Time
+	failed  int // runs that have failed
+	bounced int
+	avoid   []string
+	retryAt time.Time
+	lostAt  time.Time // when its last run has certainly ended
 }
 
 // home holds the jobs of this instance's callers.
@@ -54,6 +53,7 @@
 	jobs     *table.Table[workload.JobID, *job]
 	byHandle map[Handle]workload.JobID
 	moveDue  time.Time
+	own      member // this instance as a holder, seen like the others
 }
 
 func newHome() home {
@@ -86,6 +86,8 @@
 	}
 	c.home.jobs.Put(j.ID, j)
 	c.home.byHandle[m.Handle] = j.ID
+	c.decide("job accepted", jobField(j.ID), zap.String("Route", j.route.Name), zap.Int("Tasks", j.left), zap.Duration("LongestChain", j.LongestChain()),
+		zap.Duration("Objective", j.objective.Sub(j.arrived)), zap.Duration("Patience", m.Left), zap.Uint64("Configuration", c.version()))
 	for s := range j.steps {
 		c.unblock(j, s)
 	}
@@ -219,22 +221,29 @@
 
 func (c *Control) placeStep(j *job, step int) {
 	places := table.New[instance.ID, *Place]()
+	fresh := false
 	for i := range j.steps[step] {
 		t := &j.steps[step][i]
 		if t.phase != ready || c.now.Before(t.retryAt) {
 			continue
 		}
+		if !fresh {
+			fresh = true
+			c.refreshOwn()
+		}
 		offer, ok := c.choose(j, step, t)
 		if !ok {
 			t.retryAt = c.now.Add(maxBounce)
 			continue
 		}
-		p, ok := places.Get(offer.holder)
+		offer.reserve(&j.Steps[step])
+		holder := offer.member.id
+		p, ok := places.Get(holder)
 		if !ok {
 			p = c.newPlace(j, step)
-			places.Put(offer.holder, p)
+			places.Put(holder, p)
 		}
-		t.phase, t.holder, t.placedAt, t.waiting = placed, offer.holder, c.now, false
+		t.phase, t.holder, t.waiting = placed, holder, false
 		t.number++
 		p.Tasks = append(p.Tasks, PlacedTask{Index: i, Number: t.number, Avoid: t.avoid})
 	}
@@ -453,9 +462,10 @@
 			if t.phase != placed || !t.waiting || t.waitAt.Sub(c.now) < minMoveGain {
 				continue
 			}
-			if offer, ok := c.choose(j, s, t); ok && offer.wait == 0 && offer.holder != t.holder {
+			c.refreshOwn()
+			if offer, ok := c.choose(j, s, t); ok && offer.wait == 0 && offer.member.id != t.holder {
 				t.waiting = false
-				c.send(t.holder, &Drop{Runs: []workload.Run{j.run(s, i)}})
+				c.send(t.holder, &Drop{Runs: []workload.Run{j.run(s, i)}, OnlyWaiting: true})
 			}
 		}
 	}
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -334,8 +334,12 @@
 	Avoid  []string // endpoints where it has failed
 }
 
-// Drop tells a holder that runs are no longer wanted.
-type Drop struct{ Runs []workload.Run }
+// Drop tells a holder that runs are no longer wanted, or, OnlyWaiting, that their
+// home has a better place for those that have not been ordered yet.
+type Drop struct {
+	Runs        []workload.Run
+	OnlyWaiting bool
+}
 
 // Ended tells a home how a run ended.
 type Ended struct {
@@ -357,8 +361,8 @@
 type Advert struct {
 	Seen  uint64 // the last Place of that peer that is counted in
 	Rooms []Room
-	// Wait is how long a task that fits nowhere would wait, as far as known.
-	Wait time.Duration
+	// Waits are how long a task that fits nowhere would wait, as far as known.
+	Waits Waits
 	// Total is the capacity of the endpoints in use.
 	Total workload.Resources
 }
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -221,3 +221,18 @@
 	}
 	assert.Assert(t, len(times) > 10)
 }
+
+// A home that finds a better place for a task that waits takes back only what
+// has not been ordered meanwhile.
+func TestMovingATaskDoesNotStopIt(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(3, 30000)
+	assert.Equal(t, len(starts), 2)
+	ids := make([]workload.Run, 3)
+	for i := range ids {
+		ids[i] = workload.Run{Task: workload.TaskID{Job: starts[0].Run.Task.Job, Index: i}, Number: 1}
+	}
+	b.step(Received{From: b.control.self, Message: &Drop{Runs: ids, OnlyWaiting: true}})
+	assert.Equal(t, len(find[StopRun](b)), 0)
+	assert.Equal(t, b.control.Overview().Jobs, 1)
+}
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -19,7 +19,7 @@
 		Seed: seed, Service: "booking", Timing: placement.DefaultTiming(), MaxAttempts: 3,
 		InDomain: 200 * time.Microsecond, BetweenDomains: 500 * time.Microsecond, ToStore: 4 * time.Millisecond,
 	}
-	speeds := []float64{0.6, 1, 1.6}
+	speeds := []float64{0.55, 1, 1.6}
 	for i, instances := range []int{2, 2, 1, 1} {
 		d := model.Domain{Name: fmt.Sprintf("domain-%c", 'a'+i), Instances: instances}
 		for j := range 12 {
@@ -37,7 +37,15 @@
 // day is a load on a deployment that has settled.
 func day(w *model.World, rate float64, span time.Duration) {
 	w.Run(4 * time.Second)
-	w.Offer(model.Load{Kinds: model.Mix(rate), Stretch: 1.6, Slack: 60 * time.Millisecond, Patience: 4, For: span})
+	w.Offer(load(model.Mix(rate), span))
+}
+
+// load is a load with estimates that are off by 40%.
+func load(kinds []model.Kind, span time.Duration) model.Load {
+	return model.Load{
+		Kinds: kinds, Stretch: 1.6, Slack: 60 * time.Millisecond, Patience: 1500 * time.Millisecond, For: span,
+		EstimateError: 0.4, Uneven: 0.15,
+	}
 }
 
 // settle lets everything end and checks what must always hold.
@@ -226,7 +234,7 @@
 		day(w, 0.9, 10*time.Second)
 		w.Run(3 * time.Second)
 		long := model.Mix(0.9)[1:2]
-		w.Offer(model.Load{Kinds: long, Stretch: 1.6, Slack: 60 * time.Millisecond, Patience: 4, For: 4 * time.Second})
+		w.Offer(load(long, 4*time.Second))
 		w.Run(8 * time.Second)
 		settle(t, w)
 		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
@@ -270,3 +278,15 @@
 		settle(t, w)
 	})
 }
+
+// A job of more tasks than its own instance has room for is spread over all
+// holders: on an idle service all of it starts at once.
+func TestWideJobIsSpread(t *testing.T) {
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	l := load([]model.Kind{{Name: "wide", Tasks: 60, Work: 100 * time.Millisecond, MilliCPU: 27000}}, 0)
+	o := w.SubmitTo(w.Nodes[5], &l, &l.Kinds[0])
+	w.Run(5 * time.Second)
+	assert.Check(t, o.InTime(), "answered after %s, objective %s", o.Answered.Sub(o.Submitted), o.Objective)
+	settle(t, w)
+}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -53,8 +54,9 @@
 // latestStart is when a run has to start to meet its objective.
 func (r *run) latestStart() time.Time { return r.objective.Add(-r.place.Estimate) }
 
-// sortQueue puts first what must start soonest to meet its objective; what
-// cannot meet it any more goes behind everything that can.
+// sortQueue orders what waits by priority, and in each by how soon it must start
+// to meet its objective. What cannot meet it any more goes behind everything that
+// can.
 func (c *Control) sortQueue() {
 	slices.SortStableFunc(c.holder.queue, func(a, b *run) int {
 		x, y := a.latestStart(), b.latestStart()
@@ -64,7 +66,7 @@
 			return 1
 		case lateX != lateY:
 			return -1
-		case lateX && a.place.Priority != b.place.Priority:
+		case a.place.Priority != b.place.Priority:
 			return a.place.Priority - b.place.Priority
 		}
 		return x.Compare(y)
@@ -101,12 +103,14 @@
 		if !r.told {
 			r.told = true
 			c.counted.Waited++
-			c.send(r.home, &Waiting{Run: r.id, For: c.ownWait()})
+			c.send(r.home, &Waiting{Run: r.id, For: c.ownWaits().of(r.place.Priority)})
 		}
 	}
 }
 
-// bestEndpoint returns the endpoint with room where a run does best, or nil.
+// bestEndpoint returns the endpoint with room where a run does best, or nil. A
+// run that would be late on every one with room, but not yet on a usual one,
+// waits for such a one.
 func (c *Control) bestEndpoint(r *run) *endpoint {
 	p := r.place
 	d := demand{need: p.Need, estimate: p.Estimate, left: r.objective.Sub(c.now)}
@@ -121,6 +125,9 @@
 			best, bestFit = e, f
 		}
 	}
+	if best != nil && !bestFit.inTime && d.atUsualSpeed() <= d.left {
+		return nil
+	}
 	return best
 }
 
@@ -255,7 +262,7 @@
 // dropped ends runs that their home no longer wants.
 func (c *Control) dropped(from instance.ID, m *Drop) {
 	for _, id := range m.Runs {
-		if r, ok := c.holder.runs.Get(id); ok && r.home == from {
+		if r, ok := c.holder.runs.Get(id); ok && r.home == from && (r.state == queued || !m.OnlyWaiting) {
 			c.dropRun(r, "its home does not want it any more")
 		}
 	}
@@ -317,11 +324,11 @@
 	return h.rooms
 }
 
-// ownWait is how long a task that fits nowhere here would wait.
-func (c *Control) ownWait() time.Duration {
+// ownWaits is how long a task that fits nowhere here would wait, by priority.
+func (c *Control) ownWaits() Waits {
 	h := &c.holder
 	if h.total.MilliCPU == 0 {
-		return 0
+		return nil
 	}
 	rest := time.Duration(-1)
 	for _, r := range h.runs.All() {
@@ -333,11 +340,51 @@
 			rest = left
 		}
 	}
-	work := 0.0
+	waits := Waits{{Priority: math.MinInt32, Wait: max(rest, shortestRest)}}
 	for _, r := range h.queue {
-		work += coreTime(r.place.Need, r.place.Estimate)
+		if r.state == queued && !r.latestStart().Before(c.now) {
+			waits = waits.add(r.place.Priority, time.Duration(coreTime(r.place.Need, r.place.Estimate)/float64(h.total.MilliCPU)*float64(time.Second)))
+		}
+	}
+	return waits
+}
+
+// Waits are expected waits by rising priority number; each counts the work of
+// its priority and of those before it. The first one is the wait of what goes
+// before everything.
+type Waits []PriorityWait
+
+// PriorityWait is the expected wait at one priority.
+type PriorityWait struct {
+	Priority int
+	Wait     time.Duration
+}
+
+// add puts work of a priority into the waits.
+func (w Waits) add(priority int, work time.Duration) Waits {
+	i := 0
+	for i < len(w) && w[i].Priority < priority {
+		i++
+	}
+	if i == len(w) || w[i].Priority != priority {
+		w = slices.Insert(w, i, PriorityWait{Priority: priority, Wait: w[i-1].Wait})
+	}
+	for ; i < len(w); i++ {
+		w[i].Wait += work
 	}
-	return max(rest, shortestRest) + time.Duration(work/float64(h.total.MilliCPU)*float64(time.Second))
+	return w
+}
+
+// of returns the wait of a task with this priority.
+func (w Waits) of(priority int) time.Duration {
+	wait := time.Duration(0)
+	for _, p := range w {
+		if p.Priority > priority {
+			break
+		}
+		wait = p.Wait
+	}
+	return wait
 }
 
 // runAdverts tells peers of room when it has changed, with a pause in between.
@@ -349,14 +396,14 @@
 	h.advertNew = false
 	h.advertDue = c.now.Add(c.config.Timing.AdvertPause)
 	var rooms []Room
-	wait := time.Duration(0)
+	var waits Waits
 	if c.stop == serving {
 		rooms = slices.Clone(c.ownRooms())
-		wait = c.ownWait()
+		waits = c.ownWaits()
 	}
 	for _, m := range c.roster.members.All() {
 		if m.up && m.suspected.IsZero() {
-			c.emit(Send{Peer: m.id, Message: &Advert{Seen: m.seen, Rooms: rooms, Wait: wait, Total: h.total}})
+			c.emit(Send{Peer: m.id, Message: &Advert{Seen: m.seen, Rooms: rooms, Waits: waits, Total: h.total}})
 		}
 	}
 }
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -24,7 +24,7 @@
 		for i, r := range m.Runs {
 			runs[i] = runToWire(r)
 		}
-		return &wire.Message{Kind: &wire.Message_DropRuns{DropRuns: &wire.DropRuns{Runs: runs}}}
+		return &wire.Message{Kind: &wire.Message_DropRuns{DropRuns: &wire.DropRuns{Runs: runs, OnlyWaiting: m.OnlyWaiting}}}
 	case *placement.Ended:
 		return &wire.Message{Kind: &wire.Message_RunEnded{RunEnded: &wire.RunEnded{
 			Run: runToWire(m.Run), How: uint32(m.How), Endpoint: m.Endpoint, ElapsedNanos: int64(m.Elapsed), Detail: m.Detail,
@@ -98,7 +98,11 @@
 		r := &m.Rooms[i]
 		rooms[i] = &wire.Room{Endpoint: r.Endpoint, Free: resourcesToWire(r.Free), Speed: float32(r.Speed)}
 	}
-	return &wire.Advert{Seen: m.Seen, Rooms: rooms, WaitNanos: int64(m.Wait), Total: resourcesToWire(m.Total)}
+	waits := make([]*wire.PriorityWait, len(m.Waits))
+	for i, w := range m.Waits {
+		waits[i] = &wire.PriorityWait{Priority: int64(w.Priority), WaitNanos: int64(w.Wait)}
+	}
+	return &wire.Advert{Seen: m.Seen, Rooms: rooms, Waits: waits, Total: resourcesToWire(m.Total)}
 }
 
 func advertFromWire(m *wire.Advert) (*placement.Advert, error) {
@@ -110,7 +114,11 @@
 		}
 		rooms[i] = placement.Room{Endpoint: r.GetEndpoint(), Free: resourcesFromWire(r.GetFree()), Speed: speed}
 	}
-	return &placement.Advert{Seen: m.GetSeen(), Rooms: rooms, Wait: time.Duration(m.GetWaitNanos()), Total: resourcesFromWire(m.GetTotal())}, nil
+	var waits placement.Waits
+	for _, w := range m.GetWaits() {
+		waits = append(waits, placement.PriorityWait{Priority: int(w.GetPriority()), Wait: time.Duration(w.GetWaitNanos())})
+	}
+	return &placement.Advert{Seen: m.GetSeen(), Rooms: rooms, Waits: waits, Total: resourcesFromWire(m.GetTotal())}, nil
 }
 
 func placementFromWire(m *wire.Message) (placement.Message, error) {
@@ -122,7 +130,7 @@
 		for i, r := range k.DropRuns.GetRuns() {
 			runs[i] = runFromWire(r)
 		}
-		return &placement.Drop{Runs: runs}, nil
+		return &placement.Drop{Runs: runs, OnlyWaiting: k.DropRuns.GetOnlyWaiting()}, nil
 	case *wire.Message_RunEnded:
 		how := workload.How(k.RunEnded.GetHow())
 		if how < workload.Done || how > workload.Unknown {
