Give up what is of no use; leave without cutting requests; keep learned speeds

A job that has tasks waiting when its answer is of no use any more is ended at once, or refused if nothing ran. A leaving instance refuses what it could not see to its end, and answers what is open before it goes. Speeds stand in the members' rows.

--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -321,6 +321,9 @@
 		return
 	}
 	c.stop = stopped
+	for _, j := range c.home.jobs.All() {
+		c.timeOut(j)
+	}
 	c.decide("planned stop ends", zap.Duration("Elapsed", elapsed), zap.Int("OpenJobs", c.home.jobs.Len()), zap.Int("Runs", c.holder.runs.Len()))
 	c.emit(Stopped{})
 }
--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -20,8 +20,10 @@
 	// before anything is known of it.
 	priorSamples = 1.5
 	maxSamples   = 64 // older ones fade
-	minSpeed     = 0.1
-	maxSpeed     = 10
+	// assumedSamples is the weight of a speed that was learned elsewhere.
+	assumedSamples = 8
+	minSpeed       = 0.1
+	maxSpeed       = 10
 )
 
 func (s *speedModel) observe(estimate, elapsed time.Duration) {
@@ -36,6 +38,13 @@
 	s.logSum += math.Log(float64(estimate) / float64(elapsed))
 }
 
+// assume starts from a speed that another instance or an earlier incarnation has
+// learned.
+func (s *speedModel) assume(speed float64) {
+	s.samples = assumedSamples
+	s.logSum = math.Log(speed) * (assumedSamples + priorSamples)
+}
+
 // value is the speed, 1 while nothing is known of it.
 func (s *speedModel) value() float64 {
 	return min(max(math.Exp(s.logSum/(float64(s.samples)+priorSamples)), minSpeed), maxSpeed)
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -58,7 +58,7 @@
 	endpoint  *endpoint
 	arrived   time.Time
 	objective time.Time
-	deadline  time.Time
+	useful    time.Time
 	told      bool // the home knows that it waits
 	ordered   time.Time
 	tries     int       // start orders sent
@@ -263,6 +263,9 @@
 		c.loseEndpoint(old, workload.Unknown, "it was taken again")
 	}
 	e := &endpoint{info: *info, token: token, runs: table.New[workload.Run, *run]()}
+	if speed, ok := c.roster.speeds[name]; ok {
+		e.speed.assume(speed)
+	}
 	c.holder.endpoints.Put(name, e)
 	c.emit(Watch{Endpoint: e.info.ID, Address: e.info.Address, Token: token})
 }
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -18,6 +18,7 @@
 	handles   []Handle
 	arrived   time.Time
 	objective time.Time
+	useful    time.Time // an answer after this is of no use
 	deadline  time.Time
 	steps     [][]task
 	left      int  // tasks that are not done
@@ -67,6 +68,8 @@
 	movePeriod   = 20 * time.Millisecond // between looks for better places
 	minMoveGain  = 10 * time.Millisecond
 	answerMargin = 5 * time.Millisecond // an answer leaves before the caller stops waiting
+	usefulFactor = 3                    // multiple of its objective after which an answer is of no use
+	leaveMargin  = 2                    // a leaving instance takes what ends in time even if it takes this many times its estimate
 	maxRetrySpan = 3                    // refused callers come back within this many times RetryAfter
 )
 
@@ -101,9 +104,10 @@
 	if left == 0 {
 		left = m.Route.Timeout
 	}
+	objective := m.Route.Objective(m.Job)
 	j := &job{
 		Job: m.Job, route: m.Route, handles: []Handle{m.Handle}, arrived: c.now,
-		objective: c.now.Add(m.Route.Objective(m.Job)), deadline: c.now.Add(left - answerMargin),
+		objective: c.now.Add(objective), deadline: c.now.Add(left - answerMargin), useful: c.now.Add(min(usefulFactor*objective, left-answerMargin)),
 		steps: make([][]task, len(m.Job.Steps)), left: m.Job.Tasks(),
 	}
 	for i := range j.steps {
@@ -125,8 +129,14 @@
 			return fmt.Sprintf("no endpoint of the service could run a task of step %d", i), false
 		}
 	}
-	if wait, ok := c.expectedWait(j); !ok || c.now.Add(wait).After(j.deadline) {
-		return fmt.Sprintf("it is expected to end in %s, after the caller has left", wait), false
+	wait, ok := c.expectedWait(j)
+	switch {
+	case !ok:
+		return "no endpoint of the service is in use here or at a peer", false
+	case c.now.Add(wait).After(j.useful):
+		return fmt.Sprintf("it is expected to end in %s, when its answer is of no use any more", wait), false
+	case c.stop != serving && c.now.Add(wait+leaveMargin*j.LongestChain()).After(c.stopAt.Add(c.config.Timing.LeaveMax)):
+		return "this instance is leaving and could not see it to its end", false
 	}
 	return "", true
 }
@@ -256,7 +266,7 @@
 	s := &j.Steps[step]
 	return &Place{
 		Job: j.ID, Spec: j.Spec, Step: step, Service: j.route.Service, Need: s.Need, Label: s.Label, Rack: s.Rack, Estimate: s.Estimate,
-		Objective: j.objective.Sub(c.now), Left: j.deadline.Sub(c.now), Priority: j.route.Priority,
+		Objective: j.objective.Sub(c.now), Useful: j.useful.Sub(c.now), Left: j.deadline.Sub(c.now), Priority: j.route.Priority,
 	}
 }
 
@@ -398,7 +408,7 @@
 		c.home.moveDue = c.now.Add(movePeriod)
 	}
 	for _, j := range c.home.jobs.All() {
-		if !c.now.Before(j.deadline) {
+		if !c.now.Before(j.deadline) || (!c.now.Before(j.useful) && j.incomplete()) {
 			c.timeOut(j)
 			continue
 		}
@@ -425,14 +435,27 @@
 	return false
 }
 
-// timeOut ends a job whose caller stops waiting.
+// incomplete reports whether a task has not been started yet.
+func (j *job) incomplete() bool {
+	for s := range j.steps {
+		for i := range j.steps[s] {
+			if t := &j.steps[s][i]; t.phase == blocked || t.phase == ready || (t.phase == placed && t.waiting) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// timeOut ends a job whose caller stops waiting, or whose answer is of no use any
+// more while tasks of it still wait.
 func (c *Control) timeOut(j *job) {
 	if !j.mayRun() {
 		c.refuse(j, "no endpoint had room for it in time")
 		return
 	}
 	c.counted.TimedOut++
-	c.close(j, Answer{Status: TimedOut, Reason: "it was not finished when the caller's time was up"})
+	c.close(j, Answer{Status: TimedOut, Reason: "it could not be finished in time; some of it may have run"})
 }
 
 // findLost makes tasks ready whose last run has certainly ended with its
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -322,6 +322,7 @@
 	Rack      string
 	Estimate  time.Duration
 	Objective time.Duration // until the objective
+	Useful    time.Duration // until the answer is of no use
 	Left      time.Duration // until the caller stops waiting
 	Priority  int
 	Tasks     []PlacedTask
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"math"
 	"net/netip"
 	"strings"
 	"time"
@@ -28,6 +29,9 @@
 	Peers       netip.AddrPort
 	Share       int
 	Sequence    uint64
+	// Speeds are those learned of the endpoints held, so that they outlive the
+	// instance.
+	Speeds map[string]float64 `json:",omitempty"`
 }
 
 // member is another instance as this one sees it.
@@ -59,6 +63,8 @@
 	members   *table.Table[string, *member]
 	row       MemberRow
 	written   bool
+	speeds    map[string]float64 // as read from the members' rows
+	speedsDue time.Time
 	writing   bool
 	nextWrite time.Time
 	scanning  bool
@@ -71,11 +77,15 @@
 }
 
 func newRoster() roster {
-	return roster{members: table.New[string, *member]()}
+	return roster{members: table.New[string, *member](), speeds: make(map[string]float64)}
 }
 
-// writeRetry is the pause after a failed write of the own row.
-const writeRetry = 300 * time.Millisecond
+// Figures of the own row.
+const (
+	writeRetry     = 300 * time.Millisecond // after a failed write
+	speedsPeriod   = 5 * time.Second        // between writes of what was learned
+	speedPrecision = 100
+)
 
 func (c *Control) runRoster() {
 	c.watchMembers()
@@ -274,12 +284,16 @@
 // member is silent.
 func (c *Control) writeOwnRow() {
 	r := &c.roster
-	if r.writing || c.now.Before(r.nextWrite) || (r.written && !c.suspects()) {
+	if r.writing || c.now.Before(r.nextWrite) || (r.written && !c.suspects() && c.now.Before(r.speedsDue)) {
 		return
 	}
+	if r.scanned.IsZero() && c.now.Sub(c.began) < c.config.Timing.Settle {
+		return // the former row still holds speeds
+	}
+	r.speedsDue = c.now.Add(speedsPeriod)
 	r.row = MemberRow{
 		Instance: c.self.Instance, Incarnation: c.self.Incarnation, Domain: c.config.Domain,
-		Peers: c.config.Address, Share: c.config.Share, Sequence: r.row.Sequence + 1,
+		Peers: c.config.Address, Share: c.config.Share, Sequence: r.row.Sequence + 1, Speeds: c.learnedSpeeds(),
 	}
 	value, err := json.Marshal(r.row)
 	if err != nil {
@@ -300,6 +314,20 @@
 	})
 }
 
+// learnedSpeeds are the speeds of the endpoints held here, rounded.
+func (c *Control) learnedSpeeds() map[string]float64 {
+	speeds := make(map[string]float64)
+	for name, e := range c.holder.endpoints.All() {
+		if e.speed.samples >= assumedSamples {
+			speeds[name] = math.Round(e.speed.value()*speedPrecision) / speedPrecision
+		}
+	}
+	if len(speeds) == 0 {
+		return c.roster.row.Speeds
+	}
+	return speeds
+}
+
 func (c *Control) scanMembers() {
 	r := &c.roster
 	if r.scanning || c.now.Before(r.nextScan) {
@@ -333,6 +361,14 @@
 			c.decide("member row skipped", zap.String("Key", rows[i].Key), zap.Error(err))
 			continue
 		}
+		for name, speed := range row.Speeds {
+			if speed >= minSpeed && speed <= maxSpeed {
+				c.roster.speeds[name] = speed
+			}
+		}
+		if row.Instance == c.self.Instance && c.roster.row.Instance == "" {
+			c.roster.row.Speeds = row.Speeds
+		}
 		m, ok := c.meet(instance.ID{Instance: row.Instance, Incarnation: row.Incarnation})
 		if !ok {
 			continue
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -45,7 +45,7 @@
 	}
 	r := &run{
 		id: id, home: from, place: p, avoid: t.Avoid, arrived: c.now,
-		objective: c.now.Add(p.Objective), deadline: c.now.Add(p.Left),
+		objective: c.now.Add(p.Objective), useful: c.now.Add(p.Useful),
 	}
 	h.runs.Put(id, r)
 	h.queue = append(h.queue, r)
@@ -88,7 +88,7 @@
 			c.startRun(r, e)
 			continue
 		}
-		if c.now.Add(time.Duration(float64(r.place.Estimate) * optimism)).After(r.deadline) {
+		if c.now.Add(time.Duration(float64(r.place.Estimate) * optimism)).After(r.useful) {
 			hopeless = append(hopeless, r)
 			continue
 		}
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -76,7 +76,7 @@
 	return &wire.PlaceTasks{
 		Sequence: m.Sequence, Job: string(m.Job), Spec: []byte(m.Spec), Step: uint32(m.Step), Service: m.Service,
 		Need: resourcesToWire(m.Need), Label: m.Label, Rack: m.Rack, EstimateNanos: int64(m.Estimate),
-		ObjectiveNanos: int64(m.Objective), LeftNanos: int64(m.Left), Priority: int64(m.Priority), Tasks: tasks,
+		ObjectiveNanos: int64(m.Objective), UsefulNanos: int64(m.Useful), LeftNanos: int64(m.Left), Priority: int64(m.Priority), Tasks: tasks,
 	}
 }
 
@@ -88,7 +88,7 @@
 	return &placement.Place{
 		Sequence: m.GetSequence(), Job: workload.JobID(m.GetJob()), Spec: string(m.GetSpec()), Step: int(m.GetStep()), Service: m.GetService(),
 		Need: resourcesFromWire(m.GetNeed()), Label: m.GetLabel(), Rack: m.GetRack(), Estimate: time.Duration(m.GetEstimateNanos()),
-		Objective: time.Duration(m.GetObjectiveNanos()), Left: time.Duration(m.GetLeftNanos()), Priority: int(m.GetPriority()), Tasks: tasks,
+		Objective: time.Duration(m.GetObjectiveNanos()), Useful: time.Duration(m.GetUsefulNanos()), Left: time.Duration(m.GetLeftNanos()), Priority: int(m.GetPriority()), Tasks: tasks,
 	}
 }
 
