--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -11,13 +11,13 @@
 	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/logbook"
 	"crocusseam/pkg/placement"
 	"crocusseam/pkg/settings"
+	"crocusseam/pkg/timer"
 	"crocusseam/platform"
 	"crocusseam/service/gate"
 )
@@ -27,6 +27,8 @@
 	Check    bool   `long:"check" description:"check the settings file and exit"`
 }
 
+const logLevels = "debug, info, warn, error"
+
 // Figures of the gate's process.
 const (
 	memoryShare      = 0.75 // of the memory, from which the garbage collector works harder
@@ -34,7 +36,8 @@
 	storeReadTime    = 700 * time.Millisecond
 	storeWriteTime   = time.Second
 	storeConnections = 16
-	leaveShare       = 0.85 // of the grace, within which a planned stop ends
+	settingsPeriod   = time.Second // between looks at the settings file
+	leaveShare       = 0.85        // of the grace, within which a planned stop ends
 )
 
 // Gate runs an instance on the users' platform until a signal stops it in plan.
@@ -73,13 +76,14 @@
 }
 
 func runGate(path string, s *settings.Gate) error {
-	level, err := zapcore.ParseLevel(s.Log)
+	level, err := zap.ParseAtomicLevel(s.Log)
 	if err != nil {
-		return &settings.ErrSetting{Name: "Log", Value: s.Log, Allowed: "debug, info, warn, error"}
+		return &settings.ErrSetting{Name: "Log", Value: s.Log, Allowed: logLevels}
 	}
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	book := logbook.New(os.Stdout)
 	logger := book.Logger(level)
+	timers := timer.New()
 	timing := placement.DefaultTiming()
 	timing.Lease = time.Duration(s.Lease)
 	timing.LeaveMax = time.Duration(float64(s.Grace) * leaveShare)
@@ -90,26 +94,42 @@
 		Store: platform.NewStore(platform.StoreConfig{
 			Address: s.Store, ReadTimeout: storeReadTime, WriteTimeout: storeWriteTime, Connections: storeConnections,
 		}),
-		Timing: timing, Logger: logger, LinesLeftOut: book.LeftOut,
+		Timing: timing, Timers: timers, Logger: logger, LinesLeftOut: book.LeftOut,
 	})
 	if err != nil {
 		return err
 	}
 	logger.Info("instance starts", zap.String("Instance", s.Instance), zap.String("Domain", s.Domain), zap.Stringer("Callers", s.Callers), zap.Stringer("Store", s.Store))
+	reload := func(cause string) { reloadGate(path, cause, level, logger) }
 	ctx, cancel := context.WithCancel(context.Background())
 	var writer errgroup.Group
 	writer.Go(func() error { return book.Run(ctx) })
 	var group errgroup.Group
-	group.Go(func() error { return followSignals(ctx, server, path, logger) })
+	group.Go(func() error { return followSignals(ctx, server, logger, reload) })
+	group.Go(func() error { return watchSettings(ctx, timers, path, reload) })
 	err = server.Run(ctx)
 	logger.Info("instance stops", zap.Error(err))
 	cancel()
 	return errors.Join(err, group.Wait(), writer.Wait())
 }
 
+// reloadGate reads the settings again. The level of the log takes effect at
+// once, addresses at the next start.
+func reloadGate(path, cause string, level zap.AtomicLevel, logger *zap.Logger) {
+	s, err := loadGate(path)
+	if err == nil {
+		err = level.UnmarshalText([]byte(s.Log))
+	}
+	if err != nil {
+		logger.Error("settings not reloaded", zap.String("Path", path), zap.String("Cause", cause), zap.Error(err))
+		return
+	}
+	logger.Info("settings reloaded", zap.String("Path", path), zap.String("Cause", cause), zap.Any("Settings", s))
+}
+
 // followSignals begins a planned stop on a signal to stop, and reads the
 // settings again on one that they have changed.
-func followSignals(ctx context.Context, server *gate.Server, path string, logger *zap.Logger) error {
+func followSignals(ctx context.Context, server *gate.Server, logger *zap.Logger, reload func(cause string)) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -118,16 +138,35 @@
 		case <-ctx.Done():
 			return nil
 		case received := <-signals:
-			if received != syscall.SIGHUP {
-				logger.Info("signal to stop", zap.Stringer("Signal", received))
-				server.Stop()
-				continue
-			}
-			if _, err := loadGate(path); err != nil {
-				logger.Error("settings not reloaded", zap.String("Path", path), zap.Error(err))
+			if received == syscall.SIGHUP {
+				reload("signal")
 				continue
 			}
-			logger.Info("settings reloaded", zap.String("Path", path))
+			logger.Info("signal to stop", zap.Stringer("Signal", received))
+			server.Stop()
 		}
 	}
 }
+
+// watchSettings reads the settings again when their file has changed without a
+// signal.
+func watchSettings(ctx context.Context, timers *timer.Service, path string, reload func(cause string)) error {
+	changed := modified(path)
+	for timers.Sleep(ctx, settingsPeriod) {
+		if now := modified(path); !now.Equal(changed) {
+			changed = now
+			reload("file")
+		}
+	}
+	return nil
+}
+
+// modified is when a file was last changed; the zero time while it cannot be
+// read, as when it is being replaced.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/pkg/logbook/logbook.go
+++ b/pkg/logbook/logbook.go
@@ -78,7 +78,7 @@
 }
 
 // Logger returns a logger of JSON lines into the book.
-func (b *Book) Logger(level zapcore.Level) *zap.Logger {
+func (b *Book) Logger(level zapcore.LevelEnabler) *zap.Logger {
 	encoding := zapcore.EncoderConfig{
 		TimeKey: "Time", LevelKey: "Level", NameKey: "Layer", MessageKey: "Event",
 		EncodeTime: zapcore.RFC3339NanoTimeEncoder, EncodeLevel: zapcore.LowercaseLevelEncoder,
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -36,7 +36,9 @@
 	Metrics netip.AddrPort
 	Store   *platform.Store
 	Timing  placement.Timing
-	Logger  *zap.Logger
+	// Timers is the process's timer service; the server runs it.
+	Timers *timer.Service
+	Logger *zap.Logger
 	// LinesLeftOut counts the log lines that were left out.
 	LinesLeftOut func() int64
 }
@@ -86,7 +88,7 @@
 // New binds the addresses of an instance.
 func New(config Config) (*Server, error) {
 	s := &Server{
-		config: config, mailbox: mailbox.New[placement.Input](), timers: timer.New(), stopped: make(chan struct{}),
+		config: config, mailbox: mailbox.New[placement.Input](), timers: config.Timers, stopped: make(chan struct{}),
 		logger: config.Logger, waiting: make(map[placement.Handle]chan placement.Answer), watches: make(map[string]*watch),
 		endpoints: platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: orderTimeout}),
 	}
--- /dev/null
+++ b/service/peer/placement_test.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/workload"
+	"crocusseam/service/peer/wire"
+)
+
+// TestPlacementMessagesSurviveTheWire holds that every message comes back as it
+// was sent.
+func TestPlacementMessagesSurviveTheWire(t *testing.T) {
+	run := workload.Run{Task: workload.TaskID{Job: "5c0e7a21d94b36f8", Step: 1, Index: 3}, Number: 2}
+	need := workload.Resources{MilliCPU: 27000, MemoryMB: 64, Accelerators: 1}
+	codec := PlacementCodec()
+	for _, m := range []placement.Message{
+		&placement.Place{
+			Sequence: 7, Job: "j", Spec: "s", Step: 1, Service: "x", Need: need, Label: "a", Rack: "r", Estimate: time.Second,
+			Objective: 2 * time.Second, Useful: 3 * time.Second, Left: 4 * time.Second, Priority: -1,
+			Tasks: []placement.PlacedTask{{Index: 3, Number: 2, Avoid: []string{"e"}}},
+		},
+		&placement.Drop{Runs: []workload.Run{run}, OnlyWaiting: true},
+		&placement.Ended{Run: run, How: workload.Lapsed, Endpoint: "e", Elapsed: time.Second, Detail: "d"},
+		&placement.Waiting{Run: run, For: time.Second},
+		&placement.Advert{Seen: 4, Rooms: []placement.Room{{Endpoint: "e", Free: need, Speed: 1.5}}, Waits: placement.Waits{{Priority: 1, Wait: time.Second}}, Total: need},
+		&placement.Beat{Leaving: true, Configuration: 9, Uptime: time.Minute},
+		&placement.Settings{Version: 9, Raw: []byte("{}")},
+		&placement.Yield{Endpoints: []string{"e"}},
+		&placement.Yielded{Endpoint: "e", Version: 5},
+		&placement.CancelJob{ID: "j"},
+	} {
+		raw, err := proto.Marshal(codec.Encode(m))
+		assert.NilError(t, err)
+		message := &wire.Message{}
+		assert.NilError(t, proto.Unmarshal(raw, message))
+		back, err := codec.Decode(message)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, back, m)
+	}
+}
+
+func TestDamagedPlacementMessagesAreRefused(t *testing.T) {
+	codec := PlacementCodec()
+	for _, m := range []*wire.Message{
+		{},
+		{Kind: &wire.Message_RunEnded{RunEnded: &wire.RunEnded{How: 99}}},
+		{Kind: &wire.Message_Advert{Advert: &wire.Advert{Rooms: []*wire.Room{{Speed: 0}}}}},
+		{Kind: &wire.Message_Beat{Beat: &wire.Beat{}}},
+	} {
+		_, err := codec.Decode(m)
+		assert.Assert(t, err != nil)
+	}
+}
