--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -89,6 +89,7 @@
 	roomsOld  bool
 	advertDue time.Time
 	advertNew bool // something to advertise
+	adverts   int
 	bookDue   time.Time
 	commits   int             // of holds, on their way
 	rowsRead  map[string]bool // domains whose rows of holds were read at the start
@@ -106,6 +107,11 @@
 	minRoom         = 1000 // thousandths of a processor that are worth an advert
 	shortestRest    = 5 * time.Millisecond
 	advertPeriod    = 400 * time.Millisecond
+	// An instance spends about a hundredth of a processor on adverts at this
+	// pause for each peer, at some 15 us a message.
+	advertPausePerPeer = 1500 * time.Microsecond
+	fewPeers           = 10 // that all hear every advert
+	farAdverts         = 4  // one of so many goes to other domains
 )
 
 func newHolder(config hold.Config) holder {
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -51,7 +51,8 @@
 	dropAt    time.Time // when a silent session is to be dropped
 	advert    *Advert
 	advertAt  time.Time
-	sequence  uint64 // of the last Place sent to it
+	toldAt    time.Time // when an advert was last sent to it
+	sequence  uint64    // of the last Place sent to it
 	pending   []pendingTask
 	rooms     []Room  // of the advert, less what was placed since
 	backlog   float64 // placed since beyond the rooms, in core time
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -387,24 +387,30 @@
 	return wait
 }
 
-// runAdverts tells peers of room when it has changed, with a pause in between.
+// runAdverts tells peers of room when it has changed, with a pause in between
+// that grows with their number. Peers of other domains place less here, and hear
+// of it less often.
 func (c *Control) runAdverts() {
 	h := &c.holder
 	if c.now.Before(h.advertDue) || (!h.advertNew && c.now.Sub(h.advertDue) < advertPeriod) {
 		return
 	}
 	h.advertNew = false
-	h.advertDue = c.now.Add(c.config.Timing.AdvertPause)
+	h.advertDue = c.now.Add(c.config.Timing.AdvertPause + time.Duration(max(0, c.roster.members.Len()-fewPeers))*advertPausePerPeer)
+	h.adverts++
 	var rooms []Room
 	var waits Waits
 	if c.stop == serving {
 		rooms = slices.Clone(c.ownRooms())
 		waits = c.ownWaits()
 	}
+	far := c.roster.members.Len() <= fewPeers || h.adverts%farAdverts == 0
 	for _, m := range c.roster.members.All() {
-		if m.up && m.suspected.IsZero() {
-			c.emit(Send{Peer: m.id, Message: &Advert{Seen: m.seen, Rooms: rooms, Waits: waits, Total: h.total}})
+		if !m.up || !m.suspected.IsZero() || (!far && m.row.Domain != c.config.Domain && c.now.Sub(m.toldAt) < advertPeriod) {
+			continue
 		}
+		m.toldAt = c.now
+		c.emit(Send{Peer: m.id, Message: &Advert{Seen: m.seen, Rooms: rooms, Waits: waits, Total: h.total}})
 	}
 }
 
--- a/service/gate/follow.go
+++ b/service/gate/follow.go
@@ -20,6 +20,8 @@
 	feedWait        = 1500 * time.Millisecond // a silent connection is noticed within the bound of a configuration
 	followRetry     = 200 * time.Millisecond
 	discoveryPeriod = 700 * time.Millisecond // a draining endpoint is known well before the bound of draining
+	// Each peer makes the reads of all rarer: thirty read every 1.5 s.
+	discoveryPerPeer = 25 * time.Millisecond
 )
 
 // dependency logs when an outside system is lost and when it is back.
@@ -119,7 +121,7 @@
 			}
 			s.deliver(placement.Listed{Endpoints: list})
 		}
-		s.timers.Sleep(ctx, discoveryPeriod)
+		s.timers.Sleep(ctx, discoveryPeriod+time.Duration(s.state().Members)*discoveryPerPeer)
 	}
 	return nil
 }
