Find runs that stand still by their percent, within a third of their time

Now an endpoint is asked at once when a run should have shown progress, and is left at the first run that has not.

--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -169,6 +169,8 @@
 		}
 	case placement.Watch:
 		n.startWatch(m)
+	case placement.Look:
+		n.look(m)
 	case placement.Unwatch:
 		if x, ok := n.watches[m.Endpoint.Name]; ok {
 			x.ended = true
@@ -370,3 +372,18 @@
 
 // Leave begins a planned stop.
 func (n *Node) Leave() { n.deliver(placement.Stop{}) }
+
+// look asks an endpoint for one report at once.
+func (n *Node) look(m placement.Look) {
+	sent := n.world.Now
+	var report workload.Report
+	n.order(m.Endpoint, func(e *Endpoint) placement.OrderOutcome {
+		outcome := e.Hold(m.Token, 0, 0)
+		report = e.Report()
+		return outcome
+	}, func(o placement.OrderOutcome) {
+		if o == placement.Accepted {
+			n.deliver(placement.Reported{Endpoint: m.Endpoint, Token: m.Token, Sent: sent, Received: n.world.Now, Report: report})
+		}
+	})
+}
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -374,6 +374,7 @@
 	UnknownRuns       int64 // runs found at an endpoint that nobody here started
 	FailedCommits     int64 // commits of holds and members without success
 	StragglersStopped int64 // runs stopped because they made no progress
+	Looks             int64 // reports asked for beside the watches
 }
 
 // taskRuns is a table of runs.
--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -86,7 +86,14 @@
 		h.jobs++
 		h.lastJob = job
 	}
-	if h.ejected == 0 && (h.failures < failuresToEject || h.jobs < jobsToEject) {
+	if h.ejected > 0 || (h.failures >= failuresToEject && h.jobs >= jobsToEject) {
+		h.eject(now)
+	}
+}
+
+// eject takes the endpoint out of use, for longer each time in a row.
+func (h *health) eject(now time.Time) {
+	if now.Before(h.until) {
 		return
 	}
 	h.until = now.Add(min(firstEjection<<min(h.ejected, 4), maxEjection))
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -29,6 +29,8 @@
 	reserved  workload.Resources
 	reports   int
 	reportAt  time.Time     // when the last report came
+	askedAt   time.Time     // when it was asked for
+	lookedAt  time.Time     // when a report was asked for beside the watch
 	clock     time.Duration // of the endpoint, at reportAt
 	leaseSent time.Time     // when something that renews the lease was last sent
 	silences  int           // in a row
@@ -342,7 +344,10 @@
 		return
 	}
 	e.reports++
-	e.reportAt, e.clock = m.Received, m.Report.Clock
+	if !m.Received.Before(e.reportAt) {
+		e.reportAt, e.clock = m.Received, m.Report.Clock
+	}
+	e.askedAt = later(e.askedAt, m.Sent)
 	e.silences = 0
 	if !e.paused && e.state == active {
 		e.leaseSent = later(e.leaseSent, m.Sent)
@@ -383,7 +388,7 @@
 		if r.confirmed.IsZero() {
 			r.confirmed = m.Received
 		}
-		if rr.Percent != r.percent || r.percentAt.IsZero() {
+		if rr.Percent != r.percent {
 			r.percent, r.percentAt = rr.Percent, m.Received
 		}
 	}
@@ -501,6 +506,7 @@
 	for _, e := range h.endpoints.All() {
 		h.held++
 		c.lapseSilent(e)
+		c.lookAfter(e)
 		if e.state == active && !e.paused {
 			h.active++
 			h.total = h.total.Add(e.info.Capacity)
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -232,6 +232,13 @@
 	Renew    bool
 }
 
+// Look asks an endpoint for a report at once, beside its Watch.
+type Look struct {
+	Endpoint workload.EndpointID
+	Address  netip.AddrPort
+	Token    workload.Token
+}
+
 // Unwatch ends a Watch.
 type Unwatch struct{ Endpoint workload.EndpointID }
 
@@ -294,6 +301,7 @@
 func (Start) isEffect()       {}
 func (StopRun) isEffect()     {}
 func (Watch) isEffect()       {}
+func (Look) isEffect()        {}
 func (Unwatch) isEffect()     {}
 func (Probe) isEffect()       {}
 func (Commit) isEffect()      {}
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -78,6 +78,9 @@
 	})
 }
 
+// troubledCredit is the credit that a day with ill endpoints has to earn.
+const troubledCredit = 0.85
+
 // calmInTime is the share of jobs that a calm day has to serve within their
 // objective.
 const calmInTime = 0.99
@@ -181,6 +184,7 @@
 		w.Run(8 * time.Second)
 		settle(t, w)
 		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+		assert.Check(t, w.Credit() >= troubledCredit)
 	})
 }
 
@@ -195,6 +199,7 @@
 		w.Run(8 * time.Second)
 		settle(t, w)
 		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+		assert.Check(t, w.Credit() >= troubledCredit)
 	})
 }
 
@@ -211,6 +216,7 @@
 		w.Run(8 * time.Second)
 		settle(t, w)
 		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+		assert.Check(t, w.Credit() >= troubledCredit)
 	})
 }
 
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -235,28 +235,49 @@
 			c.stopRun(r)
 		}
 	case running:
-		if r.endpoint.state == active && r.stuck(c.now) {
+		if r.endpoint.state == active && r.stuck() {
 			c.counted.StragglersStopped++
 			c.decide("run makes no progress", jobField(r.id.Task.Job), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.String("Endpoint", r.endpoint.info.ID.Name),
 				zap.Int("Percent", r.percent), zap.Duration("Unchanged", c.now.Sub(r.percentAt)), zap.Duration("Estimate", r.place.Estimate))
-			r.endpoint.health.failed(c.now, r.id.Task.Job)
+			r.endpoint.health.eject(c.now)
+			c.holder.roomsOld = true
 			c.stopRun(r)
 		}
 	}
 }
 
-// Figures of runs that do not progress. A sound run shows a new percent with
-// every hundredth of its time.
+// Figures of runs that do not progress. An endpoint that runs several times
+// slower than usual still shows a new percent well within them.
 const (
-	stuckFactor = 0.5 // of the estimate without a new percent
-	minStuck    = 500 * time.Millisecond
+	stuckShare = 0.3 // of the expected run time without a new percent
+	minStuck   = 50 * time.Millisecond
 )
 
-func (r *run) stuck(now time.Time) bool {
-	if r.percentAt.IsZero() || r.endpoint.reportAt.Sub(r.percentAt) < minStuck {
-		return false
+// patience is how long a run may show no progress.
+func (r *run) patience() time.Duration {
+	return max(minStuck, time.Duration(stuckShare*float64(r.place.Estimate)/r.endpoint.speed.value()))
+}
+
+// stuck reports whether the endpoint was asked after the run should have shown
+// progress, and it had not.
+func (r *run) stuck() bool {
+	return r.endpoint.askedAt.Sub(later(r.percentAt, r.ordered)) > r.patience()
+}
+
+// lookAfter asks for a report of an endpoint whose runs should have progressed
+// since its last one. Busy endpoints report often enough by their ends.
+func (c *Control) lookAfter(e *endpoint) {
+	if e.state != active || e.paused || c.now.Sub(e.lookedAt) < minStuck {
+		return
+	}
+	for _, r := range e.runs.All() {
+		if r.state == running && c.now.Sub(later(e.askedAt, later(r.percentAt, r.ordered))) > r.patience() {
+			e.lookedAt = c.now
+			c.counted.Looks++
+			c.emit(Look{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token})
+			return
+		}
 	}
-	return r.endpoint.reportAt.Sub(r.percentAt) > time.Duration(float64(r.place.Estimate)*stuckFactor) && now.Sub(r.ordered) > r.place.Estimate
 }
 
 // dropped ends runs that their home no longer wants.
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -253,6 +253,8 @@
 		s.deliver(s.endpoints.Stop(ctx, &m))
 	case placement.Probe:
 		s.probe(ctx, m)
+	case placement.Look:
+		s.look(ctx, m)
 	case placement.Commit:
 		version, err := s.config.Store.Commit(ctx, m.Writes)
 		s.metrics.storeCall("commit", err)
--- a/service/gate/watch.go
+++ b/service/gate/watch.go
@@ -91,3 +91,14 @@
 	_, outcome, _ := s.endpoints.Report(ctx, platform.Question{Endpoint: m.Endpoint, Address: m.Address})
 	s.deliver(placement.ProbeDone{Endpoint: m.Endpoint.Name, Reachable: outcome == placement.Accepted || outcome == placement.Fenced})
 }
+
+// look asks for one report at once. If there is none, the endpoint's watch will
+// say so.
+func (s *Server) look(ctx context.Context, m placement.Look) {
+	sent := s.timers.SinceBoot()
+	report, outcome, _ := s.endpoints.Report(ctx, platform.Question{Endpoint: m.Endpoint, Address: m.Address, Token: m.Token})
+	s.metrics.report(outcome)
+	if outcome == placement.Accepted {
+		s.deliver(placement.Reported{Endpoint: m.Endpoint, Token: m.Token, Sent: sent, Received: s.timers.SinceBoot(), Report: report})
+	}
+}
