--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -62,9 +62,7 @@
 		Self: n.ID, Domain: n.Domain, Address: netip.MustParseAddrPort("127.0.0.1:1"), Share: 1,
 		Seed: n.world.Config.Seed, Timing: n.world.Config.Timing,
 	})
-	n.deliver(placement.Configured{Configuration: &workload.Configuration{
-		Version: 1, Services: []workload.Service{{Name: n.world.Config.Service}},
-	}})
+	n.deliver(placement.Configured{Configuration: &workload.Configuration{Version: 1}})
 	n.discover(n.life)
 }
 
@@ -177,11 +175,11 @@
 			delete(n.watches, m.Endpoint.Name)
 		}
 	case placement.Start:
-		n.order(m.Endpoint, func(x *Endpoint) placement.OrderOutcome { return x.Start(&m) }, func(o placement.OrderOutcome) {
+		n.order(m.Endpoint, m.Patience, func(x *Endpoint) placement.OrderOutcome { return x.Start(&m) }, func(o placement.OrderOutcome) {
 			n.deliver(placement.StartDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Outcome: o})
 		})
 	case placement.StopRun:
-		n.order(m.Endpoint, func(x *Endpoint) placement.OrderOutcome { return x.Stop(&m) }, func(o placement.OrderOutcome) {
+		n.order(m.Endpoint, w.Config.Timing.Order, func(x *Endpoint) placement.OrderOutcome { return x.Stop(&m) }, func(o placement.OrderOutcome) {
 			n.deliver(placement.StopDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Outcome: o})
 		})
 	case placement.Probe:
@@ -262,17 +260,17 @@
 
 // order sends an order to an endpoint. What a slow or cut network does to it is
 // up to the endpoint's faults.
-func (n *Node) order(id workload.EndpointID, do func(*Endpoint) placement.OrderOutcome, done func(placement.OrderOutcome)) {
+func (n *Node) order(id workload.EndpointID, patience time.Duration, do func(*Endpoint) placement.OrderOutcome, done func(placement.OrderOutcome)) {
 	w := n.world
 	x := w.endpoint(id)
 	if x == nil || !x.Up || !w.reaches(n.place(), x.place()) {
-		n.later(orderTimeout, func() { done(placement.Unanswered) })
+		n.later(patience, func() { done(placement.Unanswered) })
 		return
 	}
 	way := w.oneWay(n.place(), x.place())
 	if x.LateOrders > 0 && w.random.Float64() < x.LateOrders {
 		w.After(x.LateBy, func() { do(x) })
-		n.later(orderTimeout, func() { done(placement.Unanswered) })
+		n.later(patience, func() { done(placement.Unanswered) })
 		return
 	}
 	lost := x.LoseAnswers > 0 && w.random.Float64() < x.LoseAnswers
@@ -283,7 +281,7 @@
 		}
 		outcome := do(x)
 		if lost || !w.reaches(n.place(), x.place()) {
-			n.later(orderTimeout, func() { done(placement.Unanswered) })
+			n.later(patience, func() { done(placement.Unanswered) })
 			return
 		}
 		n.later(way, func() { done(outcome) })
@@ -319,8 +317,8 @@
 		until = x.clock + sent.Sub(x.at) + w.Config.Timing.Lease
 	}
 	var report workload.Report
-	answered := false
-	n.order(x.Endpoint, func(e *Endpoint) placement.OrderOutcome {
+	answered, gaveUp := false, false
+	n.order(x.Endpoint, w.Config.Timing.Order, func(e *Endpoint) placement.OrderOutcome {
 		outcome := e.Hold(x.Token, x.seen, until)
 		if outcome != placement.Accepted {
 			return outcome
@@ -332,10 +330,10 @@
 				return
 			}
 			n.later(way, func() {
-				answered = true
-				if x.ended {
+				if x.ended || gaveUp {
 					return
 				}
+				answered = true
 				x.clock, x.at = report.Clock, w.Now
 				for _, end := range report.Ended {
 					x.seen = max(x.seen, end.Sequence)
@@ -350,13 +348,15 @@
 			return
 		}
 		if o == placement.Accepted {
-			n.later(wait+orderTimeout, func() {
+			n.later(wait+w.Config.Timing.Order, func() {
 				if !answered && !x.ended {
+					gaveUp = true
 					n.silence(x, placement.Unanswered)
 				}
 			})
 			return
 		}
+		gaveUp = true
 		n.silence(x, o)
 	})
 }
@@ -377,7 +377,7 @@
 func (n *Node) look(m placement.Look) {
 	sent := n.world.Now
 	var report workload.Report
-	n.order(m.Endpoint, func(e *Endpoint) placement.OrderOutcome {
+	n.order(m.Endpoint, n.world.Config.Timing.Order, func(e *Endpoint) placement.OrderOutcome {
 		outcome := e.Hold(m.Token, 0, 0)
 		report = e.Report()
 		return outcome
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -43,6 +43,8 @@
 	MemberScan  time.Duration // between reads of the members' rows
 	SuspectScan time.Duration // the same while a member is suspected
 	Heartbeat   time.Duration // between renewals of the own row while a member is suspected
+	FirstOrder  time.Duration // for the answer to the first copy of a start order
+	Order       time.Duration // for the answer to any other order
 	StartRetry  int           // further copies of a start order that was not answered
 	StopRetry   time.Duration // between copies of a stop order that was not answered
 	ReportAge   time.Duration // of the last report, above which nothing starts at an endpoint
@@ -58,13 +60,15 @@
 		Beat:        100 * time.Millisecond,
 		AdvertPause: 5 * time.Millisecond,
 		Silence:     450 * time.Millisecond, // four beats and a slow link
-		Term:        time.Second,
+		Term:        700 * time.Millisecond, // two renewals of a row
 		Lease:       time.Second,
 		Settle:      time.Second,
 		Established: 3 * time.Second,
 		MemberScan:  2 * time.Second,
 		SuspectScan: 400 * time.Millisecond,
 		Heartbeat:   300 * time.Millisecond, // three within a term
+		FirstOrder:  60 * time.Millisecond,  // many round trips; a second copy does no harm
+		Order:       150 * time.Millisecond,
 		StartRetry:  1,
 		StopRetry:   200 * time.Millisecond,
 		ReportAge:   800 * time.Millisecond,
@@ -104,7 +108,6 @@
 
 	configuration *workload.Configuration
 	raw           []byte
-	services      map[string]workload.Service
 
 	home    home
 	holder  holder
@@ -128,10 +131,9 @@
 func New(config Config) *Control {
 	c := &Control{
 		config: config, self: config.Self,
-		random:   rand.New(rand.NewPCG(config.Seed, config.Self.Incarnation)),
-		services: make(map[string]workload.Service),
-		commits:  make(map[uint64]func(CommitDone)),
-		scans:    make(map[uint64]func(ScanDone)),
+		random:  rand.New(rand.NewPCG(config.Seed, config.Self.Incarnation)),
+		commits: make(map[uint64]func(CommitDone)),
+		scans:   make(map[uint64]func(ScanDone)),
 	}
 	c.home = newHome()
 	c.holder = newHolder(hold.Config{
@@ -284,10 +286,6 @@
 		return
 	}
 	c.configuration, c.raw = m.Configuration, m.Raw
-	clear(c.services)
-	for _, s := range m.Configuration.Services {
-		c.services[s.Name] = s
-	}
 	c.decide("configuration in force", zap.Uint64("Version", m.Configuration.Version), zap.Int("Routes", len(m.Configuration.Routes)))
 }
 
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -27,7 +27,6 @@
 	state     endpointState
 	runs      *taskRuns
 	reserved  workload.Resources
-	reports   int
 	reportAt  time.Time     // when the last report came
 	askedAt   time.Time     // when it was asked for
 	lookedAt  time.Time     // when a report was asked for beside the watch
@@ -111,9 +110,9 @@
 	advertPeriod    = 400 * time.Millisecond
 	// An instance spends about a hundredth of a processor on adverts at this
 	// pause for each peer, at some 15 us a message.
-	advertPausePerPeer = 1500 * time.Microsecond
-	fewPeers           = 10 // that all hear every advert
-	farAdverts         = 4  // one of so many goes to other domains
+	advertPausePerPeer = 1500 * time.Microsecond // a message costs some 15 us, so a hundredth of a processor
+	fewPeers           = 10                      // that all hear every advert without a longer pause
+	farAdverts         = 4                       // one of so many goes to other domains
 )
 
 func newHolder(config hold.Config) holder {
@@ -124,7 +123,7 @@
 	}
 }
 
-// listedNow takes what discovery shows. An endpoint that is missing is kept for
+// listed takes what discovery shows. An endpoint that is missing is kept for
 // a while: entries lapse while the platform is away although their endpoints
 // live.
 func (c *Control) listed(m Listed) {
@@ -343,7 +342,6 @@
 	if !ok {
 		return
 	}
-	e.reports++
 	if !m.Received.Before(e.reportAt) {
 		e.reportAt, e.clock = m.Received, m.Report.Clock
 	}
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -212,6 +212,7 @@
 	Run      workload.Run
 	Spec     string
 	Until    time.Duration // end of the lease on the endpoint's clock
+	Patience time.Duration // for the answer
 }
 
 // StopRun orders an endpoint to stop a run.
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -30,7 +30,7 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, now: time.Unix(1000, 0)}
 	b.control = New(Config{Self: instance.ID{Instance: "a", Incarnation: 1}, Domain: "east", Share: 1, Timing: DefaultTiming()})
-	b.step(Configured{Configuration: &workload.Configuration{Version: 1, Services: []workload.Service{{Name: "s"}}}}, Listed{Endpoints: []workload.Endpoint{benchEndpoint}})
+	b.step(Configured{Configuration: &workload.Configuration{Version: 1}}, Listed{Endpoints: []workload.Endpoint{benchEndpoint}})
 	b.serveStore()
 	for range 200 {
 		b.pass(10 * time.Millisecond)
@@ -236,3 +236,13 @@
 	assert.Equal(t, len(find[StopRun](b)), 0)
 	assert.Equal(t, b.control.Overview().Jobs, 1)
 }
+
+func TestWaitsCountWhatGoesBefore(t *testing.T) {
+	waits := Waits{{Priority: -1 << 31, Wait: 5}}
+	waits = waits.add(2, 100)
+	waits = waits.add(0, 10)
+	waits = waits.add(2, 100)
+	for priority, wait := range map[int]time.Duration{-1: 5, 0: 15, 1: 15, 2: 215, 3: 215} {
+		assert.Equal(t, waits.of(priority), wait, "priority %d", priority)
+	}
+}
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -63,7 +63,10 @@
 
 func eachSeed(t *testing.T, do func(t *testing.T, seed uint64)) {
 	for seed := uint64(1); seed <= seeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { do(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			do(t, seed)
+		})
 	}
 }
 
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -145,12 +145,17 @@
 	e := r.endpoint
 	r.tries++
 	e.leaseSent = c.now
+	patience := c.config.Timing.FirstOrder
+	if r.tries > 1 {
+		patience = c.config.Timing.Order
+	}
 	c.decide("start ordered", jobField(r.id.Task.Job), zap.Int("Step", r.id.Task.Step), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.Int("Copy", r.tries),
 		zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)), zap.Int("FreeMilliCPU", e.free().MilliCPU), zap.Duration("ReportAge", c.now.Sub(e.reportAt)),
 		zap.Duration("Waited", c.now.Sub(r.arrived)), zap.String("Home", r.home.Instance))
 	c.emit(Start{
 		Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r.id, Spec: r.place.Spec,
-		Until: e.clock + c.now.Sub(e.reportAt) + c.config.Timing.Lease,
+		Until:    e.clock + c.now.Sub(e.reportAt) + c.config.Timing.Lease,
+		Patience: patience,
 	})
 }
 
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -238,27 +238,16 @@
 	return time.Duration(float64(j.LongestChain())*r.Stretch) + r.Slack
 }
 
-// Service is a pool of endpoints.
-type Service struct {
-	Name string
-	// GuardsCapacity says that its endpoints refuse what does not fit.
-	GuardsCapacity bool
-}
-
 // Configuration is the operator's configuration. Versions only rise.
 type Configuration struct {
-	Version  uint64
-	Routes   []Route
-	Services []Service
-	Limits   Limits
+	Version uint64
+	Routes  []Route
+	Limits  Limits
 }
 
 // Limits bound callers' requests.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64 // of one request; 0 leaves the usual limit
 }
 
 // Token is a fencing token: the version of the row by which an endpoint is held.
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -79,7 +79,6 @@
 	maxHeaderBytes    = 16 << 10
 	maxBodyBytes      = 256 << 10
 	lastAnswers       = 300 * time.Millisecond // for answers on their way at the end of a planned stop
-	orderTimeout      = 150 * time.Millisecond // many round trips in a failure domain
 	orderConnections  = 8                      // to one endpoint: its reports and orders at once
 	overviewPeriod    = 100 * time.Millisecond
 	storeCallPatience = 2 * time.Second
@@ -90,7 +89,7 @@
 	s := &Server{
 		config: config, mailbox: mailbox.New[placement.Input](), timers: config.Timers, stopped: make(chan struct{}),
 		logger: config.Logger, waiting: make(map[placement.Handle]chan placement.Answer), watches: make(map[string]*watch),
-		endpoints: platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: orderTimeout}),
+		endpoints: platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: config.Timing.Order}),
 	}
 	s.metrics = newMetrics(s)
 	for _, l := range []struct {
