--- a/pkg/placement/choice.go
+++ b/pkg/placement/choice.go
@@ -69,9 +69,9 @@
 	return fit{inTime: expected+hop <= d.left, far: far, speed: r.Speed, leftover: r.Free.Sub(d.need).MilliCPU}
 }
 
-// betterThan prefers an endpoint where the task meets its objective; of those
-// the slowest one, so that fast ones stay free for long tasks, and the one with
-// the least room left over. Where the objective is lost the fastest is best.
+// betterThan prefers an endpoint where the task meets its objective, then one of
+// this failure domain, then a faster one, and of equal ones that with the least
+// room left over.
 func (f fit) betterThan(other fit) bool {
 	switch {
 	case f.inTime != other.inTime:
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// pattern is a load with trouble, played with several seeds.
+type pattern struct {
+	Rate   float64
+	For    time.Duration
+	Credit float64 // that has to be earned
+	Before func(*model.World)
+}
+
+func (p pattern) run(t *testing.T, trouble func(*model.World)) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		if p.Before != nil {
+			p.Before(w)
+		}
+		day(w, p.Rate, p.For)
+		trouble(w)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+		assert.Check(t, w.Credit() >= p.Credit)
+	})
+}
+
 func TestCalmDay(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		w := model.New(deployment(seed))
@@ -99,9 +121,7 @@
 }
 
 func TestHoldersKilled(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		day(w, 0.8, 10*time.Second)
+	pattern{Rate: 0.8, For: 10 * time.Second}.run(t, func(w *model.World) {
 		w.Run(2 * time.Second)
 		w.Nodes[0].Kill()
 		w.Run(2 * time.Second)
@@ -109,15 +129,11 @@
 		w.Run(2 * time.Second)
 		w.Nodes[0].Start()
 		w.Run(5 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
 	})
 }
 
 func TestEverythingKilledAtOnce(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		day(w, 0.8, 12*time.Second)
+	pattern{Rate: 0.8, For: 12 * time.Second}.run(t, func(w *model.World) {
 		w.Run(3 * time.Second)
 		for _, n := range w.Nodes {
 			n.Kill()
@@ -127,27 +143,19 @@
 			n.Start()
 		}
 		w.Run(8 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
 	})
 }
 
 func TestHolderFrozen(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		day(w, 0.8, 10*time.Second)
+	pattern{Rate: 0.8, For: 10 * time.Second}.run(t, func(w *model.World) {
 		w.Run(2 * time.Second)
 		w.Nodes[1].Freeze(4 * time.Second)
 		w.Run(8 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
 	})
 }
 
 func TestDomainCutOff(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		day(w, 0.8, 12*time.Second)
+	pattern{Rate: 0.8, For: 12 * time.Second}.run(t, func(w *model.World) {
 		w.Run(2 * time.Second)
 		others := []string{"domain-b", "domain-c", "domain-d", "store"}
 		for _, o := range others {
@@ -158,58 +166,44 @@
 			w.Cut("domain-a", o, false)
 		}
 		w.Run(5 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
 	})
 }
 
 func TestOrdersCarriedOutLate(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		for _, e := range w.Endpoints {
-			e.LateOrders, e.LateBy, e.LoseAnswers = 0.05, 3*time.Second, 0.03
-		}
-		day(w, 0.8, 8*time.Second)
+	pattern{
+		Rate: 0.8, For: 8 * time.Second,
+		Before: func(w *model.World) {
+			for _, e := range w.Endpoints {
+				e.LateOrders, e.LateBy, e.LoseAnswers = 0.05, 3*time.Second, 0.03
+			}
+		},
+	}.run(t, func(w *model.World) {
 		w.Run(8 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
 	})
 }
 
 func TestEndpointsHang(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		day(w, 0.8, 10*time.Second)
+	pattern{Rate: 0.8, For: 10 * time.Second, Credit: troubledCredit}.run(t, func(w *model.World) {
 		w.Run(2 * time.Second)
 		for i := range 5 {
 			w.Endpoints[i*9].Hangs = true
 		}
 		w.Run(8 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
-		assert.Check(t, w.Credit() >= troubledCredit)
 	})
 }
 
 func TestEndpointsFailEverything(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		day(w, 0.8, 10*time.Second)
+	pattern{Rate: 0.8, For: 10 * time.Second, Credit: troubledCredit}.run(t, func(w *model.World) {
 		w.Run(2 * time.Second)
 		for i := range 5 {
 			w.Endpoints[i*9].FailsAll = true
 		}
 		w.Run(8 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
-		assert.Check(t, w.Credit() >= troubledCredit)
 	})
 }
 
 func TestEndpointsCrashAndReturnUnderTheirNames(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		day(w, 0.8, 10*time.Second)
+	pattern{Rate: 0.8, For: 10 * time.Second, Credit: troubledCredit}.run(t, func(w *model.World) {
 		w.Run(2 * time.Second)
 		for i := range 6 {
 			e := w.Endpoints[i*7]
@@ -217,57 +211,43 @@
 			w.After(time.Duration(i)*300*time.Millisecond, e.Restart)
 		}
 		w.Run(8 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
-		assert.Check(t, w.Credit() >= troubledCredit)
 	})
 }
 
 func TestStoreAway(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		day(w, 0.8, 10*time.Second)
+	pattern{Rate: 0.8, For: 10 * time.Second, Credit: 0.95}.run(t, func(w *model.World) {
 		w.Run(2 * time.Second)
 		w.Store.Away = true
 		w.Run(5 * time.Second)
 		w.Store.Away = false
 		w.Run(4 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
-		assert.Check(t, w.Credit() > 0.95)
 	})
 }
 
 func TestStoreLosesAnswers(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		w.Store.LoseAnswers = 0.35
-		day(w, 0.8, 10*time.Second)
+	pattern{
+		Rate: 0.8, For: 10 * time.Second,
+		Before: func(w *model.World) {
+			w.Store.LoseAnswers = 0.35
+		},
+	}.run(t, func(w *model.World) {
 		w.Run(3 * time.Second)
 		w.Nodes[2].Kill()
 		w.Run(8 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
 	})
 }
 
 func TestBurstOfLongJobs(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		day(w, 0.9, 10*time.Second)
+	pattern{Rate: 0.9, For: 10 * time.Second}.run(t, func(w *model.World) {
 		w.Run(3 * time.Second)
 		long := model.Mix(0.9)[1:2]
 		w.Offer(load(long, 4*time.Second))
 		w.Run(8 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
 	})
 }
 
 func TestInstancesStoppedInTurn(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		day(w, 0.8, 16*time.Second)
+	pattern{Rate: 0.8, For: 16 * time.Second}.run(t, func(w *model.World) {
 		for _, n := range w.Nodes {
 			w.Run(2 * time.Second)
 			n.Leave()
@@ -277,8 +257,6 @@
 			})
 		}
 		w.Run(8 * time.Second)
-		settle(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
 	})
 }
 
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -78,10 +78,8 @@
 	connections atomic.Int64
 	exited      chan struct{}
 
-	nextHandle atomic.Uint64
-	mu         sync.Mutex
-	waiting    map[dispatch.Handle]chan submission.Reply
-	status     atomic.Pointer[dispatch.Status]
+	replies *mailbox.Replies[dispatch.Handle, submission.Reply]
+	status  atomic.Pointer[dispatch.Status]
 }
 
 // Bounds of the server.
@@ -107,7 +105,7 @@
 	}
 	s := &Server{
 		config: config, mailbox: mailbox.New[dispatch.Input](), timers: timer.New(), stopped: make(chan struct{}),
-		exited: make(chan struct{}), waiting: make(map[dispatch.Handle]chan submission.Reply),
+		exited: make(chan struct{}), replies: mailbox.NewReplies[dispatch.Handle, submission.Reply](),
 	}
 	listener, err := net.Listen("tcp", config.Callers.String())
 	if err != nil {
@@ -278,7 +276,7 @@
 func (s *Server) perform(ctx context.Context, e dispatch.Effect) {
 	switch m := e.(type) {
 	case dispatch.Reply:
-		s.reply(m)
+		s.replies.Answer(m.Handle, m.Reply)
 	case dispatch.Start:
 		attempt := s.runner.Prepare(&m.Place)
 		s.group.Go(func() error {
@@ -344,33 +342,9 @@
 	}
 }
 
-// expect registers a request that waits for a reply.
-func (s *Server) expect() (dispatch.Handle, chan submission.Reply) {
-	h := dispatch.Handle(s.nextHandle.Add(1))
-	answer := make(chan submission.Reply, 1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.waiting[h] = answer
-	return h, answer
-}
-
-func (s *Server) reply(m dispatch.Reply) {
-	s.mu.Lock()
-	answer, ok := s.waiting[m.Handle]
-	delete(s.waiting, m.Handle)
-	s.mu.Unlock()
-	if ok {
-		answer <- m.Reply
-	}
-}
-
 // forget drops a request whose caller has gone.
 func (s *Server) forget(h dispatch.Handle) {
-	s.mu.Lock()
-	_, ok := s.waiting[h]
-	delete(s.waiting, h)
-	s.mu.Unlock()
-	if ok {
+	if s.replies.Forget(h) {
 		s.deliver(dispatch.Abandon{Handle: h})
 	}
 }
--- a/service/gate/callers.go
+++ b/service/gate/callers.go
@@ -87,7 +87,7 @@
 	if !ok {
 		return s.refuseEarly(c, http.StatusNotFound, fmt.Sprintf("no route for host %q and path %q in version %d", request.Host, request.URL.Path, routes.configuration.Version), 0)
 	}
-	h, answer := s.expect()
+	h, answer := s.replies.Expect()
 	if rest == "" && request.Method == http.MethodGet {
 		s.deliver(placement.Count{Handle: h, Route: route.Name})
 		return s.await(c, h, answer)
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -67,10 +67,7 @@
 	routes   atomic.Pointer[routeTable]
 	adopting sync.Mutex
 	watches  map[string]*watch // owned by the control goroutine
-
-	nextHandle atomic.Uint64
-	mu         sync.Mutex
-	waiting    map[placement.Handle]chan placement.Answer
+	replies  *mailbox.Replies[placement.Handle, placement.Answer]
 }
 
 // Bounds of the server.
@@ -88,7 +85,7 @@
 func New(config Config) (*Server, error) {
 	s := &Server{
 		config: config, mailbox: mailbox.New[placement.Input](), timers: config.Timers, stopped: make(chan struct{}),
-		logger: config.Logger, waiting: make(map[placement.Handle]chan placement.Answer), watches: make(map[string]*watch),
+		logger: config.Logger, replies: mailbox.NewReplies[placement.Handle, placement.Answer](), watches: make(map[string]*watch),
 		endpoints: platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: config.Timing.Order}),
 	}
 	s.metrics = newMetrics(s)
@@ -220,7 +217,7 @@
 	case placement.Decision:
 		s.logger.Info(m.Event, m.Fields...)
 	case placement.Reply:
-		s.reply(m)
+		s.replies.Answer(m.Handle, m.Answer)
 	case placement.Send:
 		s.links.Send(m.Peer, m.Message)
 	case placement.Connect:
@@ -271,33 +268,9 @@
 // failure domain.
 const scanLimit = 5000
 
-// expect registers a request that waits for an answer.
-func (s *Server) expect() (placement.Handle, chan placement.Answer) {
-	h := placement.Handle(s.nextHandle.Add(1))
-	answer := make(chan placement.Answer, 1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.waiting[h] = answer
-	return h, answer
-}
-
-func (s *Server) reply(m placement.Reply) {
-	s.mu.Lock()
-	answer, ok := s.waiting[m.Handle]
-	delete(s.waiting, m.Handle)
-	s.mu.Unlock()
-	if ok {
-		answer <- m.Answer
-	}
-}
-
 // forget drops a request whose caller has gone.
 func (s *Server) forget(h placement.Handle) {
-	s.mu.Lock()
-	_, ok := s.waiting[h]
-	delete(s.waiting, h)
-	s.mu.Unlock()
-	if ok {
+	if s.replies.Forget(h) {
 		s.deliver(placement.Abandon{Handle: h})
 	}
 }
