--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
-.PHONY: trial test matrix capacity check generate build
+.PHONY: trial trial-gate test matrix capacity check generate build
 
 trial:
 	@go run ./cmd/crocus-trial --out out/trial.json
 
+# The same for gates on stand-ins of the users' platform.
+trial-gate:
+	@go run ./cmd/crocus-trial --gate --length 15s --out out/trial-gate.json
+
 test:
 	@go test ./...
 
--- a/pkg/cmds/trial.go
+++ b/pkg/cmds/trial.go
@@ -20,6 +20,8 @@
 	NoFaults bool          `long:"no-faults" description:"crash, stop and drain nothing"`
 	Out      string        `long:"out" default:"out/trial.json" description:"file for the report"`
 	Log      string        `long:"log" default:"off" description:"log level of the instances: off, debug, info, warn, error"`
+	Gate     bool          `long:"gate" description:"run gates on stand-ins of the users' platform instead"`
+	Rate     float64       `long:"rate" default:"0.3" description:"load of a trial of gates; 1 keeps 79 tasks of 27 processors at work"`
 }
 
 // Trial runs a whole environment in this process and judges it.
@@ -28,6 +30,9 @@
 	if status, proceed := parse(&o, "crocus-trial", args); !proceed {
 		return status
 	}
+	if o.Gate {
+		return gateTrial(&o)
+	}
 	logger, err := newLogger(o.Log)
 	if err != nil {
 		return fail(ExitUsage, err)
@@ -52,6 +57,36 @@
 	return ExitOK
 }
 
+// Size of a trial of gates.
+const (
+	gateDomains   = 3
+	gateInstances = 2
+	gateEndpoints = 8
+)
+
+// gateTrial runs gates on stand-ins of the users' platform and judges them.
+func gateTrial(o *trialOptions) int {
+	if o.Rate <= 0 || o.Length <= 0 {
+		return fail(ExitUsage, fmt.Errorf("rate is %v and length %s; both must be above 0", o.Rate, o.Length))
+	}
+	report, err := trial.RunGate(context.Background(), trial.GateConfig{
+		Domains: gateDomains, Instances: gateInstances, Endpoints: gateEndpoints, Rate: o.Rate, For: o.Length, Seed: o.Seed,
+	})
+	if err != nil {
+		return fail(ExitFailed, err)
+	}
+	fmt.Printf("%d jobs through %d gates, one killed and one stopped: %d completed, %d in time, %d failed, %d refused, %d timed out, %d without an answer\n",
+		report.Jobs, gateDomains*gateInstances, report.Completed, report.InTime, report.Failed, report.Refused, report.TimedOut, report.Broken)
+	if err := writeReport(o.Out, report); err != nil {
+		return fail(ExitFailed, err)
+	}
+	if len(report.Breaches) > 0 {
+		fmt.Printf("An invariant broke, %d times; first: %s\n", len(report.Breaches), report.Breaches[0])
+		return ExitFailed
+	}
+	return ExitOK
+}
+
 func writeReport(path string, report any) error {
 	text, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
--- a/pkg/model/load.go
+++ b/pkg/model/load.go
@@ -79,7 +79,7 @@
 
 // SubmitTo hands a job of a kind to an instance.
 func (w *World) SubmitTo(n *Node, l *Load, k *Kind) *Outcome {
-	j, lengths := w.newJob(l, k)
+	j, lengths := w.Draw(l, k)
 	route := w.route(l, k)
 	objective := time.Duration(float64(slices.Max(lengths))*l.Stretch) + l.Slack
 	o := w.Submit(n, j, route, lateFactor*objective+l.Patience)
@@ -94,8 +94,8 @@
 	}
 }
 
-// newJob draws a job of a kind, and the true lengths of its tasks.
-func (w *World) newJob(l *Load, k *Kind) (*workload.Job, []time.Duration) {
+// Draw draws a job of a kind, and the true lengths of its tasks.
+func (w *World) Draw(l *Load, k *Kind) (*workload.Job, []time.Duration) {
 	w.jobs++
 	work := float64(k.Work) * math.Exp(w.random.NormFloat64()*k.Spread)
 	lengths := make([]time.Duration, max(1, w.poisson(k.Tasks)))
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -291,3 +291,25 @@
 	assert.Check(t, o.InTime(), "answered after %s, objective %s", o.Answered.Sub(o.Submitted), o.Objective)
 	settle(t, w)
 }
+
+// A leaving instance takes what it can see to its end, refuses the rest, and
+// leaves no caller without an answer.
+func TestLeavingInstanceTakesOnlyWhatItCanEnd(t *testing.T) {
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	w.Nodes[0].Leave()
+	submit := func(length time.Duration) *model.Outcome {
+		l := load([]model.Kind{{Name: "job", Tasks: 2, Work: length, MilliCPU: 27000}}, 0)
+		l.EstimateError = 0
+		return w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+	}
+	early := submit(2 * time.Second)
+	w.Run(4 * time.Second)
+	short, long := submit(100*time.Millisecond), submit(2*time.Second)
+	w.Run(2 * time.Second)
+	assert.Equal(t, early.Answer.Status, placement.Completed)
+	assert.Equal(t, short.Answer.Status, placement.Completed)
+	assert.Equal(t, long.Answer.Status, placement.Refused)
+	assert.Check(t, !long.Started)
+	settle(t, w)
+}
--- a/pkg/standin/workers.go
+++ b/pkg/standin/workers.go
@@ -92,10 +92,10 @@
 	do(w.world)
 }
 
-// Expect tells the workers of a job, so that they know what its tasks need. A
-// start of a job that was not expected is a breach.
-func (w *Workers) Expect(j *workload.Job) {
-	w.With(func(m *model.World) { m.Jobs[j.ID] = &model.Outcome{Job: j} })
+// Expect tells the workers of a job, so that they know what its tasks need and
+// how long they are. A start of a job that was not expected is a breach.
+func (w *Workers) Expect(o *model.Outcome) {
+	w.With(func(m *model.World) { m.Jobs[o.Job.ID] = o })
 }
 
 // Entries are the discovery entries of the workers.
--- a/service/gate/callers.go
+++ b/service/gate/callers.go
@@ -69,7 +69,7 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.GET(platform.ReadinessPath, func(c echo.Context) error {
-		if s.leaving.Load() || !s.state().Ready {
+		if s.leaving.Load() || !s.Overview().Ready {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
 		return c.NoContent(http.StatusOK)
--- a/service/gate/follow.go
+++ b/service/gate/follow.go
@@ -121,7 +121,7 @@
 			}
 			s.deliver(placement.Listed{Endpoints: list})
 		}
-		s.timers.Sleep(ctx, discoveryPeriod+time.Duration(s.state().Members)*discoveryPerPeer)
+		s.timers.Sleep(ctx, discoveryPeriod+time.Duration(s.Overview().Members)*discoveryPerPeer)
 	}
 	return nil
 }
--- a/service/gate/gate_test.go
+++ b/service/gate/gate_test.go
@@ -129,7 +129,7 @@
 	e.eventually("all gates hold endpoints", func() bool {
 		held := 0
 		for _, s := range e.gates {
-			held += s.state().Held
+			held += s.Overview().Held
 		}
 		return held == len(e.workers.Addresses())
 	})
@@ -158,9 +158,9 @@
 	e.jobs++
 	id := workload.JobID(fmt.Sprintf("%016x", e.jobs))
 	e.mu.Unlock()
-	e.workers.Expect(&workload.Job{ID: id, Steps: []workload.Step{{
+	e.workers.Expect(&model.Outcome{Job: &workload.Job{ID: id, Steps: []workload.Step{{
 		Count: tasks, Estimate: estimate, Need: workload.Resources{MilliCPU: milliCPU, MemoryMB: 1},
-	}}})
+	}}}})
 	body := fmt.Sprintf(`{"spec":"seat","bestEffort":true,"steps":[{"count":%d,"cpu":%d,"memMb":1,"estMs":%d}]}`, tasks, milliCPU, estimate.Milliseconds())
 	response, answer := e.request(s, http.MethodPost, "/seats/"+string(id), []byte(body))
 	if response != nil {
@@ -257,7 +257,7 @@
 	time.Sleep(200 * time.Millisecond)
 	e.gates[0].Stop()
 	assert.NilError(t, group.Wait())
-	e.eventually("the other gate holds everything", func() bool { return e.gates[1].state().Held == len(e.workers.Addresses()) })
+	e.eventually("the other gate holds everything", func() bool { return e.gates[1].Overview().Held == len(e.workers.Addresses()) })
 	assert.Check(t, e.statuses[http.StatusOK] > 30)
 	assert.Check(t, cmp.Equal(len(e.statuses), 1), "%v", e.statuses)
 	e.check()
@@ -268,7 +268,7 @@
 	e := newEnvironment(t, "east", "west")
 	e.ready()
 	e.cancels[0]()
-	e.eventually("the other gate holds everything", func() bool { return e.gates[1].state().Held == len(e.workers.Addresses()) })
+	e.eventually("the other gate holds everything", func() bool { return e.gates[1].Overview().Held == len(e.workers.Addresses()) })
 	response, _ := e.submit(e.gates[1], 8, 27000, 20*time.Millisecond)
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	e.check()
--- a/service/gate/metrics.go
+++ b/service/gate/metrics.go
@@ -92,7 +92,7 @@
 		PeerMessagesSent  int64
 		LinesLeftOut      int64
 	}{
-		s.state(), latencies, json.RawMessage(m.calls.String()), json.RawMessage(m.reports.String()), s.links.Stats.SentBytes.Load(), s.links.Stats.ReceivedBytes.Load(),
+		s.Overview(), latencies, json.RawMessage(m.calls.String()), json.RawMessage(m.reports.String()), s.links.Stats.SentBytes.Load(), s.links.Stats.ReceivedBytes.Load(),
 		s.links.Stats.SentMessages.Load(), s.config.LinesLeftOut(),
 	}
 }
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -119,6 +119,9 @@
 	return s, nil
 }
 
+// Address returns the address that callers reach.
+func (s *Server) Address() netip.AddrPort { return s.callers.Addr().(*net.TCPAddr).AddrPort() }
+
 func (s *Server) deliver(in placement.Input) { s.mailbox.Put(in) }
 
 // Run serves until a planned stop has finished, the context ends, or a part
@@ -275,7 +278,8 @@
 	}
 }
 
-func (s *Server) state() placement.Overview {
+// Overview returns the state that the instance last reported.
+func (s *Server) Overview() placement.Overview {
 	if o := s.overview.Load(); o != nil {
 		return *o
 	}
