Count data elsewhere as longer; refuse routes with advice; incarnations rise when the clock is set back

A clock that is set back before a restart gave an instance a lower incarnation, and its peers ignored it; the number now also exceeds the one in the instance's row (TestIncarnationsRiseWhenTheClockIsSetBack).

--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -17,6 +17,7 @@
 	"crocusseam/pkg/logbook"
 	"crocusseam/pkg/placement"
 	"crocusseam/pkg/settings"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/timer"
 	"crocusseam/platform"
 	"crocusseam/service/gate"
@@ -36,8 +37,9 @@
 	storeReadTime    = 700 * time.Millisecond
 	storeWriteTime   = time.Second
 	storeConnections = 16
-	settingsPeriod   = time.Second // between looks at the settings file
-	leaveShare       = 0.85        // of the grace, within which a planned stop ends
+	formerRowTime    = 200 * time.Millisecond // for one read at the start
+	settingsPeriod   = time.Second            // between looks at the settings file
+	leaveShare       = 0.85                   // of the grace, within which a planned stop ends
 )
 
 // Gate runs an instance on the users' platform until a signal stops it in plan.
@@ -87,13 +89,14 @@
 	timing := placement.DefaultTiming()
 	timing.Lease = time.Duration(s.Lease)
 	timing.LeaveMax = time.Duration(float64(s.Grace) * leaveShare)
+	store := platform.NewStore(platform.StoreConfig{
+		Address: s.Store, ReadTimeout: storeReadTime, WriteTimeout: storeWriteTime, Connections: storeConnections,
+	})
 	server, err := gate.New(gate.Config{
-		Self:   instance.ID{Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano())},
-		Domain: s.Domain, Share: max(1, int(s.Processor/shareUnit)),
+		Self:   instance.ID{Instance: s.Instance, Incarnation: nextIncarnation(store, s.Instance, logger)},
+		Domain: s.Domain, Share: max(1, int(s.Processor/shareUnit)), FarFactor: s.FarFactor,
 		Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Metrics: s.Metrics,
-		Store: platform.NewStore(platform.StoreConfig{
-			Address: s.Store, ReadTimeout: storeReadTime, WriteTimeout: storeWriteTime, Connections: storeConnections,
-		}),
+		Store:  store,
 		Timing: timing, Timers: timers, Logger: logger, LinesLeftOut: book.LeftOut,
 	})
 	if err != nil {
@@ -113,6 +116,26 @@
 	return errors.Join(err, group.Wait(), writer.Wait())
 }
 
+// nextIncarnation is the number of this life of the instance: the time of day, or
+// more than the number in the instance's row if the clock was set back. Without
+// the store the time has to do.
+func nextIncarnation(store storage.Table, name string, logger *zap.Logger) uint64 {
+	incarnation := uint64(time.Now().UnixNano())
+	ctx, cancel := context.WithTimeout(context.Background(), formerRowTime)
+	defer cancel()
+	row, err := store.Get(ctx, placement.MemberPrefix+name)
+	if err != nil || row.Version == 0 {
+		logger.Info("no former row of this instance", zap.Error(err))
+		return incarnation
+	}
+	former, err := placement.DecodeMember(&row)
+	if err != nil {
+		logger.Warn("former row of this instance skipped", zap.Error(err))
+		return incarnation
+	}
+	return max(incarnation, former.Incarnation+1)
+}
+
 // reloadGate reads the settings again. The level of the log takes effect at
 // once, addresses at the next start.
 func reloadGate(path, cause string, level zap.AtomicLevel, logger *zap.Logger) {
--- /dev/null
+++ b/pkg/cmds/gate_test.go
@@ -0,0 +1,58 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/settings"
+	"crocusseam/pkg/storage"
+)
+
+// A life of an instance has a higher number than the one before, also when the
+// clock was set back in between.
+func TestIncarnationsRiseWhenTheClockIsSetBack(t *testing.T) {
+	table := storage.NewMemory()
+	assert.Assert(t, nextIncarnation(table, "east-1", zap.NewNop()) > 0)
+	future := uint64(time.Now().Add(time.Hour).UnixNano())
+	value := []byte(fmt.Sprintf(`{"Instance":"east-1","Incarnation":%d}`, future))
+	_, err := table.Commit(context.Background(), []storage.Write{{Key: placement.MemberPrefix + "east-1", Value: value, Expect: storage.AnyVersion}})
+	assert.NilError(t, err)
+	assert.Equal(t, nextIncarnation(table, "east-1", zap.NewNop()), future+1)
+	assert.Assert(t, nextIncarnation(table, "east-2", zap.NewNop()) < future)
+}
+
+const goodGate = `{"Instance":"east-1","Domain":"east","Callers":"127.0.0.1:1","Ready":"127.0.0.1:2","Peers":"127.0.0.1:3",
+"Metrics":"127.0.0.1:4","Store":"127.0.0.1:5","Processor":0.4,"MemoryMB":284,"Lease":"1000ms","Grace":"6s","FarFactor":1.5,"Log":"info"}`
+
+func TestSettingsOfTheGateAreChecked(t *testing.T) {
+	load := func(text string) error {
+		path := filepath.Join(t.TempDir(), "gate.json")
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := loadGate(path)
+		return err
+	}
+	assert.NilError(t, load(goodGate))
+	for _, c := range []struct{ old, new, field string }{
+		{`"Domain":"east"`, `"Domain":""`, "Domain"},
+		{`"Processor":0.4`, `"Processor":0`, "Processor"},
+		{`"Grace":"6s"`, `"Grace":"-1s"`, "Grace"},
+		{`"Store":"127.0.0.1:5"`, `"Store":""`, "Store"},
+		{`"FarFactor":1.5`, `"FarFactor":0.5`, "FarFactor"},
+	} {
+		err := load(strings.Replace(goodGate, c.old, c.new, 1))
+		var fault *settings.ErrSetting
+		assert.Assert(t, errors.As(err, &fault), "%s: %v", c.new, err)
+		assert.Equal(t, fault.Name, c.field)
+	}
+	assert.ErrorContains(t, load(strings.Replace(goodGate, "Domain", "Domaine", 1)), "Domaine")
+}
--- a/pkg/placement/choice.go
+++ b/pkg/placement/choice.go
@@ -45,6 +45,20 @@
 	need     workload.Resources
 	estimate time.Duration
 	left     time.Duration // until the objective
+	rack     string        // where the data lies, or empty
+}
+
+// at is the demand at an endpoint: away from its data a task takes longer.
+func (c *Control) at(d demand, e *workload.Endpoint) demand {
+	d.estimate = c.estimateAt(d.estimate, d.rack, e)
+	return d
+}
+
+func (c *Control) estimateAt(estimate time.Duration, rack string, e *workload.Endpoint) time.Duration {
+	if e.HasLabel(rack) || c.config.FarFactor <= 1 {
+		return estimate
+	}
+	return time.Duration(float64(estimate) * c.config.FarFactor)
 }
 
 // atUsualSpeed is how long the task is expected to take on a usual endpoint.
@@ -93,20 +107,19 @@
 // task is expected to start first.
 func (c *Control) choose(j *job, step int, t *task) (offer, bool) {
 	s := &j.Steps[step]
-	d := demand{need: s.Need, estimate: s.Estimate, left: j.objective.Sub(c.now)}
+	d := demand{need: s.Need, estimate: s.Estimate, left: j.objective.Sub(c.now), rack: s.Rack}
 	var best fit
 	var bestMember *member
 	bestRoom := -1
-	suits := func(r *Room) bool {
-		return s.Need.Fits(r.Free) && c.suits(r.Endpoint, j.route.Service, s.Label) && !avoids(t, r.Endpoint)
-	}
 	for m, rooms := range c.allRooms() {
 		far := m.id != c.self && m.row.Domain != c.config.Domain
 		for i := range rooms {
-			if !suits(&rooms[i]) {
+			r := &rooms[i]
+			e, ok := c.suitable(r.Endpoint, j.route.Service, s.Label)
+			if !ok || !s.Need.Fits(r.Free) || avoids(t, r.Endpoint) {
 				continue
 			}
-			if f := rate(d, &rooms[i], far); bestRoom < 0 || f.betterThan(best) {
+			if f := rate(c.at(d, e), r, far); bestRoom < 0 || f.betterThan(best) {
 				best, bestMember, bestRoom = f, m, i
 			}
 		}
@@ -131,10 +144,10 @@
 	return false
 }
 
-// suits reports whether an endpoint belongs to the service and has the label.
-func (c *Control) suits(endpoint, service, label string) bool {
+// suitable returns an endpoint if it belongs to the service and has the label.
+func (c *Control) suitable(endpoint, service, label string) (*workload.Endpoint, bool) {
 	e, ok := c.holder.listed.Get(endpoint)
-	return ok && e.Service == service && !e.Draining && e.HasLabel(label)
+	return e, ok && e.Service == service && !e.Draining && e.HasLabel(label)
 }
 
 // refreshOwn brings the home's view of this instance's own endpoints up to date.
@@ -290,7 +303,7 @@
 	c.refreshOwn()
 	for m, rooms := range c.allRooms() {
 		for i := range rooms {
-			if need.Fits(rooms[i].Free) && c.suits(rooms[i].Endpoint, j.route.Service, j.Steps[0].Label) {
+			if _, ok := c.suitable(rooms[i].Endpoint, j.route.Service, j.Steps[0].Label); ok && need.Fits(rooms[i].Free) {
 				return 0, true
 			}
 		}
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -27,8 +27,10 @@
 	Domain  string
 	Address netip.AddrPort // for peers
 	Share   int            // relative size of the instance
-	Seed    uint64
-	Timing  Timing
+	// FarFactor is how many times as long a task takes away from its data.
+	FarFactor float64
+	Seed      uint64
+	Timing    Timing
 }
 
 // Timing holds the periods and bounds of the control systems.
--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -111,7 +111,7 @@
 func (e *endpoint) learn(c *Control, r *run, how workload.How) {
 	switch how {
 	case workload.Done:
-		e.speed.observe(r.place.Estimate, c.now.Sub(r.ordered))
+		e.speed.observe(c.estimateAt(r.place.Estimate, r.place.Rack, &e.info), c.now.Sub(r.ordered))
 		e.health.succeeded()
 	case workload.Failed:
 		e.health.failed(c.now, r.id.Task.Job)
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -121,6 +121,8 @@
 	switch {
 	case len(j.Unsupported) > 0:
 		return fmt.Sprintf("it asks for %v, which is not offered here", j.Unsupported), false
+	case len(j.route.Unsupported) > 0:
+		return fmt.Sprintf("its route asks for %v, which is not offered here", j.route.Unsupported), false
 	case !j.Ephemeral:
 		return "jobs that have to be stored are not offered here", false
 	}
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -246,3 +246,16 @@
 		assert.Equal(t, waits.of(priority), wait, "priority %d", priority)
 	}
 }
+
+// Away from its data a task takes longer: of two endpoints with room the one at
+// the data is better, and a task may be late at the other.
+func TestDataElsewhereTakesLonger(t *testing.T) {
+	c := New(Config{FarFactor: 3, Timing: DefaultTiming()})
+	near, away := workload.Endpoint{Labels: []string{"rack-1"}}, workload.Endpoint{Labels: []string{"rack-2"}}
+	d := demand{estimate: 100 * time.Millisecond, left: 200 * time.Millisecond, rack: "rack-1"}
+	room := &Room{Speed: 1}
+	assert.Assert(t, rate(c.at(d, &near), room, false).inTime)
+	assert.Assert(t, !rate(c.at(d, &away), room, false).inTime)
+	d.rack = ""
+	assert.Assert(t, rate(c.at(d, &away), room, false).inTime)
+}
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"errors"
+	"fmt"
 	"math"
 	"net/netip"
 	"strings"
@@ -34,6 +34,18 @@
 	Speeds map[string]float64 `json:",omitempty"`
 }
 
+// DecodeMember decodes the row of an instance.
+func DecodeMember(row *storage.Row) (MemberRow, error) {
+	var m MemberRow
+	if err := json.Unmarshal(row.Value, &m); err != nil {
+		return m, fmt.Errorf("row %q of a member: %w", row.Key, err)
+	}
+	if MemberPrefix+m.Instance != row.Key {
+		return m, fmt.Errorf("row %q of a member names instance %q", row.Key, m.Instance)
+	}
+	return m, nil
+}
+
 // member is another instance as this one sees it.
 type member struct {
 	id        instance.ID
@@ -353,13 +365,9 @@
 
 func (c *Control) readMembers(rows []storage.Row) {
 	for i := range rows {
-		var row MemberRow
-		err := json.Unmarshal(rows[i].Value, &row)
-		if err == nil && MemberPrefix+row.Instance != rows[i].Key {
-			err = errors.New("the row names another instance")
-		}
+		row, err := DecodeMember(&rows[i])
 		if err != nil {
-			c.decide("member row skipped", zap.String("Key", rows[i].Key), zap.Error(err))
+			c.decide("member row skipped", zap.Error(err))
 			continue
 		}
 		for name, speed := range row.Speeds {
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -113,14 +113,14 @@
 // waits for such a one.
 func (c *Control) bestEndpoint(r *run) *endpoint {
 	p := r.place
-	d := demand{need: p.Need, estimate: p.Estimate, left: r.objective.Sub(c.now)}
+	d := demand{need: p.Need, estimate: p.Estimate, left: r.objective.Sub(c.now), rack: p.Rack}
 	var best *endpoint
 	var bestFit fit
 	for name, e := range c.holder.endpoints.All() {
 		if e.info.Service != p.Service || !p.Need.Fits(e.free()) || !e.info.HasLabel(p.Label) || !c.usable(e) || slices.Contains(r.avoid, name) {
 			continue
 		}
-		f := rate(d, &Room{Free: e.free(), Speed: e.speed.value()}, false)
+		f := rate(c.at(d, &e.info), &Room{Free: e.free(), Speed: e.speed.value()}, false)
 		if best == nil || f.betterThan(bestFit) {
 			best, bestFit = e, f
 		}
--- a/pkg/settings/gate.go
+++ b/pkg/settings/gate.go
@@ -29,6 +29,8 @@
 	Lease document.Duration
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace document.Duration
+	// FarFactor is how many times as long a task takes away from its data.
+	FarFactor float64
 	// Log is the level of the log: debug, info, warn, error.
 	Log string
 }
@@ -55,6 +57,8 @@
 		return &ErrSetting{"MemoryMB", fmt.Sprint(s.MemoryMB), "1 or more"}
 	case s.Lease <= 0:
 		return &ErrSetting{"Lease", fmt.Sprint(s.Lease), "more than 0"}
+	case s.FarFactor < 1:
+		return &ErrSetting{"FarFactor", fmt.Sprint(s.FarFactor), "1 or more"}
 	case s.Grace <= 0:
 		return &ErrSetting{"Grace", fmt.Sprint(s.Grace), "more than 0"}
 	}
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -231,6 +231,8 @@
 	Stretch     float64       // objective as a multiple of the longest chain
 	Priority    int           // 0 goes first
 	MaxAttempts int
+	// Unsupported names what the route asks for and the system does not offer.
+	Unsupported []string
 }
 
 // Objective is the time within which a job should be answered.
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -29,6 +29,8 @@
 	Self   instance.ID
 	Domain string
 	Share  int // relative size of the instance
+	// FarFactor is how many times as long a task takes away from its data.
+	FarFactor float64
 	// Callers, Ready, Peers and Metrics are the addresses to listen at.
 	Callers netip.AddrPort
 	Ready   netip.AddrPort
@@ -112,7 +114,7 @@
 		return nil, err
 	}
 	s.control = placement.New(placement.Config{
-		Self: config.Self, Domain: config.Domain, Address: s.links.Address(), Share: config.Share,
+		Self: config.Self, Domain: config.Domain, Address: s.links.Address(), Share: config.Share, FarFactor: config.FarFactor,
 		Seed: config.Self.Incarnation, Timing: config.Timing,
 	})
 	s.http = &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
