--- a/pkg/cmds/docs_test.go
+++ b/pkg/cmds/docs_test.go
@@ -71,7 +71,7 @@
 	file, err := parser.ParseFile(token.NewFileSet(), "../settings/gate.go", nil, parser.ParseComments)
 	assert.NilError(t, err)
 	var b strings.Builder
-	b.WriteString("# Settings of crocus-gate\n\n" + generated + "\nA JSON file named by `--settings` or by the platform; deploy/gate.json is its template.\nUnknown settings are refused. Durations are texts such as \"1.5s\".\n\n| Setting | Type | Meaning |\n| --- | --- | --- |\n")
+	b.WriteString("# Settings of crocus-gate\n\n" + generated + "\nA JSON file named by `--settings` or by the platform; deploy/gate.json is its template.\n`--check` refuses unknown settings; a running\ninstance logs and ignores them. Durations are texts such as \"1.5s\".\n\n| Setting | Type | Meaning |\n| --- | --- | --- |\n")
 	ast.Inspect(file, func(n ast.Node) bool {
 		if fields, ok := n.(*ast.StructType); ok && len(fields.Fields.List) > 3 {
 			for _, f := range fields.Fields.List {
--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -60,6 +60,9 @@
 		return fail(ExitUsage, err)
 	}
 	if o.Check {
+		if err := settings.Load(path, &settings.Gate{}); err != nil {
+			return fail(ExitUsage, err)
+		}
 		fmt.Printf("the settings in %s are valid\n", path)
 		return ExitOK
 	}
@@ -69,9 +72,11 @@
 	return ExitOK
 }
 
+// loadGate reads the settings that this program knows. A setting that it does not
+// know is reported by warnUnknown, and an error of --check.
 func loadGate(path string) (*settings.Gate, error) {
 	var s settings.Gate
-	if err := settings.Load(path, &s); err != nil {
+	if err := settings.LoadKnown(path, &s); err != nil {
 		return nil, err
 	}
 	return &s, s.Validate()
@@ -102,6 +107,7 @@
 	if err != nil {
 		return err
 	}
+	warnUnknown(path, logger)
 	logger.Info("instance starts", zap.String("Instance", s.Instance), zap.String("Domain", s.Domain), zap.Stringer("Callers", s.Callers), zap.Stringer("Store", s.Store))
 	reload := func(cause string) { reloadGate(path, cause, level, logger) }
 	ctx, cancel := context.WithCancel(context.Background())
@@ -147,9 +153,17 @@
 		logger.Error("settings not reloaded", zap.String("Path", path), zap.String("Cause", cause), zap.Error(err))
 		return
 	}
+	warnUnknown(path, logger)
 	logger.Info("settings reloaded", zap.String("Path", path), zap.String("Cause", cause), zap.Any("Settings", s))
 }
 
+// warnUnknown logs settings that this program does not know.
+func warnUnknown(path string, logger *zap.Logger) {
+	if err := settings.Load(path, &settings.Gate{}); err != nil {
+		logger.Warn("settings not known in full", zap.String("Path", path), zap.Error(err))
+	}
+}
+
 // followSignals begins a planned stop on a signal to stop, and reads the
 // settings again on one that they have changed.
 func followSignals(ctx context.Context, server *gate.Server, logger *zap.Logger, reload func(cause string)) error {
--- a/pkg/cmds/gate_test.go
+++ b/pkg/cmds/gate_test.go
@@ -54,5 +54,15 @@
 		assert.Assert(t, errors.As(err, &fault), "%s: %v", c.new, err)
 		assert.Equal(t, fault.Name, c.field)
 	}
-	assert.ErrorContains(t, load(strings.Replace(goodGate, "Domain", "Domaine", 1)), "Domaine")
+	assert.ErrorContains(t, load(strings.Replace(goodGate, `"Domain"`, `"Domaine"`, 1)), "Domain")
+}
+
+// A setting of a newer program does not keep this one from starting, but --check
+// names it.
+func TestUnknownSettingsAreOnlyAnErrorOfTheCheck(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gate.json")
+	assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(goodGate, "{", `{"Newer":1,`, 1)), 0o600))
+	_, err := loadGate(path)
+	assert.NilError(t, err)
+	assert.Equal(t, Gate([]string{"--check", "--settings", path}), ExitUsage)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -56,6 +56,16 @@
 	return eris.Wrapf(decoder.Decode(s), "read the settings in %s", path)
 }
 
+// LoadKnown is Load that passes over settings it does not know, as an older
+// program meets them while a newer one is being installed.
+func LoadKnown[T any](path string, s *T) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "read the settings")
+	}
+	return eris.Wrapf(json.Unmarshal(text, s), "read the settings in %s", path)
+}
+
 // Validate checks the settings as a whole. It returns *ErrSetting.
 func (s *Entry) Validate() error {
 	switch {
