--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -62,11 +62,11 @@
 
 // Figures of ejection.
 const (
-	failuresToEject = 2
-	jobsToEject     = 2
-	firstEjection   = time.Second
-	maxEjection     = 8 * time.Second
-	refusalPause    = 100 * time.Millisecond
+	failuresToEject = 2                      // in a row; a task has as few as two attempts
+	jobsToEject     = 2                      // different ones, as a job may fail everywhere
+	firstEjection   = time.Second            // doubles up to maxEjection
+	maxEjection     = 8 * time.Second        // about how long endpoints are ill
+	refusalPause    = 100 * time.Millisecond // after an order that was turned away
 )
 
 // admits reports whether another run may start; after an ejection one at a time
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -98,18 +98,16 @@
 
 // Bounds of the holder's systems.
 const (
-	askPeriod       = 500 * time.Millisecond
-	yieldTerm       = 2 * time.Second
-	bookPeriod      = 50 * time.Millisecond
-	commitPause     = 250 * time.Millisecond // after a commit of holds that failed
-	keepEnded       = 5 * time.Second
-	unknownStopGap  = 100 * time.Millisecond
-	silencesToPause = 2
-	minRoom         = 1000 // thousandths of a processor that are worth an advert
-	shortestRest    = 5 * time.Millisecond
-	advertPeriod    = 400 * time.Millisecond
-	// An instance spends about a hundredth of a processor on adverts at this
-	// pause for each peer, at some 15 us a message.
+	askPeriod          = 500 * time.Millisecond  // between requests to yield; a run takes longer to end
+	yieldTerm          = 2 * time.Second         // several asks, after which a yielded endpoint is wanted back
+	bookPeriod         = 50 * time.Millisecond   // between looks at the division; a commit takes 10 ms
+	commitPause        = 250 * time.Millisecond  // after a commit of holds that failed
+	keepEnded          = 5 * time.Second         // longer than a session takes to be set up anew
+	unknownStopGap     = 100 * time.Millisecond  // twice the time of a stop
+	silencesToPause    = 2                       // one lost report is common
+	minRoom            = 1000                    // thousandths of a processor that are worth an advert
+	shortestRest       = 5 * time.Millisecond    // expected until something ends that should have ended
+	advertPeriod       = 400 * time.Millisecond  // without changes; well within advertTerm
 	advertPausePerPeer = 1500 * time.Microsecond // a message costs some 15 us, so a hundredth of a processor
 	fewPeers           = 10                      // that all hear every advert without a longer pause
 	farAdverts         = 4                       // one of so many goes to other domains
--- a/service/gate/follow.go
+++ b/service/gate/follow.go
@@ -18,8 +18,8 @@
 // Periods of following the store.
 const (
 	feedWait        = 1500 * time.Millisecond // a silent connection is noticed within the bound of a configuration
-	followRetry     = 200 * time.Millisecond
-	discoveryPeriod = 700 * time.Millisecond // a draining endpoint is known well before the bound of draining
+	followRetry     = 200 * time.Millisecond  // five calls a second while the store is away
+	discoveryPeriod = 700 * time.Millisecond  // a draining endpoint is known well before the bound of draining
 	// Each peer makes the reads of all rarer: thirty read every 1.5 s.
 	discoveryPerPeer = 25 * time.Millisecond
 )
--- a/service/gate/watch.go
+++ b/service/gate/watch.go
@@ -12,7 +12,7 @@
 // Times of the reports of an endpoint.
 const (
 	reportWait  = 400 * time.Millisecond // less than half a lease, so that a lost report can be repeated
-	reportRetry = 50 * time.Millisecond
+	reportRetry = 50 * time.Millisecond  // ten tries within what is left of a lease
 )
 
 // watch keeps asking one endpoint for reports.
