--- a/pkg/hold/plan.go
+++ b/pkg/hold/plan.go
@@ -1,7 +1,6 @@
 package hold
 
 import (
-	"strings"
 	"time"
 
 	"crocusseam/pkg/instance"
@@ -256,6 +255,3 @@
 	}
 	return list
 }
-
-// String lists the holds for logs.
-func (b *Book) String() string { return strings.Join(b.Held(), ",") }
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -45,7 +45,6 @@
 const (
 	reportWait      = 400 * time.Millisecond
 	reportRetry     = 50 * time.Millisecond
-	orderTimeout    = 150 * time.Millisecond
 	storeTimeout    = time.Second
 	discoveryPeriod = 700 * time.Millisecond
 	stopTime        = 30 * time.Millisecond
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -171,11 +171,10 @@
 	c.dropRuns(j)
 	c.home.jobs.Delete(j.ID)
 	elapsed := c.now.Sub(j.arrived)
-	inTime := a.Status == Completed && !c.now.After(j.objective)
-	if a.Status == Completed && !inTime {
+	if a.Status == Completed && c.now.After(j.objective) {
 		c.counted.Late++
 	}
-	c.emit(Finished{Route: j.route.Name, Status: a.Status, Elapsed: elapsed, InTime: inTime})
+	c.emit(Finished{Route: j.route.Name, Status: a.Status, Elapsed: elapsed})
 	c.decide("job answered", jobField(j.ID), zap.String("Route", j.route.Name), zap.Stringer("Status", a.Status), zap.String("Reason", a.Reason),
 		zap.Duration("Elapsed", elapsed), zap.Duration("Objective", j.objective.Sub(j.arrived)), zap.Int("TasksLeft", j.left),
 		zap.Uint64("Configuration", c.version()))
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -292,7 +292,6 @@
 	Route   string
 	Status  Status
 	Elapsed time.Duration
-	InTime  bool
 }
 
 // Stopped says that a planned stop has finished.
--- a/service/gate/callers.go
+++ b/service/gate/callers.go
@@ -87,34 +87,27 @@
 	if !ok {
 		return s.refuseEarly(c, http.StatusNotFound, fmt.Sprintf("no route for host %q and path %q in version %d", request.Host, request.URL.Path, routes.configuration.Version), 0)
 	}
-	h, answer := s.replies.Expect()
 	if rest == "" && request.Method == http.MethodGet {
-		s.deliver(placement.Count{Handle: h, Route: route.Name})
-		return s.await(c, h, answer)
+		return s.exchange(c, func(h placement.Handle) placement.Input { return placement.Count{Handle: h, Route: route.Name} })
 	}
 	id, err := platform.ParseJobID(rest)
 	if err != nil {
-		s.forget(h)
 		return s.refuseEarly(c, http.StatusBadRequest, err.Error(), 0)
 	}
 	switch request.Method {
 	case http.MethodPost:
-		return s.submit(c, h, answer, route, id)
+		return s.submit(c, route, id)
 	case http.MethodGet:
-		s.deliver(placement.Ask{Handle: h, ID: id})
+		return s.exchange(c, func(h placement.Handle) placement.Input { return placement.Ask{Handle: h, ID: id} })
 	case http.MethodDelete:
-		s.deliver(placement.Cancel{Handle: h, ID: id})
-	default:
-		s.forget(h)
-		return s.refuseEarly(c, http.StatusMethodNotAllowed, "method "+request.Method+" is not allowed", 0)
+		return s.exchange(c, func(h placement.Handle) placement.Input { return placement.Cancel{Handle: h, ID: id} })
 	}
-	return s.await(c, h, answer)
+	return s.refuseEarly(c, http.StatusMethodNotAllowed, "method "+request.Method+" is not allowed", 0)
 }
 
-func (s *Server) submit(c echo.Context, h placement.Handle, answer chan placement.Answer, route workload.Route, id workload.JobID) error {
+func (s *Server) submit(c echo.Context, route workload.Route, id workload.JobID) error {
 	j, err := s.readJob(c, id)
 	if err != nil {
-		s.forget(h)
 		status := http.StatusBadRequest
 		var tooLong *http.MaxBytesError
 		if errors.As(err, &tooLong) {
@@ -124,11 +117,11 @@
 	}
 	patience, err := platform.PatienceOf(c.Request().Header)
 	if err != nil {
-		s.forget(h)
 		return s.refuseEarly(c, http.StatusBadRequest, err.Error(), 0)
 	}
-	s.deliver(placement.Submit{Handle: h, Job: j, Route: route, Left: patience})
-	return s.await(c, h, answer)
+	return s.exchange(c, func(h placement.Handle) placement.Input {
+		return placement.Submit{Handle: h, Job: j, Route: route, Left: patience}
+	})
 }
 
 func (s *Server) readJob(c echo.Context, id workload.JobID) (*workload.Job, error) {
@@ -147,8 +140,11 @@
 	return j, j.Validate()
 }
 
-// await gives the caller the answer, or notes that the caller has left.
-func (s *Server) await(c echo.Context, h placement.Handle, answer chan placement.Answer) error {
+// exchange hands a request to the control state, and gives the caller the answer
+// or notes that the caller has left.
+func (s *Server) exchange(c echo.Context, input func(placement.Handle) placement.Input) error {
+	h, answer := s.replies.Expect()
+	s.deliver(input(h))
 	select {
 	case a := <-answer:
 		return s.respond(c, platform.EncodeAnswer(a))
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -74,13 +74,12 @@
 
 // Bounds of the server.
 const (
-	headerTimeout     = 3 * time.Second // until a configuration says otherwise
-	maxHeaderBytes    = 16 << 10
-	maxBodyBytes      = 256 << 10
-	lastAnswers       = 300 * time.Millisecond // for answers on their way at the end of a planned stop
-	orderConnections  = 8                      // to one endpoint: its reports and orders at once
-	overviewPeriod    = 100 * time.Millisecond
-	storeCallPatience = 2 * time.Second
+	headerTimeout    = 3 * time.Second // until a configuration says otherwise
+	maxHeaderBytes   = 16 << 10
+	maxBodyBytes     = 256 << 10
+	lastAnswers      = 300 * time.Millisecond // for answers on their way at the end of a planned stop
+	orderConnections = 8                      // to one endpoint: its reports and orders at once
+	overviewPeriod   = 100 * time.Millisecond
 )
 
 // New binds the addresses of an instance.
