--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -99,7 +99,7 @@
 	})
 	server, err := gate.New(gate.Config{
 		Self:   instance.ID{Instance: s.Instance, Incarnation: nextIncarnation(store, s.Instance, logger)},
-		Domain: s.Domain, Share: max(1, int(s.Processor/shareUnit)), FarFactor: s.FarFactor,
+		Domain: s.Domain, Share: max(1, int(s.Processor/shareUnit)), FarFactor: s.FarFactor, Retention: time.Duration(s.Retention),
 		Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Metrics: s.Metrics,
 		Store:  store,
 		Timing: timing, Timers: timers, Logger: logger, LinesLeftOut: book.LeftOut,
--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -157,6 +157,7 @@
 		return placement.Malformed
 	}
 	o.Started = true
+	w.started(o, m.Run)
 	s := &o.Job.Steps[m.Run.Task.Step]
 	for _, other := range w.Endpoints {
 		for id := range other.runs {
@@ -235,6 +236,7 @@
 		return placement.Fenced
 	}
 	for len(x.ended) > 0 && x.ended[0].Sequence <= seen {
+		x.world.noted(&x.ended[0])
 		x.ended = x.ended[1:]
 	}
 	if until > 0 {
--- a/pkg/model/load.go
+++ b/pkg/model/load.go
@@ -19,6 +19,7 @@
 	MilliCPU int
 	Priority int
 	Worth    float64 // of a job
+	Stored   bool    // the job is stored before it is accepted
 }
 
 // Load hands in jobs of several kinds at random moments.
@@ -104,7 +105,7 @@
 	}
 	cpu := int(float64(k.MilliCPU) * (0.8 + 0.4*w.random.Float64()))
 	return &workload.Job{
-		ID: workload.JobID(fmt.Sprintf("%016x", w.jobs)), Ephemeral: true,
+		ID: workload.JobID(fmt.Sprintf("%016x", w.jobs)), Ephemeral: !k.Stored,
 		Steps: []workload.Step{{
 			Count: len(lengths), Estimate: time.Duration(work * math.Exp(w.random.NormFloat64()*l.EstimateError)),
 			Need: workload.Resources{MilliCPU: cpu, MemoryMB: 64},
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -26,6 +27,8 @@
 	ToStore        time.Duration
 	// MaxAttempts is how often a task may fail.
 	MaxAttempts int
+	// Retention is how long the outcomes of stored jobs are kept.
+	Retention time.Duration
 }
 
 // Domain is a failure domain with its instances and endpoints.
@@ -45,6 +48,7 @@
 const (
 	reportWait      = 400 * time.Millisecond
 	reportRetry     = 50 * time.Millisecond
+	confirmWait     = 25 * time.Millisecond
 	storeTimeout    = time.Second
 	discoveryPeriod = 700 * time.Millisecond
 	stopTime        = 30 * time.Millisecond
@@ -83,8 +87,14 @@
 	Answered  time.Time
 	Answer    placement.Answer
 	Started   bool // an endpoint has started a task of it
+
+	done    map[workload.TaskID]bool // ends that were taken note of, of a stored job
+	lastRun map[workload.TaskID]int  // highest number started, of a stored job
 }
 
+// AllDone reports whether every task of a stored job is done.
+func (o *Outcome) AllDone() bool { return len(o.done) == o.Job.Tasks() }
+
 // InTime reports whether the job was completed within its objective.
 func (o *Outcome) InTime() bool {
 	return o.Answer.Status == placement.Completed && o.Answered.Sub(o.Submitted) <= o.Objective
@@ -161,6 +171,35 @@
 	w.Now = end
 }
 
+// noted takes note of an end. A task of a stored job that is done starts never
+// again, also not between its end and the note.
+func (w *World) noted(e *workload.EndedRun) {
+	o, ok := w.Jobs[e.Run.Task.Job]
+	if !ok || o.Job.Ephemeral || e.How != workload.Done {
+		return
+	}
+	if o.done == nil {
+		o.done = make(map[workload.TaskID]bool)
+	}
+	o.done[e.Run.Task] = true
+	if last := o.lastRun[e.Run.Task]; last > e.Run.Number {
+		w.breach(fmt.Sprintf("run %d of task %v was started, although run %d is done and noted", last, e.Run.Task, e.Run.Number))
+	}
+}
+
+func (w *World) started(o *Outcome, r workload.Run) {
+	if o.Job.Ephemeral {
+		return
+	}
+	if o.lastRun == nil {
+		o.lastRun = make(map[workload.TaskID]int)
+	}
+	o.lastRun[r.Task] = max(o.lastRun[r.Task], r.Number)
+	if o.done[r.Task] {
+		w.breach(fmt.Sprintf("run %d of task %v was started, which is done", r.Number, r.Task))
+	}
+}
+
 func (w *World) breach(text string) { w.Breaches = append(w.Breaches, text) }
 
 // Cut parts two places from each other, or heals the cut. A place is an
@@ -219,6 +258,27 @@
 	return o
 }
 
+// State asks an instance for the state of a job.
+func (w *World) State(n *Node, id workload.JobID, answer func(placement.Answer)) {
+	n.handles++
+	n.answers[placement.Handle(n.handles)] = answer
+	n.deliver(placement.Ask{Handle: placement.Handle(n.handles), ID: id})
+}
+
+// Cancel asks an instance to cancel a job.
+func (w *World) Cancel(n *Node, id workload.JobID, answer func(placement.Answer)) {
+	n.handles++
+	n.answers[placement.Handle(n.handles)] = answer
+	n.deliver(placement.Cancel{Handle: placement.Handle(n.handles), ID: id})
+}
+
+// Waiting asks an instance how many jobs of a route wait.
+func (w *World) Waiting(n *Node, route string, answer func(placement.Answer)) {
+	n.handles++
+	n.answers[placement.Handle(n.handles)] = answer
+	n.deliver(placement.Count{Handle: placement.Handle(n.handles), Route: route})
+}
+
 // Settled checks what must hold at the end: a refused job has not started, and
 // every job handed to an instance that lives has its answer.
 func (w *World) Settled() []string {
--- /dev/null
+++ b/pkg/placement/adoption.go
@@ -0,0 +1,383 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/slots"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+)
+
+// adoption takes over the stored jobs of homes that are gone. A later home
+// starts no task before every endpoint of the service is accounted for: runs of
+// an earlier home are stopped there, and ends that were not recorded are known.
+type adoption struct {
+	strangers map[instance.ID]time.Time // homes that are not members, since when
+	nextScan  time.Time
+	nextSweep time.Time
+	inquiry   *inquiry
+	sequence  uint64
+	nextAsk   time.Time
+}
+
+// inquiry is a round of questions to all holders.
+type inquiry struct {
+	sequence uint64
+	began    time.Time
+	jobs     []workload.JobID
+	waiting  map[instance.ID]bool // members that have not answered
+	covered  map[string]bool      // endpoints at which all is known
+	live     map[workload.TaskID]bool
+}
+
+// Figures of adoption.
+const (
+	adoptPeriod   = 3 * time.Second        // between looks for jobs without a home, where there are stored jobs
+	adoptDelay    = 20 * time.Millisecond  // after an instance was found gone
+	sweepPeriod   = time.Minute            // between removals of old outcomes
+	inquiryPeriod = 150 * time.Millisecond // between rounds; a stopped run is gone after 50 ms
+)
+
+type partName string
+
+// String returns the name.
+func (n partName) String() string { return string(n) }
+
+// ownParts are the parts of the tables of stored jobs that this instance looks
+// after: each part is one live instance's. The rows decide if two differ.
+func (c *Control) ownParts() []string {
+	members := []slots.Member{{Instance: c.self.Instance, Capacity: c.config.Share}}
+	for _, m := range c.roster.members.All() {
+		if m.listed && !m.dead && !m.beat.Leaving {
+			members = append(members, slots.Member{Instance: m.id.Instance, Capacity: m.row.Share})
+		}
+	}
+	names := make([]partName, len(storedParts))
+	for i := range names {
+		names[i] = partName(storedParts[i : i+1])
+	}
+	var own []string
+	division := slots.Divide(names, members)
+	for _, n := range names {
+		if division[n] == c.self.Instance {
+			own = append(own, string(n))
+		}
+	}
+	return own
+}
+
+func (c *Control) runAdoption() {
+	a := &c.adoption
+	if !c.roster.settled || c.stop != serving || !c.storedExist() {
+		return
+	}
+	if !c.now.Before(a.nextScan) {
+		a.nextScan = c.now.Add(adoptPeriod)
+		for _, part := range c.ownParts() {
+			c.scanPart(part)
+		}
+	}
+	if !c.now.Before(a.nextSweep) {
+		a.nextSweep = c.now.Add(sweepPeriod)
+		for _, part := range c.ownParts() {
+			c.sweepPart(part)
+		}
+	}
+	c.runInquiry()
+}
+
+// storedExist reports whether some instance was ever handed stored jobs.
+func (c *Control) storedExist() bool {
+	if c.ledger.used {
+		return true
+	}
+	for _, m := range c.roster.members.All() {
+		if m.row.Stored {
+			return true
+		}
+	}
+	return false
+}
+
+// adoptSoon looks for jobs without a home, as an instance is gone.
+func (c *Control) adoptSoon() {
+	if at := c.now.Add(adoptDelay); at.Before(c.adoption.nextScan) {
+		c.adoption.nextScan = at
+	}
+}
+
+func (c *Control) scanPart(part string) {
+	c.scan(partPrefix(openTable, part), func(m ScanDone) {
+		if m.Err != nil {
+			c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(recordRetry))
+			return
+		}
+		var orphans []orphanJob
+		for i := range m.Rows {
+			row, err := decodeStored[OpenRow](&m.Rows[i])
+			if err != nil {
+				c.decide("row of a job not understood", zap.String("Key", m.Rows[i].Key), zap.Error(err))
+				continue
+			}
+			id := jobOfKey(m.Rows[i].Key)
+			if !c.home.jobs.Has(id) && (row.Home == c.self || c.homeGone(row.Home)) {
+				orphans = append(orphans, orphanJob{id: id, row: row, version: m.Rows[i].Version})
+			}
+		}
+		for batch := range slices.Chunk(orphans, maxRecords) {
+			c.adopt(part, batch)
+		}
+	})
+}
+
+// homeGone reports whether an instance can no longer be the home of jobs. One
+// that is not a member may have just started: it is given the time to be read.
+func (c *Control) homeGone(id instance.ID) bool {
+	if id.Instance == c.self.Instance {
+		return id.Incarnation < c.self.Incarnation
+	}
+	m, ok := c.roster.members.Get(id.Instance)
+	if ok && m.id.Incarnation >= id.Incarnation {
+		return m.dead || m.id.Incarnation > id.Incarnation
+	}
+	a := &c.adoption
+	since, seen := a.strangers[id]
+	if !seen {
+		a.strangers[id] = c.now
+		c.roster.nextScan = c.now
+		return false
+	}
+	return c.now.Sub(since) > c.config.Timing.MemberScan
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// orphanJob is an open job whose home is gone.
+type orphanJob struct {
+	id      workload.JobID
+	row     OpenRow
+	version storage.Version
+}
+
+// adopt writes this instance into the rows of jobs and reads what they are.
+func (c *Control) adopt(part string, orphans []orphanJob) {
+	writes := make([]storage.Write, len(orphans))
+	for i := range orphans {
+		o := &orphans[i]
+		c.decide("job without a home", jobField(o.id), zap.Stringer("Former", o.row.Home), zap.Int("Round", o.row.Round), zap.Uint64("RowVersion", uint64(o.version)))
+		o.row.Home, o.row.Sequence = c.self, 1
+		o.row.Round++
+		writes[i] = storage.Write{Key: storedKey(openTable, o.id), Value: encodeStored(o.row), Expect: o.version}
+	}
+	c.commit(Commit{Writes: writes}, func(m CommitDone) {
+		if m.Err != nil {
+			c.counted.FailedCommits++
+			c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(recordRetry))
+			c.decide("jobs not adopted", zap.String("Part", part), zap.Int("Jobs", len(orphans)), zap.Error(m.Err))
+			return
+		}
+		c.readAdopted(part, orphans, m.Version)
+	})
+}
+
+func (c *Control) readAdopted(part string, orphans []orphanJob, version storage.Version) {
+	c.scan(partPrefix(jobsTable, part), func(m ScanDone) {
+		if m.Err != nil {
+			// The next look finds rows that name this instance, and no job here.
+			c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(recordRetry))
+			return
+		}
+		for i := range orphans {
+			o := &orphans[i]
+			row := rowOf(m.Rows, storedKey(jobsTable, o.id))
+			if row == nil || c.home.jobs.Has(o.id) {
+				continue
+			}
+			submitted, err := decodeStored[JobRow](row)
+			if err == nil {
+				err = c.takeOver(o, &submitted, version)
+			}
+			if err != nil {
+				c.decide("row of a job not understood", jobField(o.id), zap.Error(err))
+			}
+		}
+	})
+}
+
+// takeOver makes this instance the home of a job.
+func (c *Control) takeOver(o *orphanJob, submitted *JobRow, version storage.Version) error {
+	j := c.newJob(Submit{Job: submitted.Job, Route: c.presentRoute(submitted.Route)})
+	j.handles = nil
+	j.arrived = submitted.Accepted
+	j.objective = j.arrived.Add(j.route.Objective(j.Job))
+	j.stored = &storedState{phase: open, digest: o.row.Digest, round: o.row.Round, sequence: o.row.Sequence, version: version, unsure: c.now}
+	if err := j.restore(&o.row); err != nil {
+		return err
+	}
+	c.home.jobs.Put(j.ID, j)
+	c.counted.Adopted++
+	c.decide("job adopted", jobField(j.ID), zap.Int("Round", j.stored.round), zap.Int("TasksLeft", j.left), zap.Uint64("RowVersion", uint64(version)))
+	if j.left == 0 {
+		c.endStored(j, Completed, "")
+	}
+	return nil
+}
+
+// presentRoute is the route as the configuration in force has it.
+func (c *Control) presentRoute(r workload.Route) workload.Route {
+	if c.configuration == nil {
+		return r
+	}
+	for i := range c.configuration.Routes {
+		if c.configuration.Routes[i].Name == r.Name {
+			return c.configuration.Routes[i]
+		}
+	}
+	return r
+}
+
+// sweepPart removes the outcomes of jobs that nobody may ask for any more.
+func (c *Control) sweepPart(part string) {
+	c.scan(partPrefix(endedTable, part), func(m ScanDone) {
+		var writes []storage.Write
+		for i := range m.Rows {
+			row, err := decodeStored[EndedRow](&m.Rows[i])
+			if err != nil || c.now.Sub(row.At) < c.config.Retention || len(writes) == maxRecords {
+				continue
+			}
+			writes = append(writes, storage.Write{Key: m.Rows[i].Key, Delete: true, Expect: m.Rows[i].Version})
+		}
+		if m.Err != nil || len(writes) == 0 {
+			return
+		}
+		c.commit(Commit{Writes: writes}, func(m CommitDone) {
+			c.decide("old outcomes removed", zap.String("Part", part), zap.Int("Jobs", len(writes)), zap.Error(m.Err))
+			if m.Err == nil && len(writes) == maxRecords {
+				c.adoption.nextSweep = c.now
+			}
+		})
+	})
+}
+
+// unsureJobs are the jobs of which runs may exist that this home does not know.
+func (c *Control) unsureJobs() []JobRound {
+	var list []JobRound
+	for _, j := range c.home.jobs.All() {
+		if j.stored == nil || j.stored.phase != open || !j.anyLost() {
+			continue
+		}
+		if j.stored.unsure.IsZero() {
+			j.stored.unsure = c.now
+		}
+		list = append(list, JobRound{Job: j.ID, Round: j.stored.round})
+	}
+	return list
+}
+
+func (j *job) anyLost() bool {
+	for s := range j.steps {
+		for i := range j.steps[s] {
+			if j.steps[s][i].phase == lost {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// runInquiry settles the last round of questions and begins the next while runs
+// are in doubt.
+func (c *Control) runInquiry() {
+	a := &c.adoption
+	if q := a.inquiry; q != nil && (len(q.waiting) == 0 || c.now.Sub(q.began) >= inquiryPeriod) {
+		a.inquiry = nil
+		for _, id := range q.jobs {
+			c.settleDoubt(q, id)
+		}
+	}
+	if a.inquiry != nil || c.now.Before(a.nextAsk) {
+		return
+	}
+	a.nextAsk = c.now.Add(inquiryPeriod)
+	jobs := c.unsureJobs()
+	if len(jobs) == 0 {
+		return
+	}
+	a.sequence++
+	q := &inquiry{sequence: a.sequence, began: c.now, waiting: make(map[instance.ID]bool), covered: make(map[string]bool), live: make(map[workload.TaskID]bool)}
+	for _, j := range jobs {
+		q.jobs = append(q.jobs, j.Job)
+	}
+	a.inquiry = q
+	q.waiting[c.self] = true
+	for _, m := range c.roster.members.All() {
+		if m.up {
+			q.waiting[m.id] = true
+			c.send(m.id, &Inquire{Sequence: q.sequence, Jobs: jobs})
+		}
+	}
+	c.send(c.self, &Inquire{Sequence: q.sequence, Jobs: jobs})
+}
+
+func (c *Control) found(from instance.ID, m *Found) {
+	q := c.adoption.inquiry
+	if q == nil || q.sequence != m.Sequence || !q.waiting[from] {
+		return
+	}
+	delete(q.waiting, from)
+	for _, r := range m.Live {
+		q.live[r.Task] = true
+	}
+	for _, name := range m.Covered {
+		q.covered[name] = true
+	}
+}
+
+// settleDoubt makes the lost tasks of a job ready if every endpoint that may run
+// them is accounted for and none does.
+func (c *Control) settleDoubt(q *inquiry, id workload.JobID) {
+	j, ok := c.home.jobs.Get(id)
+	if !ok || j.stored.phase != open {
+		return
+	}
+	for name, e := range c.holder.listed.All() {
+		if e.Service == j.route.Service && !q.covered[name] && !c.lapsed(j, e) {
+			return
+		}
+	}
+	rest := false
+	for s := range j.steps {
+		for i := range j.steps[s] {
+			t := &j.steps[s][i]
+			switch {
+			case t.phase != lost:
+			case q.live[workload.TaskID{Job: j.ID, Step: s, Index: i}]:
+				rest = true
+			default:
+				t.phase = blocked
+			}
+		}
+	}
+	if rest {
+		return
+	}
+	c.decide("runs of a job accounted for", jobField(j.ID), zap.Int("TasksLeft", j.left), zap.Duration("Doubt", c.now.Sub(j.stored.unsure)))
+	j.stored.unsure = time.Time{}
+	c.begin(j)
+}
+
+// lapsed reports whether everything that ran at an endpoint when a job came into
+// doubt has ended: nobody takes a leaving endpoint over, so its leases run out
+// with its holder, unless a holder lives that is not heard here.
+func (c *Control) lapsed(j *job, e *workload.Endpoint) bool {
+	return e.Draining && !c.suspects() && c.now.Sub(j.stored.unsure) > c.config.Timing.lossTerm()
+}
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -29,6 +29,8 @@
 	Share   int            // relative size of the instance
 	// FarFactor is how many times as long a task takes away from its data.
 	FarFactor float64
+	// Retention is how long the outcome of a stored job can be asked for.
+	Retention time.Duration
 	Seed      uint64
 	Timing    Timing
 }
@@ -111,14 +113,17 @@
 	configuration *workload.Configuration
 	raw           []byte
 
-	home    home
-	holder  holder
-	roster  roster
-	stop    stopState
-	stopAt  time.Time
-	nextID  uint64
-	commits map[uint64]func(CommitDone)
-	scans   map[uint64]func(ScanDone)
+	home     home
+	holder   holder
+	roster   roster
+	ledger   ledger
+	adoption adoption
+	kept     kept
+	stop     stopState
+	stopAt   time.Time
+	nextID   uint64
+	commits  map[uint64]func(CommitDone)
+	scans    map[uint64]func(ScanDone)
 }
 
 type stopState int
@@ -143,15 +148,21 @@
 		AskPeriod: askPeriod, YieldTerm: yieldTerm,
 	})
 	c.roster = newRoster()
+	c.ledger = newLedger()
+	c.kept = newKept()
+	c.adoption.strangers = make(map[instance.ID]time.Time)
 	return c
 }
 
 // Step takes inputs in the order in which they came and returns what is to be
 // done about them, and when it wants to be called again at the latest.
 func (c *Control) Step(now time.Time, inputs []Input) ([]Effect, time.Time) {
+	gap := now.Sub(c.now)
 	c.now = now
 	if c.began.IsZero() {
 		c.began = now
+	} else if gap > c.config.Timing.Silence {
+		c.orphanAll(gap)
 	}
 	for _, in := range inputs {
 		c.handle(in)
@@ -160,6 +171,10 @@
 	c.runHolds()
 	c.runHolder()
 	c.runHome()
+	c.runAdoption()
+	c.runKept()
+	c.runCancels()
+	c.runLedger()
 	c.runAdverts()
 	c.runStop()
 	effects := c.effects
@@ -234,6 +249,12 @@
 		c.holder.book.Yielded(m.Endpoint, m.Version)
 	case *CancelJob:
 		c.cancelLocal(m.ID)
+	case *Recorded:
+		c.recordedEnds(m)
+	case *Inquire:
+		c.inquired(from, m)
+	case *Found:
+		c.found(from, m)
 	}
 }
 
@@ -322,7 +343,9 @@
 	}
 	c.stop = stopped
 	for _, j := range c.home.jobs.All() {
-		c.timeOut(j)
+		if j.stored == nil {
+			c.timeOut(j)
+		}
 	}
 	c.decide("planned stop ends", zap.Duration("Elapsed", elapsed), zap.Int("OpenJobs", c.home.jobs.Len()), zap.Int("Runs", c.holder.runs.Len()))
 	c.emit(Stopped{})
@@ -375,6 +398,7 @@
 	FailedCommits     int64 // commits of holds and members without success
 	StragglersStopped int64 // runs stopped because they made no progress
 	Looks             int64 // reports asked for beside the watches
+	Adopted           int64 // stored jobs taken over from homes that were gone
 }
 
 // taskRuns is a table of runs.
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -27,14 +27,17 @@
 	state     endpointState
 	runs      *taskRuns
 	reserved  workload.Resources
-	reportAt  time.Time     // when the last report came
-	askedAt   time.Time     // when it was asked for
-	lookedAt  time.Time     // when a report was asked for beside the watch
-	clock     time.Duration // of the endpoint, at reportAt
-	leaseSent time.Time     // when something that renews the lease was last sent
-	silences  int           // in a row
-	paused    bool          // the lease is not renewed, as nothing is heard
-	stoppedAt time.Time     // when unknown runs were last ordered to stop
+	reportAt  time.Time           // when the last report came
+	askedAt   time.Time           // when it was asked for
+	lookedAt  time.Time           // when a report was asked for beside the watch
+	clock     time.Duration       // of the endpoint, at reportAt
+	leaseSent time.Time           // when something that renews the lease was last sent
+	silences  int                 // in a row
+	paused    bool                // the lease is not renewed, as nothing is heard
+	stoppedAt time.Time           // when unknown runs were last ordered to stop
+	confirmed bool                // ends are taken note of one by one
+	lastEnd   int64               // sequence of the last end that was listed
+	unnoted   []workload.EndedRun // that the endpoint still keeps
 	speed     speedModel
 	health    health
 }
@@ -272,7 +275,8 @@
 		e.speed.assume(speed)
 	}
 	c.holder.endpoints.Put(name, e)
-	c.emit(Watch{Endpoint: e.info.ID, Address: e.info.Address, Token: token})
+	e.confirmed = c.storedExist()
+	c.watch(e)
 }
 
 // loseEndpoint ends the hold of an endpoint and the runs there.
@@ -352,6 +356,7 @@
 		c.takeEnd(e, &m.Report.Ended[i])
 	}
 	unknown := c.takeRunning(e, &m)
+	c.noteEnds(e, m.Report.Ended)
 	c.settleVanished(e, &m)
 	c.judgeUnknown(e, unknown)
 	c.holder.crowded = true
@@ -362,6 +367,9 @@
 func (c *Control) takeEnd(e *endpoint, end *workload.EndedRun) {
 	r, ok := e.runs.Get(end.Run)
 	if !ok {
+		if e.confirmed && end.Sequence > e.lastEnd {
+			c.keepUnknown(e, end)
+		}
 		return
 	}
 	e.learn(c, r, end.How)
@@ -417,7 +425,7 @@
 	if len(unknown) > 0 {
 		if e.state == active {
 			e.state = looking
-			c.emit(Watch{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token})
+			c.watch(e)
 		}
 		if c.now.Sub(e.stoppedAt) < unknownStopGap {
 			return
@@ -437,7 +445,7 @@
 		e.state, e.paused = active, false
 		e.leaseSent = c.now
 		c.holder.advertNew = true
-		c.emit(Watch{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Renew: true})
+		c.watch(e)
 	}
 }
 
@@ -466,7 +474,7 @@
 		e.paused = true
 		c.counted.SilentEndpoints++
 		c.decide("endpoint silent", zap.String("Endpoint", e.info.ID.Name), zap.Stringer("Outcome", m.Outcome), zap.Duration("ReportAge", c.now.Sub(e.reportAt)), zap.Int("Runs", e.runs.Len()), zap.Error(m.Err))
-		c.emit(Watch{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token})
+		c.watch(e)
 	}
 }
 
@@ -518,12 +526,28 @@
 	c.forgetEnded()
 }
 
-// orphanSilent stops the runs of homes that are silent: their callers may hand
-// the jobs to other instances.
+// orphanSilent stops the runs of homes that are silent or do not hear this
+// instance: their callers may hand the jobs to other instances, and they count
+// on it that runs here have ended.
 func (c *Control) orphanSilent() {
 	for _, m := range c.roster.members.All() {
-		if !m.suspected.IsZero() {
+		switch {
+		case !m.suspected.IsZero():
 			c.orphan(m.id, "its home is silent")
+		case m.beat.Unheard:
+			c.orphan(m.id, "its home does not hear this instance")
+		}
+	}
+}
+
+// orphanAll stops the runs of all other homes after this instance has stood
+// still for so long that they have given them up.
+func (c *Control) orphanAll(gap time.Duration) {
+	c.decide("instance stood still", zap.Duration("Gap", gap), zap.Int("Runs", c.holder.runs.Len()))
+	for _, r := range c.holder.runs.All() {
+		if r.home != c.self && !r.dropped {
+			c.counted.Orphans++
+			c.dropRun(r, "this instance stood still")
 		}
 	}
 }
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -21,8 +21,9 @@
 	useful    time.Time // an answer after this is of no use
 	deadline  time.Time
 	steps     [][]task
-	left      int  // tasks that are not done
-	ran       bool // some run of it has started
+	left      int          // tasks that are not done
+	ran       bool         // some run of it has started
+	stored    *storedState // nil for an ephemeral job
 }
 
 type phase int
@@ -54,6 +55,7 @@
 	jobs     *table.Table[workload.JobID, *job]
 	byHandle map[Handle]workload.JobID
 	moveDue  time.Time
+	cancels  []dueLookup
 	own      member // this instance as a holder, seen like the others
 }
 
@@ -76,6 +78,10 @@
 // submit takes a job from a caller, or joins a caller to a job that is known.
 func (c *Control) submit(m Submit) {
 	if j, ok := c.home.jobs.Get(m.Job.ID); ok {
+		if j.stored != nil {
+			c.joinStored(j, m)
+			return
+		}
 		j.handles = append(j.handles, m.Handle)
 		c.home.byHandle[m.Handle] = j.ID
 		c.decide("joined a job in progress", jobField(j.ID))
@@ -91,6 +97,15 @@
 	c.home.byHandle[m.Handle] = j.ID
 	c.decide("job accepted", jobField(j.ID), zap.String("Route", j.route.Name), zap.Int("Tasks", j.left), zap.Duration("LongestChain", j.LongestChain()),
 		zap.Duration("Objective", j.objective.Sub(j.arrived)), zap.Duration("Patience", m.Left), zap.Uint64("Configuration", c.version()))
+	if !j.Ephemeral {
+		c.acceptStored(j)
+		return
+	}
+	c.begin(j)
+}
+
+// begin places what of a job can run now.
+func (c *Control) begin(j *job) {
 	for s := range j.steps {
 		c.unblock(j, s)
 	}
@@ -123,8 +138,12 @@
 		return fmt.Sprintf("it asks for %v, which is not offered here", j.Unsupported), false
 	case len(j.route.Unsupported) > 0:
 		return fmt.Sprintf("its route asks for %v, which is not offered here", j.route.Unsupported), false
-	case !j.Ephemeral:
-		return "jobs that have to be stored are not offered here", false
+	case !j.Ephemeral && c.stop != serving:
+		return "this instance is leaving", false
+	case !j.Ephemeral && !c.ledger.takes(c.now):
+		return storeAway, false
+	case !j.Ephemeral && c.home.jobs.Len() >= maxStored:
+		return "too many jobs are open here", false
 	}
 	for i := range j.Steps {
 		if !c.everFits(j.route.Service, &j.Steps[i]) {
@@ -135,6 +154,8 @@
 	switch {
 	case !ok:
 		return "no endpoint of the service is in use here or at a peer", false
+	case !j.Ephemeral:
+		return "", true
 	case c.now.Add(wait).After(j.useful):
 		return fmt.Sprintf("it is expected to end in %s, when its answer is of no use any more", wait), false
 	case c.stop != serving && c.now.Add(wait+leaveMargin*j.LongestChain()).After(c.stopAt.Add(c.config.Timing.LeaveMax)):
@@ -163,6 +184,10 @@
 
 // close answers a job's callers and forgets it.
 func (c *Control) close(j *job, a Answer) {
+	if j.stored != nil && j.stored.phase != accepting {
+		c.endStored(j, a.Status, a.Reason)
+		return
+	}
 	for _, h := range j.handles {
 		delete(c.home.byHandle, h)
 		c.reply(h, a)
@@ -268,9 +293,18 @@
 	return &Place{
 		Job: j.ID, Spec: j.Spec, Step: step, Service: j.route.Service, Need: s.Need, Label: s.Label, Rack: s.Rack, Estimate: s.Estimate,
 		Objective: j.objective.Sub(c.now), Useful: j.useful.Sub(c.now), Left: j.deadline.Sub(c.now), Priority: j.route.Priority,
+		Stored: j.stored != nil, Round: j.round(),
 	}
 }
 
+// round counts the homes that a stored job has had before this one.
+func (j *job) round() int {
+	if j.stored == nil {
+		return 0
+	}
+	return j.stored.round
+}
+
 func (c *Control) sendPlace(holder instance.ID, p *Place) {
 	c.counted.Placed += int64(len(p.Tasks))
 	if m, ok := c.roster.members.Get(holder.Instance); ok && m.id == holder {
@@ -322,8 +356,12 @@
 func (c *Control) ended(from instance.ID, m *Ended) {
 	j, t, ok := c.placedTask(from, m.Run)
 	if !ok {
+		c.endedElsewhere(from, m)
 		return
 	}
+	if j.stored != nil {
+		c.noteEnd(j, from, m)
+	}
 	if m.How != workload.NeverRan && m.How != workload.Outdated {
 		j.ran = true
 	}
@@ -359,7 +397,7 @@
 		}
 	}
 	t.phase = ready
-	if reason, ok := c.admissible(j); !ok && !j.mayRun() {
+	if reason, ok := c.admissible(j); !ok && j.stored == nil && !j.mayRun() {
 		c.refuse(j, reason)
 		return
 	}
@@ -409,7 +447,11 @@
 		c.home.moveDue = c.now.Add(movePeriod)
 	}
 	for _, j := range c.home.jobs.All() {
-		if !c.now.Before(j.deadline) || (!c.now.Before(j.useful) && j.incomplete()) {
+		if j.stored != nil && j.stored.phase != open {
+			c.expireAccepting(j)
+			continue
+		}
+		if j.stored == nil && (!c.now.Before(j.deadline) || (!c.now.Before(j.useful) && j.incomplete())) {
 			c.timeOut(j)
 			continue
 		}
@@ -470,7 +512,7 @@
 					j.lose(t, c.now)
 				}
 			}
-			if t.phase == lost && !c.now.Before(t.lostAt) {
+			if t.phase == lost && j.stored == nil && !c.now.Before(t.lostAt) {
 				t.phase = ready
 			}
 		}
@@ -512,54 +554,8 @@
 			break
 		}
 	}
-	if len(j.handles) == 0 {
+	if len(j.handles) == 0 && j.stored == nil {
 		c.counted.Abandoned++
 		c.close(j, Answer{Status: Cancelled, Reason: "its caller has left"})
 	}
 }
-
-// ask tells the state of a job.
-func (c *Control) ask(m Ask) {
-	j, ok := c.home.jobs.Get(m.ID)
-	switch {
-	case !ok:
-		c.reply(m.Handle, Answer{Status: Absent, Reason: "no such job is known"})
-	case j.mayRun():
-		c.reply(m.Handle, Answer{Status: Running})
-	default:
-		c.reply(m.Handle, Answer{Status: Queued})
-	}
-}
-
-// cancel ends a job on a caller's wish, at whichever instance it is.
-func (c *Control) cancel(m Cancel) {
-	for _, p := range c.roster.members.All() {
-		if p.up {
-			c.send(p.id, &CancelJob{ID: m.ID})
-		}
-	}
-	if !c.cancelLocal(m.ID) {
-		c.reply(m.Handle, Answer{Status: Absent, Reason: "no such job is known here"})
-		return
-	}
-	c.reply(m.Handle, Answer{Status: Cancelled})
-}
-
-func (c *Control) cancelLocal(id workload.JobID) bool {
-	j, ok := c.home.jobs.Get(id)
-	if ok {
-		c.close(j, Answer{Status: Cancelled, Reason: "cancelled by its caller"})
-	}
-	return ok
-}
-
-// waitingJobs counts the jobs of a route of which no task has started.
-func (c *Control) waitingJobs(route string) int {
-	n := 0
-	for _, j := range c.home.jobs.All() {
-		if j.route.Name == route && !j.mayRun() {
-			n++
-		}
-	}
-	return n
-}
--- /dev/null
+++ b/pkg/placement/kept.go
@@ -0,0 +1,232 @@
+package placement
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/table"
+	"crocusseam/pkg/workload"
+)
+
+// keptEnd is an end that an endpoint may not forget yet: it belongs to a stored
+// job whose home has not recorded it, or to a job that is not known here.
+type keptEnd struct {
+	end      *Ended
+	endpoint string
+	home     instance.ID
+	askedAt  time.Time // when the home was last told, or the store asked
+}
+
+// kept holds, as a holder, the ends that wait to be recorded.
+type kept struct {
+	ends   *table.Table[workload.Run, *keptEnd]
+	rounds *table.Table[workload.JobID, seenRound]
+}
+
+// seenRound is the highest round in which a home has spoken of a job.
+type seenRound struct {
+	round int
+	at    time.Time
+}
+
+// Figures of kept ends.
+const (
+	keptPeriod  = 2 * time.Second  // until the home of an end that is not recorded is looked up
+	roundMemory = 10 * time.Minute // longer than any instance stands still and goes on
+)
+
+func newKept() kept {
+	return kept{ends: table.New[workload.Run, *keptEnd](), rounds: table.New[workload.JobID, seenRound]()}
+}
+
+// seeRound notes the round in which a home speaks of a job, and reports whether
+// no later home has spoken.
+func (c *Control) seeRound(job workload.JobID, round int) bool {
+	seen, ok := c.kept.rounds.Get(job)
+	if ok && round < seen.round {
+		return false
+	}
+	c.kept.rounds.Delete(job)
+	c.kept.rounds.Put(job, seenRound{round, c.now})
+	return true
+}
+
+// confirmEndpoint has the ends of an endpoint taken note of one by one from now
+// on.
+func (c *Control) confirmEndpoint(e *endpoint) {
+	if e.confirmed {
+		return
+	}
+	e.confirmed = true
+	c.watch(e)
+}
+
+// watch starts the watch of an endpoint, or changes it.
+func (c *Control) watch(e *endpoint) {
+	c.emit(Watch{
+		Endpoint: e.info.ID, Address: e.info.Address, Token: e.token,
+		Renew: e.state == active && !e.paused, Confirmed: e.confirmed,
+	})
+}
+
+// noteEnds takes note of the ends of a report up to the first that is kept.
+func (c *Control) noteEnds(e *endpoint, ended []workload.EndedRun) {
+	if !e.confirmed {
+		return
+	}
+	for i := range ended {
+		if ended[i].Sequence > e.lastEnd {
+			e.lastEnd = ended[i].Sequence
+			e.unnoted = append(e.unnoted, ended[i])
+		}
+	}
+	c.noteSettled(e)
+}
+
+// noteSettled tells the endpoint's watch how far ends are settled.
+func (c *Control) noteSettled(e *endpoint) {
+	upto := int64(0)
+	for len(e.unnoted) > 0 && !c.kept.ends.Has(e.unnoted[0].Run) {
+		upto = e.unnoted[0].Sequence
+		e.unnoted = e.unnoted[1:]
+	}
+	if upto > 0 {
+		c.emit(Note{Endpoint: e.info.ID, Token: e.token, Upto: upto})
+	}
+}
+
+// keep keeps an end and tells its home, if it is known.
+func (c *Control) keep(e *endpoint, end *Ended, home instance.ID) {
+	end.Kept = true
+	c.kept.ends.Put(end.Run, &keptEnd{end: end, endpoint: e.info.ID.Name, home: home, askedAt: c.now})
+}
+
+// keepUnknown keeps an end that a former holder's run has left at an endpoint:
+// its job may be stored, and its home may not know of it.
+func (c *Control) keepUnknown(e *endpoint, ended *workload.EndedRun) {
+	if c.kept.ends.Has(ended.Run) || (ended.How != workload.Done && ended.How != workload.Failed) {
+		return
+	}
+	if _, known := c.holder.ended.Get(ended.Run); known {
+		return
+	}
+	end := &Ended{Run: ended.Run, How: ended.How, Endpoint: e.info.ID.Name, Detail: "found at a take-over"}
+	c.keep(e, end, instance.ID{})
+	c.lookUpHome(end.Run)
+}
+
+// recordedEnds lets endpoints forget ends.
+func (c *Control) recordedEnds(m *Recorded) {
+	for _, id := range m.Runs {
+		c.forgetKept(id)
+	}
+}
+
+func (c *Control) forgetKept(id workload.Run) {
+	k, ok := c.kept.ends.Get(id)
+	if !ok {
+		return
+	}
+	c.kept.ends.Delete(id)
+	if e, ok := c.holder.endpoints.Get(k.endpoint); ok {
+		c.noteSettled(e)
+	}
+}
+
+// runKept looks for the homes of ends that have not been recorded for a while,
+// and forgets old rounds.
+func (c *Control) runKept() {
+	for id, k := range c.kept.ends.All() {
+		if c.now.Sub(k.askedAt) >= keptPeriod {
+			c.lookUpHome(id)
+		}
+	}
+	for id, r := range c.kept.rounds.All() {
+		if c.now.Sub(r.at) < roundMemory {
+			break
+		}
+		c.kept.rounds.Delete(id)
+	}
+}
+
+// lookUpHome asks the store for the home of a kept end. Without an open job the
+// end is of no use to anybody.
+func (c *Control) lookUpHome(id workload.Run) {
+	k, ok := c.kept.ends.Get(id)
+	if !ok {
+		return
+	}
+	k.askedAt = c.now
+	key := storedKey(openTable, id.Task.Job)
+	c.scan(key, func(m ScanDone) {
+		k, ok := c.kept.ends.Get(id)
+		if !ok || m.Err != nil {
+			return
+		}
+		row := rowOf(m.Rows, key)
+		if row == nil {
+			c.forgetKept(id)
+			return
+		}
+		found, err := decodeStored[OpenRow](row)
+		if err != nil {
+			c.decide("row of a job not understood", jobField(id.Task.Job), zap.Error(err))
+			return
+		}
+		k.home = found.Home
+		if c.reachable(k.home) {
+			c.send(k.home, k.end)
+		}
+	})
+}
+
+// inquired tells a home what is known here of the runs of its jobs, and stops
+// those of earlier homes.
+func (c *Control) inquired(from instance.ID, m *Inquire) {
+	rounds := make(map[workload.JobID]int, len(m.Jobs))
+	for _, j := range m.Jobs {
+		if c.seeRound(j.Job, j.Round) {
+			rounds[j.Job] = j.Round
+		}
+	}
+	answer := &Found{Sequence: m.Sequence}
+	for id, r := range c.holder.runs.All() {
+		round, asked := rounds[id.Task.Job]
+		if !asked || r.state == over {
+			continue
+		}
+		if r.home != from || r.place.Round < round {
+			r.home = from
+			if !r.dropped {
+				c.dropRun(r, "its job has another home")
+			}
+		}
+		if r.state != over {
+			answer.Live = append(answer.Live, id)
+		}
+	}
+	for id, k := range c.kept.ends.All() {
+		if _, asked := rounds[id.Task.Job]; asked {
+			k.home, k.askedAt = from, c.now
+			c.send(from, k.end)
+		}
+	}
+	for name, e := range c.holder.endpoints.All() {
+		if c.accounts(e) {
+			answer.Covered = append(answer.Covered, name)
+		}
+	}
+	c.send(from, answer)
+}
+
+// accounts reports whether all that runs at an endpoint is known here: it has
+// reported to this holder, and is in use, or it is silent and its leases are
+// over.
+func (c *Control) accounts(e *endpoint) bool {
+	if e.state != active {
+		return false
+	}
+	return !e.paused || c.now.Sub(e.leaseSent) >= c.config.Timing.leaseEnd()
+}
--- /dev/null
+++ b/pkg/placement/lookup.go
@@ -0,0 +1,230 @@
+package placement
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+)
+
+// lookup is a caller's question for a job, or wish to cancel it, that the rows
+// of the store answer.
+type lookup struct {
+	handle Handle
+	id     workload.JobID
+	route  string // the job must be of this route if it is not empty
+	cancel bool
+	tries  int
+}
+
+const (
+	cancelTries = 5                     // conflicts with the job's home that a cancellation outlasts
+	cancelPause = 30 * time.Millisecond // for the job's home to cancel it first
+)
+
+// lookup reads the rows of a job: first that of its progress, then that of its
+// outcome, as a job only goes from one to the other.
+func (c *Control) lookup(l lookup) {
+	c.scan(storedKey(openTable, l.id), func(m ScanDone) {
+		switch row := rowOf(m.Rows, storedKey(openTable, l.id)); {
+		case m.Err != nil:
+			c.cannotTell(l, m.Err)
+		case row != nil:
+			c.foundRow(l, row)
+		default:
+			c.lookupEnded(l)
+		}
+	})
+}
+
+func rowOf(rows []storage.Row, key string) *storage.Row {
+	for i := range rows {
+		if rows[i].Key == key {
+			return &rows[i]
+		}
+	}
+	return nil
+}
+
+func (c *Control) cannotTell(l lookup, err error) {
+	c.decide("job not looked up", jobField(l.id), zap.Error(err))
+	c.reply(l.handle, Answer{Status: Unavailable, Reason: "the store that keeps jobs cannot be read now", RetryAfter: c.config.Timing.RetryAfter})
+}
+
+func (c *Control) lookupEnded(l lookup) {
+	c.scan(storedKey(endedTable, l.id), func(m ScanDone) {
+		if m.Err != nil {
+			c.cannotTell(l, m.Err)
+			return
+		}
+		row := rowOf(m.Rows, storedKey(endedTable, l.id))
+		if row == nil {
+			c.reply(l.handle, Answer{Status: Absent, Reason: "no such job is known"})
+			return
+		}
+		ended, err := decodeStored[EndedRow](row)
+		switch {
+		case err != nil:
+			c.cannotTell(l, err)
+		case l.route != "" && ended.Route != l.route:
+			c.reply(l.handle, Answer{Status: Absent, Reason: "no such job is known on this route"})
+		case l.cancel:
+			c.reply(l.handle, cancelAnswer(ended.Status))
+		default:
+			c.reply(l.handle, Answer{Status: ended.Status, Reason: ended.Reason})
+		}
+	})
+}
+
+// foundRow answers from the row of an open job.
+func (c *Control) foundRow(l lookup, row *storage.Row) {
+	found, err := decodeStored[OpenRow](row)
+	switch {
+	case err != nil:
+		c.cannotTell(l, err)
+	case l.route != "" && found.Route != l.route:
+		c.reply(l.handle, Answer{Status: Absent, Reason: "no such job is known on this route"})
+	case l.cancel:
+		c.cancelRow(l, row, &found)
+	case found.Started || c.noneWaits(&found):
+		c.reply(l.handle, Answer{Status: Running})
+	default:
+		c.reply(l.handle, Answer{Status: Queued})
+	}
+}
+
+// cancelRow records that a job is cancelled whose home is another instance.
+func (c *Control) cancelRow(l lookup, row *storage.Row, found *OpenRow) {
+	ended := EndedRow{Route: found.Route, Digest: found.Digest, Status: Cancelled, Reason: cancelReason, At: c.now}
+	c.commit(Commit{Writes: []storage.Write{
+		{Key: storedKey(openTable, l.id), Delete: true, Expect: row.Version},
+		{Key: storedKey(jobsTable, l.id), Delete: true, Expect: storage.AnyVersion},
+		{Key: storedKey(endedTable, l.id), Value: encodeStored(ended)},
+	}}, func(m CommitDone) {
+		l.tries++
+		switch {
+		case m.Err == nil:
+			c.decide("job cancelled for another instance", jobField(l.id), zap.Stringer("Home", found.Home))
+			c.tellCancelled(l.id)
+			c.reply(l.handle, Answer{Status: Cancelled})
+		case l.tries < cancelTries:
+			c.lookup(l)
+		default:
+			c.cannotTell(l, m.Err)
+		}
+	})
+}
+
+const cancelReason = "cancelled by its caller"
+
+func (c *Control) tellCancelled(id workload.JobID) {
+	for _, p := range c.roster.members.All() {
+		if p.up {
+			c.send(p.id, &CancelJob{ID: id})
+		}
+	}
+}
+
+// ask tells the state of a job.
+func (c *Control) ask(m Ask) {
+	j, ok := c.home.jobs.Get(m.ID)
+	if !ok {
+		c.lookup(lookup{handle: m.Handle, id: m.ID, route: m.Route})
+		return
+	}
+	c.reply(m.Handle, c.stateOf(j))
+}
+
+// cancel ends a job on a caller's wish, at whichever instance it is.
+func (c *Control) cancel(m Cancel) {
+	j, ok := c.home.jobs.Get(m.ID)
+	switch {
+	case !ok:
+		c.tellCancelled(m.ID)
+		c.home.cancels = append(c.home.cancels, dueLookup{lookup: lookup{handle: m.Handle, id: m.ID, route: m.Route, cancel: true}, at: c.now.Add(cancelPause)})
+	case j.stored == nil:
+		c.cancelLocal(m.ID)
+		c.reply(m.Handle, Answer{Status: Cancelled})
+	default:
+		j.stored.cancels = append(j.stored.cancels, m.Handle)
+		c.cancelLocal(m.ID)
+	}
+}
+
+// dueLookup is a cancellation that gives the job's home a moment.
+type dueLookup struct {
+	lookup
+	at time.Time
+}
+
+func (c *Control) runCancels() {
+	for len(c.home.cancels) > 0 && !c.now.Before(c.home.cancels[0].at) {
+		l := c.home.cancels[0].lookup
+		c.home.cancels = c.home.cancels[1:]
+		c.lookup(l)
+	}
+}
+
+func (c *Control) cancelLocal(id workload.JobID) {
+	j, ok := c.home.jobs.Get(id)
+	switch {
+	case !ok:
+	case j.stored == nil:
+		c.close(j, Answer{Status: Cancelled, Reason: cancelReason})
+	case j.stored.final == 0:
+		c.endStored(j, Cancelled, cancelReason)
+	}
+}
+
+// waitingJobs counts the jobs of a route of which no task has started, here and
+// at the members as they last said.
+func (c *Control) waitingJobs(route string) int {
+	n := c.ownWaiting()[route]
+	for _, m := range c.roster.members.All() {
+		if !m.dead {
+			n += m.beat.Waiting[route]
+		}
+	}
+	return n
+}
+
+// ownWaiting counts this home's jobs of which no task has started, by route.
+func (c *Control) ownWaiting() map[string]int {
+	var counts map[string]int
+	for _, j := range c.home.jobs.All() {
+		if j.mayRun() && !j.allWait() {
+			continue
+		}
+		if counts == nil {
+			counts = make(map[string]int)
+		}
+		counts[j.route.Name]++
+	}
+	return counts
+}
+
+// allWait reports whether no run of the job has started, and those placed wait
+// for room at their holders.
+func (j *job) allWait() bool {
+	if j.ran {
+		return false
+	}
+	for s := range j.steps {
+		for i := range j.steps[s] {
+			t := &j.steps[s][i]
+			if t.phase == lost || t.phase == done || (t.phase == placed && !t.waiting) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// noneWaits reports whether the home of a job has just said that none of its jobs
+// of this route waits.
+func (c *Control) noneWaits(row *OpenRow) bool {
+	m, ok := c.roster.members.Get(row.Home.Instance)
+	return ok && m.id == row.Home && c.reachable(m.id) && m.beat.Waiting[row.Route] == 0
+}
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -30,12 +30,14 @@
 type Ask struct {
 	Handle Handle
 	ID     workload.JobID
+	Route  string
 }
 
 // Cancel asks to cancel a job.
 type Cancel struct {
 	Handle Handle
 	ID     workload.JobID
+	Route  string
 }
 
 // Count asks how many jobs of a route wait for their first start.
@@ -181,18 +183,20 @@
 
 // Statuses of an answer.
 const (
-	Completed Status = iota + 1 // every task is done
-	Failed                      // a task has failed as often as allowed
-	Refused                     // not accepted; nothing of it runs or will
-	TimedOut                    // not finished in time; some of it may have run
-	Cancelled                   // ended on a caller's wish
-	Queued                      // state: no task has started
-	Running                     // state
-	Absent                      // no such job is known
-	Counted                     // carries Waiting
+	Completed   Status = iota + 1 // every task is done
+	Failed                        // a task has failed as often as allowed
+	Refused                       // not accepted; nothing of it runs or will
+	TimedOut                      // not finished in time; some of it may have run
+	Cancelled                     // ended on a caller's wish
+	Queued                        // state: no task has started
+	Running                       // state
+	Absent                        // no such job is known
+	Counted                       // carries Waiting
+	Mismatch                      // another job is known under this id
+	Unavailable                   // it cannot be told now
 )
 
-var statusNames = [...]string{"", "Completed", "Failed", "Refused", "TimedOut", "Cancelled", "Queued", "Running", "Absent", "Counted"}
+var statusNames = [...]string{"", "Completed", "Failed", "Refused", "TimedOut", "Cancelled", "Queued", "Running", "Absent", "Counted", "Mismatch", "Unavailable"}
 
 func (s Status) String() string { return statusNames[s] }
 
@@ -231,6 +235,16 @@
 	Address  netip.AddrPort
 	Token    workload.Token
 	Renew    bool
+	// Confirmed says that ends are taken note of only when a Note says so.
+	// Otherwise the watch takes note of all that it has delivered.
+	Confirmed bool
+}
+
+// Note lets a watch that waits for it take note of ends.
+type Note struct {
+	Endpoint workload.EndpointID
+	Token    workload.Token
+	Upto     int64 // the sequence of the last end
 }
 
 // Look asks an endpoint for a report at once, beside its Watch.
@@ -302,6 +316,7 @@
 func (StopRun) isEffect()     {}
 func (Watch) isEffect()       {}
 func (Look) isEffect()        {}
+func (Note) isEffect()        {}
 func (Unwatch) isEffect()     {}
 func (Probe) isEffect()       {}
 func (Commit) isEffect()      {}
@@ -334,6 +349,12 @@
 	Left      time.Duration // until the caller stops waiting
 	Priority  int
 	Tasks     []PlacedTask
+	// Stored says that the job is stored: ends of its runs are kept by the holder
+	// until their home has recorded them.
+	Stored bool
+	// Round counts the homes that a stored job has had. A holder refuses a lower
+	// one than it has seen.
+	Round int
 }
 
 // PlacedTask is one task of a Place.
@@ -357,6 +378,34 @@
 	Endpoint string // empty if it never had one
 	Elapsed  time.Duration
 	Detail   string
+	// Kept says that the holder keeps the end until it is Recorded.
+	Kept bool
+}
+
+// Recorded tells a holder that ends of runs are stored, so that the endpoints
+// may forget them.
+type Recorded struct{ Runs []workload.Run }
+
+// Inquire asks a holder what it knows of the runs of stored jobs whose home the
+// sender is. Runs for an earlier home are stopped.
+type Inquire struct {
+	Sequence uint64
+	Jobs     []JobRound
+}
+
+// JobRound is a job in one round.
+type JobRound struct {
+	Job   workload.JobID
+	Round int
+}
+
+// Found answers an Inquire, after an Ended for each end that the holder keeps.
+type Found struct {
+	Sequence uint64
+	// Live are runs of these jobs that have not certainly ended.
+	Live []workload.Run
+	// Covered are the endpoints at which the sender knows all that runs.
+	Covered []string
 }
 
 // Waiting tells a home that a run has to wait for room at its holder.
@@ -390,6 +439,10 @@
 	Configuration uint64
 	// Uptime is how long the sender has been running.
 	Uptime time.Duration
+	// Unheard says that the sender does not hear the receiver.
+	Unheard bool
+	// Waiting counts the sender's jobs of which no task has started, by route.
+	Waiting map[string]int
 }
 
 // Settings passes the operator's configuration on.
@@ -414,6 +467,9 @@
 func (*Place) isMessage()     {}
 func (*Drop) isMessage()      {}
 func (*Ended) isMessage()     {}
+func (*Recorded) isMessage()  {}
+func (*Inquire) isMessage()   {}
+func (*Found) isMessage()     {}
 func (*Waiting) isMessage()   {}
 func (*Advert) isMessage()    {}
 func (*Beat) isMessage()      {}
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -259,3 +259,98 @@
 	d.rack = ""
 	assert.Assert(t, rate(c.at(d, &away), room, false).inTime)
 }
+
+// A holder ends the runs of a home that does not hear it, as the home takes them
+// to have ended after a while.
+func TestRunsOfAHomeThatDoesNotHearAreStopped(t *testing.T) {
+	b := newBench(t)
+	home := instance.ID{Instance: "b", Incarnation: 1}
+	b.step(PeerUp{Peer: home}, Received{From: home, Message: &Beat{Configuration: 1}})
+	place := &Place{
+		Sequence: 1, Job: "j", Service: "s", Need: workload.Resources{MilliCPU: 1000}, Estimate: time.Second,
+		Objective: time.Second, Useful: 3 * time.Second, Left: 3 * time.Second, Tasks: []PlacedTask{{Number: 1}},
+	}
+	b.step(Received{From: home, Message: place})
+	starts := find[Start](b)
+	assert.Equal(t, len(starts), 1)
+	b.answerStart(&starts[0], Accepted)
+	b.step(Received{From: home, Message: &Beat{Configuration: 1, Unheard: true}})
+	assert.Equal(t, len(find[StopRun](b)), 1)
+}
+
+// An instance that has stood still for longer than others wait for it starts
+// nothing of what was placed with it before.
+func TestRunsQueuedBeforeAPauseAreNotStarted(t *testing.T) {
+	b := newBench(t)
+	home := instance.ID{Instance: "b", Incarnation: 1}
+	b.step(PeerUp{Peer: home}, Received{From: home, Message: &Beat{Configuration: 1}})
+	full := b.submit(1, 64000)
+	assert.Equal(t, len(full), 1)
+	b.answerStart(&full[0], Accepted)
+	place := &Place{
+		Sequence: 1, Job: "j", Service: "s", Need: workload.Resources{MilliCPU: 1000}, Estimate: time.Second,
+		Objective: 5 * time.Second, Useful: 9 * time.Second, Left: 9 * time.Second, Tasks: []PlacedTask{{Number: 1}},
+	}
+	b.step(Received{From: home, Message: place})
+	b.now = b.now.Add(2 * time.Second)
+	b.step(Received{From: home, Message: &Beat{Configuration: 1}})
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: full[0].Run, How: workload.Done}})
+	assert.Equal(t, len(find[Start](b)), 0)
+}
+
+// An end of a stored job's run is kept by the endpoint until its home has
+// recorded it; those before it are taken note of.
+func TestEndsOfStoredJobsAreKeptUntilRecorded(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], Accepted)
+	home := instance.ID{Instance: "b", Incarnation: 1}
+	b.step(PeerUp{Peer: home}, Received{From: home, Message: &Beat{Configuration: 1}})
+	b.step(Received{From: home, Message: &Place{
+		Sequence: 1, Job: "0a", Service: "s", Need: workload.Resources{MilliCPU: 1000}, Estimate: time.Second, Stored: true, Round: 2,
+		Objective: time.Second, Useful: 3 * time.Second, Left: 3 * time.Second, Tasks: []PlacedTask{{Number: 2001}},
+	}})
+	stored := find[Start](b)
+	assert.Equal(t, len(stored), 1)
+	watches := find[Watch](b)
+	assert.Assert(t, len(watches) == 1 && watches[0].Confirmed && watches[0].Renew)
+	b.answerStart(&stored[0], Accepted)
+	ends := []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Done}, {Sequence: 2, Run: stored[0].Run, How: workload.Done}}
+	b.report(nil, ends)
+	notes := find[Note](b)
+	assert.Equal(t, len(notes), 1)
+	assert.Equal(t, notes[0].Upto, int64(1))
+	b.report(nil, ends)
+	assert.Equal(t, len(find[Note](b)), 0)
+	b.step(Received{From: home, Message: &Recorded{Runs: []workload.Run{stored[0].Run}}})
+	notes = find[Note](b)
+	assert.Equal(t, len(notes), 1)
+	assert.Equal(t, notes[0].Upto, int64(2))
+}
+
+// A home that was replaced without knowing it starts nothing more.
+func TestPlacesOfAnEarlierHomeAreIgnored(t *testing.T) {
+	b := newBench(t)
+	former, present := instance.ID{Instance: "b", Incarnation: 1}, instance.ID{Instance: "c", Incarnation: 1}
+	for _, id := range []instance.ID{former, present} {
+		b.step(PeerUp{Peer: id}, Received{From: id, Message: &Beat{Configuration: 1}})
+	}
+	place := func(round int) *Place {
+		return &Place{
+			Sequence: 1, Job: "0a", Service: "s", Need: workload.Resources{MilliCPU: 1000}, Estimate: time.Second, Stored: true, Round: round,
+			Objective: time.Second, Useful: 3 * time.Second, Left: 3 * time.Second, Tasks: []PlacedTask{{Number: round*runsPerRound + 1}},
+		}
+	}
+	b.step(Received{From: former, Message: place(0)})
+	starts := find[Start](b)
+	assert.Equal(t, len(starts), 1)
+	b.answerStart(&starts[0], Accepted)
+	b.step(Received{From: present, Message: &Inquire{Sequence: 1, Jobs: []JobRound{{Job: "0a", Round: 1}}}})
+	assert.Equal(t, len(find[StopRun](b)), 1)
+	late := place(0)
+	late.Tasks[0].Number = 2
+	b.step(Received{From: former, Message: late})
+	assert.Equal(t, len(find[Start](b)), 0)
+	b.step(Received{From: present, Message: place(1)})
+	assert.Equal(t, len(find[Start](b)), 1)
+}
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -32,6 +32,8 @@
 	// Speeds are those learned of the endpoints held, so that they outlive the
 	// instance.
 	Speeds map[string]float64 `json:",omitempty"`
+	// Stored says that the instance was handed stored jobs, now or before.
+	Stored bool `json:",omitempty"`
 }
 
 // DecodeMember decodes the row of an instance.
@@ -87,6 +89,8 @@
 	settled   bool
 	connected string
 	changed   bool // members or their states have changed since the book was told
+	// storedKnown says that the written row tells the others of stored jobs.
+	storedKnown bool
 }
 
 func newRoster() roster {
@@ -116,14 +120,21 @@
 }
 
 func (c *Control) sendBeats() {
-	b := Beat{Leaving: c.stop != serving, Configuration: c.version(), Uptime: c.now.Sub(c.began)}
+	waiting := c.ownWaiting()
 	for _, m := range c.roster.members.All() {
 		if m.up {
-			c.send(m.id, &b)
+			c.send(m.id, c.beatTo(m, waiting))
 		}
 	}
 }
 
+func (c *Control) beatTo(m *member, waiting map[string]int) *Beat {
+	return &Beat{
+		Leaving: c.stop != serving, Configuration: c.version(), Uptime: c.now.Sub(c.began),
+		Unheard: !m.suspected.IsZero(), Waiting: waiting,
+	}
+}
+
 // suspects reports whether some member is silent and not known to be dead.
 func (c *Control) suspects() bool {
 	for _, m := range c.roster.members.All() {
@@ -157,6 +168,7 @@
 		if !m.dead && stood >= t.Term {
 			m.dead = true
 			c.roster.changed = true
+			c.adoptSoon()
 			c.counted.MembersLost++
 			c.decide("member dead", zap.Stringer("Peer", m.id), zap.Duration("Silent", silent), zap.Duration("RowStood", stood), zap.Uint64("Sequence", m.row.Sequence))
 		}
@@ -233,8 +245,7 @@
 	if !m.listed {
 		c.roster.nextScan = c.now
 	}
-	b := Beat{Leaving: c.stop != serving, Configuration: c.version(), Uptime: c.now.Sub(c.began)}
-	c.send(id, &b)
+	c.send(id, c.beatTo(m, c.ownWaiting()))
 	m.advertAt = time.Time{}
 	c.holder.advertDue = c.now
 	c.resendTo(id)
@@ -297,7 +308,7 @@
 // member is silent.
 func (c *Control) writeOwnRow() {
 	r := &c.roster
-	if r.writing || c.now.Before(r.nextWrite) || (r.written && !c.suspects() && c.now.Before(r.speedsDue)) {
+	if r.writing || c.now.Before(r.nextWrite) || (r.written && !c.suspects() && c.now.Before(r.speedsDue) && r.storedKnown == c.ledger.used) {
 		return
 	}
 	if r.scanned.IsZero() && c.now.Sub(c.began) < c.config.Timing.Settle {
@@ -307,7 +318,9 @@
 	r.row = MemberRow{
 		Instance: c.self.Instance, Incarnation: c.self.Incarnation, Domain: c.config.Domain,
 		Peers: c.config.Address, Share: c.config.Share, Sequence: r.row.Sequence + 1, Speeds: c.learnedSpeeds(),
+		Stored: c.ledger.used,
 	}
+	stored := r.row.Stored
 	value, err := json.Marshal(r.row)
 	if err != nil {
 		panic("a member's row cannot be encoded: " + err.Error())
@@ -320,10 +333,13 @@
 		if m.Err != nil {
 			c.counted.FailedCommits++
 			r.nextWrite = c.now.Add(writeRetry)
+			if !r.storedKnown {
+				c.refuseUnwritten()
+			}
 			return
 		}
 		r.nextWrite = c.now.Add(c.config.Timing.Heartbeat)
-		r.written = true
+		r.written, r.storedKnown = true, stored
 	})
 }
 
@@ -377,6 +393,7 @@
 		}
 		if row.Instance == c.self.Instance && c.roster.row.Instance == "" {
 			c.roster.row.Speeds = row.Speeds
+			c.ledger.used = c.ledger.used || row.Stored
 		}
 		m, ok := c.meet(instance.ID{Instance: row.Instance, Incarnation: row.Incarnation})
 		if !ok {
@@ -433,6 +450,7 @@
 // losePeer ends what depended on an incarnation that is gone; heardAt is when
 // it was last heard.
 func (c *Control) losePeer(id instance.ID, heardAt time.Time) {
+	c.adoptSoon()
 	c.orphan(id, "its home has restarted")
 	c.loseRuns(id, heardAt)
 }
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -29,6 +29,9 @@
 func (c *Control) placedTaskHere(from instance.ID, p *Place, t *PlacedTask) {
 	h := &c.holder
 	id := workload.Run{Task: workload.TaskID{Job: p.Job, Step: p.Step, Index: t.Index}, Number: t.Number}
+	if p.Stored && !c.seeRound(p.Job, p.Round) {
+		return // a later home sees to the job, and has stopped what this one had started
+	}
 	if r, ok := h.runs.Get(id); ok {
 		if r.home != from || r.dropped {
 			c.send(from, &Ended{Run: id, How: workload.NeverRan, Detail: "an earlier run of the task is being stopped here"})
@@ -137,6 +140,9 @@
 	e.runs.Put(r.id, r)
 	e.reserved = e.reserved.Add(r.place.Need)
 	c.holder.roomsOld, c.holder.advertNew = true, true
+	if r.place.Stored {
+		c.confirmEndpoint(e)
+	}
 	c.counted.Started++
 	c.orderStart(r)
 }
@@ -320,6 +326,9 @@
 	if e := r.endpoint; e != nil {
 		ended.Endpoint = e.info.ID.Name
 		ended.Elapsed = c.now.Sub(r.ordered)
+		if r.place.Stored && (how == workload.Done || how == workload.Failed) {
+			c.keep(e, ended, r.home)
+		}
 		e.runs.Delete(r.id)
 		e.reserved = e.reserved.Sub(r.place.Need)
 	}
--- /dev/null
+++ b/pkg/placement/stored_test.go
@@ -0,0 +1,291 @@
+package placement_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/model"
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/workload"
+)
+
+// storedMix is a load of jobs that are stored before they are accepted.
+func storedMix(rate float64) []model.Kind {
+	kinds := model.Mix(rate)
+	for i := range kinds {
+		kinds[i].Stored = true
+	}
+	return kinds
+}
+
+// storedDay plays a load of stored jobs with trouble. Every accepted job is done
+// once, whatever happens to its home, and is shown so by every instance.
+func storedDay(t *testing.T, rate float64, span time.Duration, before, trouble func(*model.World)) {
+	t.Helper()
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Run(4 * time.Second)
+		if before != nil {
+			before(w)
+		}
+		w.Offer(load(storedMix(rate), span))
+		trouble(w)
+		w.Run(30 * time.Second)
+		breaches := w.Settled()
+		if len(breaches) > 5 {
+			breaches = breaches[:5]
+		}
+		assert.Check(t, len(breaches) == 0, "%v", breaches)
+		checkStored(t, w)
+	})
+}
+
+func checkStored(t *testing.T, w *model.World) {
+	t.Helper()
+	accepted, unfinished, states := 0, 0, make(map[placement.Status]int)
+	asked := slices.DeleteFunc(slices.Clone(w.Nodes), func(n *model.Node) bool { return !n.Up })[:2]
+	for id, o := range w.Jobs {
+		if o.Answer.Status != placement.Queued && o.Answer.Status != placement.Running {
+			continue
+		}
+		accepted++
+		if !o.AllDone() {
+			unfinished++
+		}
+		for _, n := range asked {
+			w.State(n, id, func(a placement.Answer) { states[a.Status]++ })
+		}
+	}
+	w.Run(2 * time.Second)
+	t.Logf("%d jobs, %d accepted, states %v", len(w.Jobs), accepted, states)
+	assert.Check(t, accepted > len(w.Jobs)/2)
+	assert.Check(t, unfinished == 0, "%d accepted jobs have tasks that are not done", unfinished)
+	assert.Check(t, states[placement.Completed] == 2*accepted, "%v of %d jobs", states, accepted)
+}
+
+func TestStoredJobsOnACalmDay(t *testing.T) {
+	storedDay(t, 0.5, 5*time.Second, nil, func(w *model.World) { w.Run(5 * time.Second) })
+}
+
+func TestHomesOfStoredJobsKilled(t *testing.T) {
+	storedDay(t, 0.5, 8*time.Second, nil, func(w *model.World) {
+		w.Run(2 * time.Second)
+		w.Nodes[0].Kill()
+		w.Run(1500 * time.Millisecond)
+		w.Nodes[3].Kill()
+		w.Run(time.Second)
+		w.Nodes[0].Start()
+		w.Run(2 * time.Second)
+		w.Nodes[3].Start()
+		w.Run(3 * time.Second)
+	})
+}
+
+func TestEverythingKilledWithStoredJobs(t *testing.T) {
+	storedDay(t, 0.5, 8*time.Second, nil, func(w *model.World) {
+		w.Run(3 * time.Second)
+		for _, n := range w.Nodes {
+			n.Kill()
+		}
+		w.Run(time.Second)
+		for _, n := range w.Nodes {
+			n.Start()
+		}
+		w.Run(6 * time.Second)
+	})
+}
+
+func TestHomeOfStoredJobsFrozen(t *testing.T) {
+	storedDay(t, 0.5, 8*time.Second, nil, func(w *model.World) {
+		w.Run(2 * time.Second)
+		w.Nodes[1].Freeze(4 * time.Second)
+		w.Run(3 * time.Second)
+		w.Nodes[4].Freeze(500 * time.Millisecond)
+		w.Run(4 * time.Second)
+	})
+}
+
+func TestDomainWithStoredJobsCutOff(t *testing.T) {
+	storedDay(t, 0.4, 8*time.Second, nil, func(w *model.World) {
+		w.Run(2 * time.Second)
+		others := []string{"domain-b", "domain-c", "domain-d", "store"}
+		for _, o := range others {
+			w.Cut("domain-a", o, true)
+		}
+		w.Run(5 * time.Second)
+		for _, o := range others {
+			w.Cut("domain-a", o, false)
+		}
+		w.Run(3 * time.Second)
+	})
+}
+
+func TestStoredJobsWhileAnswersOfTheStoreAreLost(t *testing.T) {
+	storedDay(t, 0.4, 8*time.Second, func(w *model.World) { w.Store.LoseAnswers = 0.3 }, func(w *model.World) {
+		w.Run(4 * time.Second)
+		w.Nodes[2].Kill()
+		w.Run(4 * time.Second)
+		w.Store.LoseAnswers = 0
+	})
+}
+
+func TestStoredJobsWhileOrdersAreCarriedOutLate(t *testing.T) {
+	late := func(share float64) func(*model.World) {
+		return func(w *model.World) {
+			for _, e := range w.Endpoints {
+				e.LateOrders, e.LateBy, e.LoseAnswers = share, 3*time.Second, share
+			}
+		}
+	}
+	storedDay(t, 0.4, 8*time.Second, late(0.04), func(w *model.World) {
+		w.Run(3 * time.Second)
+		w.Nodes[0].Kill()
+		w.Run(6 * time.Second)
+		late(0)(w)
+	})
+}
+
+func TestEndpointsOfStoredJobsCrash(t *testing.T) {
+	storedDay(t, 0.4, 8*time.Second, nil, func(w *model.World) {
+		w.Run(2 * time.Second)
+		for i := range 6 {
+			e := w.Endpoints[i*7]
+			e.Crash()
+			w.After(time.Duration(i)*500*time.Millisecond, e.Restart)
+		}
+		w.Run(6 * time.Second)
+	})
+}
+
+func TestInstancesWithStoredJobsStoppedInTurn(t *testing.T) {
+	storedDay(t, 0.4, 14*time.Second, nil, func(w *model.World) {
+		for _, n := range w.Nodes {
+			w.Run(2 * time.Second)
+			n.Leave()
+			w.After(5500*time.Millisecond, func() {
+				n.Kill()
+				n.Start()
+			})
+		}
+		w.Run(8 * time.Second)
+	})
+}
+
+// While the store is away stored jobs are refused at once, as nothing of them
+// runs; those accepted before go on.
+func TestStoredJobsAreRefusedWhileTheStoreIsAway(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Run(4 * time.Second)
+		w.Offer(load(storedMix(0.4), 2*time.Second))
+		w.Run(2 * time.Second)
+		w.Store.Away = true
+		w.Run(3 * time.Second)
+		l := load(storedMix(0.4), 0)
+		first := w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+		w.Run(3 * time.Second)
+		assert.Check(t, first.Answer.Status == placement.TimedOut || first.Answer.Status == placement.Refused)
+		second := w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+		w.Run(10 * time.Millisecond)
+		assert.Equal(t, second.Answer.Status, placement.Refused)
+		assert.Check(t, second.Answer.RetryAfter > 0)
+		w.Store.Away = false
+		w.Run(20 * time.Second)
+		assert.Check(t, len(w.Settled()) == 0, "%v", w.Breaches)
+	})
+}
+
+// A job that is handed in again, anywhere and at any time, stays one job; another
+// job under its id is refused.
+func TestStoredJobHandedInAgainIsOneJob(t *testing.T) {
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	l := load([]model.Kind{{Name: "job", Tasks: 3, Work: 300 * time.Millisecond, MilliCPU: 27000, Stored: true}}, 0)
+	o := w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+	route := workload.Route{Name: "job", Service: "booking", MaxAttempts: 3}
+	var answers []*model.Outcome
+	again := func(n *model.Node, j *workload.Job) {
+		answer := w.Submit(n, j, route, 2*time.Second)
+		answers = append(answers, answer)
+		w.Jobs[j.ID] = o
+	}
+	again(w.Nodes[0], o.Job)
+	again(w.Nodes[5], o.Job)
+	w.Run(100 * time.Millisecond)
+	again(w.Nodes[0], o.Job)
+	again(w.Nodes[3], o.Job)
+	w.Run(3 * time.Second)
+	again(w.Nodes[0], o.Job)
+	again(w.Nodes[4], o.Job)
+	other := *o.Job
+	other.Spec = "another job"
+	again(w.Nodes[2], &other)
+	w.Run(time.Second)
+	for i, a := range answers[:4] {
+		assert.Check(t, a.Answer.Status == placement.Queued || a.Answer.Status == placement.Running, "%d: %v", i, a.Answer)
+	}
+	for _, a := range answers[4:6] {
+		assert.Equal(t, a.Answer.Status, placement.Completed)
+	}
+	assert.Equal(t, answers[6].Answer.Status, placement.Mismatch)
+	assert.Check(t, o.AllDone())
+	assert.Check(t, len(w.Breaches) == 0, "%v", w.Breaches)
+}
+
+// A job is cancelled through any instance: its tasks stop, and it stays
+// cancelled after its home was killed.
+func TestStoredJobsAreCancelledThroughAnyInstance(t *testing.T) {
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	l := load([]model.Kind{{Name: "job", Tasks: 3, Work: 20 * time.Second, MilliCPU: 27000, Stored: true}}, 0)
+	for i, n := range []*model.Node{w.Nodes[0], w.Nodes[1], w.Nodes[4]} {
+		o := w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+		w.Run(time.Second)
+		assert.Check(t, o.Started)
+		var answers []placement.Answer
+		take := func(a placement.Answer) { answers = append(answers, a) }
+		w.Cancel(n, o.Job.ID, take)
+		w.Run(200 * time.Millisecond)
+		for _, x := range w.Endpoints {
+			assert.Equal(t, x.Used().MilliCPU, 0, "job %d", i)
+		}
+		w.State(w.Nodes[2], o.Job.ID, take)
+		w.State(w.Nodes[0], o.Job.ID, take)
+		w.Cancel(w.Nodes[3], o.Job.ID, take)
+		w.Run(time.Second)
+		assert.Equal(t, len(answers), 4)
+		for _, a := range answers {
+			assert.Equal(t, a.Status, placement.Cancelled)
+		}
+	}
+	var unknown placement.Answer
+	w.Cancel(w.Nodes[1], "00000000000000ff", func(a placement.Answer) { unknown = a })
+	w.Run(time.Second)
+	assert.Equal(t, unknown.Status, placement.Absent)
+	assert.Check(t, len(w.Breaches) == 0, "%v", w.Breaches)
+}
+
+// Every instance tells how many jobs of a route wait at all of them.
+func TestWaitingJobsAreCountedEverywhere(t *testing.T) {
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	l := load([]model.Kind{{Name: "job", Tasks: 1, Work: 20 * time.Second, MilliCPU: 60000, Stored: true}}, 0)
+	for i := range 80 {
+		w.SubmitTo(w.Nodes[i%6], &l, &l.Kinds[0])
+	}
+	w.Run(1500 * time.Millisecond)
+	started := 0
+	for _, o := range w.Jobs {
+		if o.Started {
+			started++
+		}
+	}
+	assert.Check(t, started < 80)
+	for _, n := range w.Nodes {
+		w.Waiting(n, "job", func(a placement.Answer) { assert.Equal(t, a.Waiting, 80-started) })
+	}
+	w.Run(time.Second)
+}
--- a/pkg/settings/gate.go
+++ b/pkg/settings/gate.go
@@ -31,6 +31,8 @@
 	Grace document.Duration
 	// FarFactor is how many times as long a task takes away from its data.
 	FarFactor float64
+	// Retention is how long the outcome of a stored job can be asked for.
+	Retention document.Duration
 	// Log is the level of the log: debug, info, warn, error.
 	Log string
 }
@@ -59,6 +61,8 @@
 		return &ErrSetting{"Lease", fmt.Sprint(s.Lease), "more than 0"}
 	case s.FarFactor < 1:
 		return &ErrSetting{"FarFactor", fmt.Sprint(s.FarFactor), "1 or more"}
+	case s.Retention <= 0:
+		return &ErrSetting{"Retention", fmt.Sprint(s.Retention), "more than 0"}
 	case s.Grace <= 0:
 		return &ErrSetting{"Grace", fmt.Sprint(s.Grace), "more than 0"}
 	}
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -318,6 +319,11 @@
 	for _, n := range t.Remove {
 		writes = append(writes, storage.Write{Key: n.String(), Delete: true, Expect: expect(n.String())})
 	}
+	for key, version := range expected {
+		if !slices.ContainsFunc(writes, func(w storage.Write) bool { return w.Key == key }) {
+			writes = append(writes, storage.Write{Key: key, Check: true, Expect: version})
+		}
+	}
 	return writes
 }
 
--- a/pkg/storage/memory.go
+++ b/pkg/storage/memory.go
@@ -70,6 +70,9 @@
 	}
 	m.version++
 	for _, w := range writes {
+		if w.Check {
+			continue
+		}
 		if w.Delete {
 			delete(m.rows, w.Key)
 			continue
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -31,6 +31,8 @@
 	Value  []byte
 	Expect Version
 	Delete bool
+	// Check leaves the row as it is: only its version is compared.
+	Check bool
 }
 
 // Table is the transactional table service.
--- a/pkg/trial/gate.go
+++ b/pkg/trial/gate.go
@@ -173,7 +173,7 @@
 	timing.Lease, timing.Leave = gateLease, gateLeave
 	s, err := gate.New(gate.Config{
 		Self:   instance.ID{Instance: fmt.Sprintf("gate-%d", number+1), Incarnation: uint64(time.Now().UnixNano())},
-		Domain: domain, Share: 1, FarFactor: 1, Callers: loopback, Ready: loopback, Peers: loopback, Metrics: loopback,
+		Domain: domain, Share: 1, FarFactor: 1, Retention: time.Minute, Callers: loopback, Ready: loopback, Peers: loopback, Metrics: loopback,
 		Store: t.newStore(), Timing: timing, Timers: timer.New(), Logger: zap.NewNop(), LinesLeftOut: func() int64 { return 0 },
 	})
 	if err != nil {
--- a/service/gate/callers.go
+++ b/service/gate/callers.go
@@ -98,9 +98,11 @@
 	case http.MethodPost:
 		return s.submit(c, route, id)
 	case http.MethodGet:
-		return s.exchange(c, func(h placement.Handle) placement.Input { return placement.Ask{Handle: h, ID: id} })
+		return s.exchange(c, func(h placement.Handle) placement.Input { return placement.Ask{Handle: h, ID: id, Route: route.Name} })
 	case http.MethodDelete:
-		return s.exchange(c, func(h placement.Handle) placement.Input { return placement.Cancel{Handle: h, ID: id} })
+		return s.exchange(c, func(h placement.Handle) placement.Input {
+			return placement.Cancel{Handle: h, ID: id, Route: route.Name}
+		})
 	}
 	return s.refuseEarly(c, http.StatusMethodNotAllowed, "method "+request.Method+" is not allowed", 0)
 }
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -31,6 +31,8 @@
 	Share  int // relative size of the instance
 	// FarFactor is how many times as long a task takes away from its data.
 	FarFactor float64
+	// Retention is how long the outcome of a stored job can be asked for.
+	Retention time.Duration
 	// Callers, Ready, Peers and Metrics are the addresses to listen at.
 	Callers netip.AddrPort
 	Ready   netip.AddrPort
@@ -113,7 +115,7 @@
 		return nil, err
 	}
 	s.control = placement.New(placement.Config{
-		Self: config.Self, Domain: config.Domain, Address: s.links.Address(), Share: config.Share, FarFactor: config.FarFactor,
+		Self: config.Self, Domain: config.Domain, Address: s.links.Address(), Share: config.Share, FarFactor: config.FarFactor, Retention: config.Retention,
 		Seed: config.Self.Incarnation, Timing: config.Timing,
 	})
 	s.http = &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
@@ -230,6 +232,8 @@
 		s.links.Drop(m.Peer)
 	case placement.Watch:
 		s.startWatch(ctx, m)
+	case placement.Note:
+		s.note(m)
 	case placement.Unwatch:
 		s.endWatch(m.Endpoint.Name)
 	case placement.Finished:
--- a/service/gate/watch.go
+++ b/service/gate/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"crocusseam/pkg/placement"
+	"crocusseam/pkg/workload"
 	"crocusseam/platform"
 )
 
@@ -13,13 +14,17 @@
 const (
 	reportWait  = 400 * time.Millisecond // less than half a lease, so that a lost report can be repeated
 	reportRetry = 50 * time.Millisecond  // ten tries within what is left of a lease
+	confirmWait = 25 * time.Millisecond  // for ends to be recorded: two commits
 )
 
 // watch keeps asking one endpoint for reports.
 type watch struct {
-	target placement.Watch
-	renew  atomic.Bool
-	cancel context.CancelFunc
+	target    placement.Watch
+	renew     atomic.Bool
+	confirmed atomic.Bool  // ends are taken note of only as far as noted
+	noted     atomic.Int64 // the last end of which note may be taken
+	settled   chan struct{}
+	cancel    context.CancelFunc
 }
 
 // startWatch begins to watch an endpoint, or changes whether its lease is
@@ -28,13 +33,15 @@
 	if w, ok := s.watches[m.Endpoint.Name]; ok {
 		if w.target.Endpoint == m.Endpoint && w.target.Token == m.Token {
 			w.renew.Store(m.Renew)
+			w.confirmed.Store(m.Confirmed)
 			return
 		}
 		w.cancel()
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	w := &watch{target: m, cancel: cancel}
+	w := &watch{target: m, cancel: cancel, settled: make(chan struct{}, 1)}
 	w.renew.Store(m.Renew)
+	w.confirmed.Store(m.Confirmed)
 	s.watches[m.Endpoint.Name] = w
 	s.group.Go(func() error {
 		s.runWatch(ctx, w)
@@ -42,6 +49,40 @@
 	})
 }
 
+// note lets the watch of an endpoint take note of ends.
+func (s *Server) note(m placement.Note) {
+	w, ok := s.watches[m.Endpoint.Name]
+	if !ok || w.target.Endpoint != m.Endpoint || w.target.Token != m.Token {
+		return
+	}
+	w.noted.Store(max(m.Upto, w.noted.Load()))
+	select {
+	case w.settled <- struct{}{}:
+	default: // the watch has not seen the last one yet
+	}
+}
+
+// seen returns the last end of which note may be taken, after a report. Where
+// ends wait to be confirmed it waits a moment, as the endpoint answers at once
+// while it has ends to tell.
+func (s *Server) seen(ctx context.Context, w *watch, before int64, ended []workload.EndedRun) int64 {
+	if !w.confirmed.Load() {
+		for _, e := range ended {
+			before = max(before, e.Sequence)
+		}
+		return before
+	}
+	if len(ended) > 0 {
+		short, cancel := context.WithTimeout(ctx, confirmWait)
+		defer cancel()
+		select {
+		case <-w.settled:
+		case <-short.Done():
+		}
+	}
+	return max(before, w.noted.Load())
+}
+
 func (s *Server) endWatch(endpoint string) {
 	if w, ok := s.watches[endpoint]; ok {
 		w.cancel()
@@ -77,11 +118,9 @@
 			continue
 		}
 		clock, clockAt = report.Clock, received
-		for _, e := range report.Ended {
-			q.Seen = max(q.Seen, e.Sequence)
-		}
 		q.Wait = reportWait
 		s.deliver(placement.Reported{Endpoint: q.Endpoint, Token: q.Token, Sent: sent, Received: received, Report: report})
+		q.Seen = s.seen(ctx, w, q.Seen, report.Ended)
 	}
 }
 
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -20,22 +20,28 @@
 	case *placement.Place:
 		return &wire.Message{Kind: &wire.Message_PlaceTasks{PlaceTasks: placeToWire(m)}}
 	case *placement.Drop:
-		runs := make([]*wire.Run, len(m.Runs))
-		for i, r := range m.Runs {
-			runs[i] = runToWire(r)
-		}
-		return &wire.Message{Kind: &wire.Message_DropRuns{DropRuns: &wire.DropRuns{Runs: runs, OnlyWaiting: m.OnlyWaiting}}}
+		return &wire.Message{Kind: &wire.Message_DropRuns{DropRuns: &wire.DropRuns{Runs: runsToWire(m.Runs), OnlyWaiting: m.OnlyWaiting}}}
 	case *placement.Ended:
 		return &wire.Message{Kind: &wire.Message_RunEnded{RunEnded: &wire.RunEnded{
-			Run: runToWire(m.Run), How: uint32(m.How), Endpoint: m.Endpoint, ElapsedNanos: int64(m.Elapsed), Detail: m.Detail,
+			Run: runToWire(m.Run), How: uint32(m.How), Endpoint: m.Endpoint, ElapsedNanos: int64(m.Elapsed), Detail: m.Detail, Kept: m.Kept,
 		}}}
+	case *placement.Recorded:
+		return &wire.Message{Kind: &wire.Message_EndsRecorded{EndsRecorded: &wire.EndsRecorded{Runs: runsToWire(m.Runs)}}}
+	case *placement.Inquire:
+		jobs := make([]*wire.JobRound, len(m.Jobs))
+		for i, j := range m.Jobs {
+			jobs[i] = &wire.JobRound{Job: string(j.Job), Round: uint32(j.Round)}
+		}
+		return &wire.Message{Kind: &wire.Message_Inquiry{Inquiry: &wire.Inquiry{Sequence: m.Sequence, Jobs: jobs}}}
+	case *placement.Found:
+		return &wire.Message{Kind: &wire.Message_Findings{Findings: &wire.Findings{Sequence: m.Sequence, Live: runsToWire(m.Live), Covered: m.Covered}}}
 	case *placement.Waiting:
 		return &wire.Message{Kind: &wire.Message_RunWaiting{RunWaiting: &wire.RunWaiting{Run: runToWire(m.Run), ForNanos: int64(m.For)}}}
 	case *placement.Advert:
 		return &wire.Message{Kind: &wire.Message_Advert{Advert: advertToWire(m)}}
 	case *placement.Beat:
 		return &wire.Message{Kind: &wire.Message_SignOfLife{SignOfLife: &wire.SignOfLife{
-			Leaving: m.Leaving, Configuration: m.Configuration, UptimeNanos: int64(m.Uptime),
+			Leaving: m.Leaving, Configuration: m.Configuration, UptimeNanos: int64(m.Uptime), Waiting: countsToWire(m.Waiting), Unheard: m.Unheard,
 		}}}
 	case *placement.Settings:
 		return &wire.Message{Kind: &wire.Message_Settings{Settings: &wire.Settings{Version: m.Version, Raw: m.Raw}}}
@@ -68,6 +74,47 @@
 	}
 }
 
+func runsToWire(list []workload.Run) []*wire.Run {
+	runs := make([]*wire.Run, len(list))
+	for i, r := range list {
+		runs[i] = runToWire(r)
+	}
+	return runs
+}
+
+func runsFromWire(list []*wire.Run) []workload.Run {
+	if len(list) == 0 {
+		return nil
+	}
+	runs := make([]workload.Run, len(list))
+	for i, r := range list {
+		runs[i] = runFromWire(r)
+	}
+	return runs
+}
+
+func countsToWire(counts map[string]int) map[string]uint32 {
+	if len(counts) == 0 {
+		return nil
+	}
+	out := make(map[string]uint32, len(counts))
+	for name, n := range counts {
+		out[name] = uint32(n)
+	}
+	return out
+}
+
+func countsFromWire(counts map[string]uint32) map[string]int {
+	if len(counts) == 0 {
+		return nil
+	}
+	out := make(map[string]int, len(counts))
+	for name, n := range counts {
+		out[name] = int(n)
+	}
+	return out
+}
+
 func placeToWire(m *placement.Place) *wire.PlaceTasks {
 	tasks := make([]*wire.PlacedTask, len(m.Tasks))
 	for i, t := range m.Tasks {
@@ -77,6 +124,7 @@
 		Sequence: m.Sequence, Job: string(m.Job), Spec: []byte(m.Spec), Step: uint32(m.Step), Service: m.Service,
 		Need: resourcesToWire(m.Need), Label: m.Label, Rack: m.Rack, EstimateNanos: int64(m.Estimate),
 		ObjectiveNanos: int64(m.Objective), UsefulNanos: int64(m.Useful), LeftNanos: int64(m.Left), Priority: int64(m.Priority), Tasks: tasks,
+		Stored: m.Stored, Round: uint32(m.Round),
 	}
 }
 
@@ -89,6 +137,7 @@
 		Sequence: m.GetSequence(), Job: workload.JobID(m.GetJob()), Spec: string(m.GetSpec()), Step: int(m.GetStep()), Service: m.GetService(),
 		Need: resourcesFromWire(m.GetNeed()), Label: m.GetLabel(), Rack: m.GetRack(), Estimate: time.Duration(m.GetEstimateNanos()),
 		Objective: time.Duration(m.GetObjectiveNanos()), Useful: time.Duration(m.GetUsefulNanos()), Left: time.Duration(m.GetLeftNanos()), Priority: int(m.GetPriority()), Tasks: tasks,
+		Stored: m.GetStored(), Round: int(m.GetRound()),
 	}
 }
 
@@ -126,11 +175,7 @@
 	case *wire.Message_PlaceTasks:
 		return placeFromWire(k.PlaceTasks), nil
 	case *wire.Message_DropRuns:
-		runs := make([]workload.Run, len(k.DropRuns.GetRuns()))
-		for i, r := range k.DropRuns.GetRuns() {
-			runs[i] = runFromWire(r)
-		}
-		return &placement.Drop{Runs: runs, OnlyWaiting: k.DropRuns.GetOnlyWaiting()}, nil
+		return &placement.Drop{Runs: runsFromWire(k.DropRuns.GetRuns()), OnlyWaiting: k.DropRuns.GetOnlyWaiting()}, nil
 	case *wire.Message_RunEnded:
 		how := workload.How(k.RunEnded.GetHow())
 		if how < workload.Done || how > workload.Unknown {
@@ -138,8 +183,18 @@
 		}
 		return &placement.Ended{
 			Run: runFromWire(k.RunEnded.GetRun()), How: how, Endpoint: k.RunEnded.GetEndpoint(),
-			Elapsed: time.Duration(k.RunEnded.GetElapsedNanos()), Detail: k.RunEnded.GetDetail(),
+			Elapsed: time.Duration(k.RunEnded.GetElapsedNanos()), Detail: k.RunEnded.GetDetail(), Kept: k.RunEnded.GetKept(),
 		}, nil
+	case *wire.Message_EndsRecorded:
+		return &placement.Recorded{Runs: runsFromWire(k.EndsRecorded.GetRuns())}, nil
+	case *wire.Message_Inquiry:
+		m := &placement.Inquire{Sequence: k.Inquiry.GetSequence()}
+		for _, j := range k.Inquiry.GetJobs() {
+			m.Jobs = append(m.Jobs, placement.JobRound{Job: workload.JobID(j.GetJob()), Round: int(j.GetRound())})
+		}
+		return m, nil
+	case *wire.Message_Findings:
+		return &placement.Found{Sequence: k.Findings.GetSequence(), Live: runsFromWire(k.Findings.GetLive()), Covered: k.Findings.GetCovered()}, nil
 	case *wire.Message_RunWaiting:
 		return &placement.Waiting{Run: runFromWire(k.RunWaiting.GetRun()), For: time.Duration(k.RunWaiting.GetForNanos())}, nil
 	case *wire.Message_Advert:
@@ -151,6 +206,7 @@
 	case *wire.Message_SignOfLife:
 		return &placement.Beat{
 			Leaving: k.SignOfLife.GetLeaving(), Configuration: k.SignOfLife.GetConfiguration(), Uptime: time.Duration(k.SignOfLife.GetUptimeNanos()),
+			Waiting: countsFromWire(k.SignOfLife.GetWaiting()), Unheard: k.SignOfLife.GetUnheard(),
 		}, nil
 	case *wire.Message_Settings:
 		return &placement.Settings{Version: k.Settings.GetVersion(), Raw: k.Settings.GetRaw()}, nil
