Outcomes of stored jobs are removed by versions, not by clocks

Outcome rows carried a time of the instance's steady clock, whose zero differs between instances; an instance that had just started took fresh outcomes for old ones and removed them, so that a job handed in again ran again. Rows hold no time now; an instance removes what it has itself seen for the retention, by version marks.

--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -17,6 +17,7 @@
 // an earlier home are stopped there, and ends that were not recorded are known.
 type adoption struct {
 	strangers map[instance.ID]time.Time // homes that are not members, since when
+	marks     map[string][]mark         // of the outcomes, by part
 	nextScan  time.Time
 	nextSweep time.Time
 	inquiry   *inquiry
@@ -38,7 +39,8 @@
 const (
 	adoptPeriod   = 3 * time.Second        // between looks for jobs without a home, where there are stored jobs
 	adoptDelay    = 20 * time.Millisecond  // after an instance was found gone
-	sweepPeriod   = time.Minute            // between removals of old outcomes
+	sweepPeriod   = 20 * time.Second       // between removals of old outcomes
+	maxSweep      = 100                    // rows of one commit
 	inquiryPeriod = 150 * time.Millisecond // between rounds; a stopped run is gone after 50 ms
 )
 
@@ -217,8 +219,6 @@
 func (c *Control) takeOver(o *orphanJob, submitted *JobRow, version storage.Version) error {
 	j := c.newJob(Submit{Job: submitted.Job, Route: c.presentRoute(submitted.Route)})
 	j.handles = nil
-	j.arrived = submitted.Accepted
-	j.objective = j.arrived.Add(j.route.Objective(j.Job))
 	j.stored = &storedState{phase: open, digest: o.row.Digest, round: o.row.Round, sequence: o.row.Sequence, version: version, unsure: c.now}
 	if err := j.restore(&o.row); err != nil {
 		return err
@@ -245,29 +245,60 @@
 	return r
 }
 
-// sweepPart removes the outcomes of jobs that nobody may ask for any more.
+// mark says that at a time all rows up to a version were there.
+type mark struct {
+	at      time.Time
+	version storage.Version
+}
+
+// sweepPart removes the outcomes of jobs that nobody may ask for any more: those
+// that were there at a mark that is old enough.
 func (c *Control) sweepPart(part string) {
+	asked := c.now
 	c.scan(partPrefix(endedTable, part), func(m ScanDone) {
+		if m.Err != nil {
+			return
+		}
+		old := c.adoption.passMark(part, asked, c.config.Retention, newest(m.Rows))
 		var writes []storage.Write
 		for i := range m.Rows {
-			row, err := decodeStored[EndedRow](&m.Rows[i])
-			if err != nil || c.now.Sub(row.At) < c.config.Retention || len(writes) == maxRecords {
-				continue
+			if m.Rows[i].Version <= old && len(writes) < maxSweep {
+				writes = append(writes, storage.Write{Key: m.Rows[i].Key, Delete: true, Expect: m.Rows[i].Version})
 			}
-			writes = append(writes, storage.Write{Key: m.Rows[i].Key, Delete: true, Expect: m.Rows[i].Version})
 		}
-		if m.Err != nil || len(writes) == 0 {
+		if len(writes) == 0 {
 			return
 		}
 		c.commit(Commit{Writes: writes}, func(m CommitDone) {
-			c.decide("old outcomes removed", zap.String("Part", part), zap.Int("Jobs", len(writes)), zap.Error(m.Err))
-			if m.Err == nil && len(writes) == maxRecords {
-				c.adoption.nextSweep = c.now
+			c.decide("old outcomes removed", zap.String("Part", part), zap.Int("Jobs", len(writes)), zap.Uint64("UptoVersion", uint64(old)), zap.Error(m.Err))
+			if m.Err == nil && len(writes) == maxSweep {
+				c.sweepPart(part)
 			}
 		})
 	})
 }
 
+func newest(rows []storage.Row) storage.Version {
+	var v storage.Version
+	for i := range rows {
+		v = max(v, rows[i].Version)
+	}
+	return v
+}
+
+// passMark adds a mark of a part and returns the version of the newest one that
+// is older than the retention, 0 without one.
+func (a *adoption) passMark(part string, now time.Time, retention time.Duration, version storage.Version) storage.Version {
+	var old storage.Version
+	marks := append(a.marks[part], mark{now, version})
+	for len(marks) > 0 && now.Sub(marks[0].at) >= retention {
+		old = marks[0].version
+		marks = marks[1:]
+	}
+	a.marks[part] = marks
+	return old
+}
+
 // unsureJobs are the jobs of which runs may exist that this home does not know.
 func (c *Control) unsureJobs() []JobRound {
 	var list []JobRound
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -150,7 +150,7 @@
 	c.roster = newRoster()
 	c.ledger = newLedger()
 	c.kept = newKept()
-	c.adoption.strangers = make(map[instance.ID]time.Time)
+	c.adoption.strangers, c.adoption.marks = make(map[instance.ID]time.Time), make(map[string][]mark)
 	return c
 }
 
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -189,11 +189,11 @@
 	case accepting:
 		return []storage.Write{
 			{Key: openKey, Value: encodeStored(j.openRow(c.self))},
-			{Key: jobKey, Value: encodeStored(JobRow{Job: j.Job, Route: j.route, Accepted: j.arrived})},
+			{Key: jobKey, Value: encodeStored(JobRow{Job: j.Job, Route: j.route})},
 			{Key: endedKey, Check: true},
 		}
 	case ending:
-		row := EndedRow{Route: j.route.Name, Digest: s.digest, Status: s.final, Reason: s.reason, At: c.now}
+		row := EndedRow{Route: j.route.Name, Digest: s.digest, Status: s.final, Reason: s.reason}
 		return []storage.Write{
 			{Key: openKey, Delete: true, Expect: s.version},
 			{Key: jobKey, Delete: true, Expect: storage.AnyVersion},
--- a/pkg/placement/lookup.go
+++ b/pkg/placement/lookup.go
@@ -97,7 +97,7 @@
 
 // cancelRow records that a job is cancelled whose home is another instance.
 func (c *Control) cancelRow(l lookup, row *storage.Row, found *OpenRow) {
-	ended := EndedRow{Route: found.Route, Digest: found.Digest, Status: Cancelled, Reason: cancelReason, At: c.now}
+	ended := EndedRow{Route: found.Route, Digest: found.Digest, Status: Cancelled, Reason: cancelReason}
 	c.commit(Commit{Writes: []storage.Write{
 		{Key: storedKey(openTable, l.id), Delete: true, Expect: row.Version},
 		{Key: storedKey(jobsTable, l.id), Delete: true, Expect: storage.AnyVersion},
--- a/pkg/placement/records.go
+++ b/pkg/placement/records.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"strings"
-	"time"
 
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/storage"
@@ -37,11 +36,11 @@
 	return workload.JobID(key[strings.LastIndexByte(key, '/')+1:])
 }
 
-// JobRow is what was submitted.
+// JobRow is what was submitted. No row holds a time, as the clocks of instances
+// have different zeros.
 type JobRow struct {
-	Job      *workload.Job
-	Route    workload.Route
-	Accepted time.Time
+	Job   *workload.Job
+	Route workload.Route
 }
 
 // OpenRow is the progress of an open job. Its version fences the home: a home
@@ -70,7 +69,6 @@
 	Digest string
 	Status Status
 	Reason string
-	At     time.Time
 }
 
 func encodeStored(row any) []byte {
--- a/pkg/placement/stored_test.go
+++ b/pkg/placement/stored_test.go
@@ -289,3 +289,33 @@
 	}
 	w.Run(time.Second)
 }
+
+// Outcomes are kept for their retention, also across a restart of everything,
+// and removed some time after it.
+func TestOutcomesAreRemovedAfterTheirRetention(t *testing.T) {
+	config := deployment(1)
+	config.Retention = time.Minute
+	w := model.New(config)
+	w.Run(4 * time.Second)
+	l := load([]model.Kind{{Name: "job", Tasks: 1, Work: 50 * time.Millisecond, MilliCPU: 27000, Stored: true}}, 0)
+	for range 40 {
+		w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+	}
+	w.Run(30 * time.Second)
+	for _, n := range w.Nodes {
+		n.Kill()
+		n.Start()
+	}
+	states := func() map[placement.Status]int {
+		counts := make(map[placement.Status]int)
+		for id := range w.Jobs {
+			w.State(w.Nodes[3], id, func(a placement.Answer) { counts[a.Status]++ })
+		}
+		w.Run(time.Second)
+		return counts
+	}
+	w.Run(29 * time.Second)
+	assert.Equal(t, states()[placement.Completed], 40)
+	w.Run(2 * time.Minute)
+	assert.Equal(t, states()[placement.Absent], 40)
+}
