--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -269,6 +269,9 @@
 		c.received(to, m)
 		return
 	}
+	if p, ok := c.roster.members.Get(to.Instance); ok {
+		p.sentAt = c.now
+	}
 	c.emit(Send{Peer: to, Message: m})
 }
 
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
 	"strings"
@@ -63,6 +64,8 @@
 	passed    uint64 // last configuration version passed on to it
 	passedAt  time.Time
 	dropAt    time.Time // when a silent session is to be dropped
+	sentAt    time.Time // when a message was last sent to it
+	told      Beat      // as last sent to it
 	advert    *Advert
 	advertAt  time.Time
 	toldAt    time.Time // when an advert was last sent to it
@@ -100,6 +103,7 @@
 // Figures of the own row.
 const (
 	writeRetry     = 300 * time.Millisecond // after a failed write
+	beatRefresh    = time.Second            // between beats to a peer that other messages reach
 	speedsPeriod   = 5 * time.Second        // between writes of what was learned
 	speedPrecision = 100
 )
@@ -122,12 +126,25 @@
 func (c *Control) sendBeats() {
 	waiting := c.ownWaiting()
 	for _, m := range c.roster.members.All() {
-		if m.up {
-			c.send(m.id, c.beatTo(m, waiting))
+		if !m.up {
+			continue
+		}
+		b := c.beatTo(m, waiting)
+		if c.now.Sub(m.sentAt) < c.config.Timing.Beat && !b.saysMoreThan(&m.told) {
+			continue
 		}
+		m.told = *b
+		c.send(m.id, b)
 	}
 }
 
+// saysMoreThan reports whether a beat tells a peer more than that the sender
+// lives, which any message tells, and how long it has been up.
+func (b *Beat) saysMoreThan(told *Beat) bool {
+	return b.Leaving != told.Leaving || b.Configuration != told.Configuration || b.Unheard != told.Unheard ||
+		!maps.Equal(b.Waiting, told.Waiting) || b.Uptime-told.Uptime >= beatRefresh
+}
+
 func (c *Control) beatTo(m *member, waiting map[string]int) *Beat {
 	return &Beat{
 		Leaving: c.stop != serving, Configuration: c.version(), Uptime: c.now.Sub(c.began),
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -445,7 +445,7 @@
 			continue
 		}
 		m.toldAt = c.now
-		c.emit(Send{Peer: m.id, Message: &Advert{Seen: m.seen, Rooms: rooms, Waits: waits, Total: h.total}})
+		c.send(m.id, &Advert{Seen: m.seen, Rooms: rooms, Waits: waits, Total: h.total})
 	}
 }
 
--- a/service/peer/links.go
+++ b/service/peer/links.go
@@ -39,7 +39,7 @@
 	maxFrameMessages = 2000
 	helloTimeout     = 2 * time.Second
 	dialTimeout      = time.Second
-	keepAlive        = 500 * time.Millisecond
+	keepAlive        = 10 * time.Second // the control states' own beats notice silence sooner
 	writeTimeout     = time.Second
 	firstRedial      = 50 * time.Millisecond
 	maxRedial        = time.Second
@@ -269,7 +269,7 @@
 // serve runs one session until it ends.
 func (l *Links[M]) serve(ctx context.Context, conn net.Conn, dialed bool) error {
 	defer func() { _ = conn.Close() }()
-	counted := &countingConn{Conn: conn, stats: &l.Stats}
+	counted := &countingConn{Conn: newFrameConn(conn), stats: &l.Stats}
 	mux, stream, err := openStream(counted, dialed)
 	if err != nil {
 		return eris.Wrap(err, "open a session")
