A home of stored jobs that was cut off or stood still verifies its rows before it goes on

Holders may forget rounds, so the row decides: after doubt, a pause or a long silence every open job's row is written under the version last seen before anything more is placed.

--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -403,7 +403,8 @@
 	}
 	c.decide("runs of a job accounted for", jobField(j.ID), zap.Int("TasksLeft", j.left), zap.Duration("Doubt", c.now.Sub(j.stored.unsure)))
 	j.stored.unsure = time.Time{}
-	c.begin(j)
+	j.stored.unverified = true
+	c.record(j)
 }
 
 // lapsed reports whether everything that ran at an endpoint when a job came into
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -163,6 +163,7 @@
 		c.began = now
 	} else if gap > c.config.Timing.Silence {
 		c.orphanAll(gap)
+		c.verifyStored("this instance stood still")
 	}
 	for _, in := range inputs {
 		c.handle(in)
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -256,6 +256,9 @@
 }
 
 func (c *Control) placeStep(j *job, step int) {
+	if j.stored != nil && (j.stored.unverified || j.stored.phase != open) {
+		return
+	}
 	places := table.New[instance.ID, *Place]()
 	fresh := false
 	for i := range j.steps[step] {
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -30,10 +30,13 @@
 	version   storage.Version // of the open row
 	uncertain bool            // the first commit may have taken effect
 	unsure    time.Time       // since when runs of it may exist that this home does not know
-	final     Status          // with which it ends
-	reason    string
-	notes     []keptNote // ends that the next record covers
-	cancels   []Handle
+	// unverified says that another instance may have become its home: nothing is
+	// placed before the row was written once more.
+	unverified bool
+	final      Status // with which it ends
+	reason     string
+	notes      []keptNote // ends that the next record covers
+	cancels    []Handle
 }
 
 // keptNote is an end that its holder keeps until it is recorded.
@@ -152,6 +155,7 @@
 	job      *job
 	phase    storedPhase
 	sequence uint64
+	verifies bool // the job was unverified when the commit was sent
 	notes    []keptNote
 }
 
@@ -166,7 +170,7 @@
 		if known, ok := c.home.jobs.Get(id); !ok || known != j {
 			continue
 		}
-		batch = append(batch, entry{job: j, phase: j.stored.phase, notes: j.stored.notes})
+		batch = append(batch, entry{job: j, phase: j.stored.phase, verifies: j.stored.unverified, notes: j.stored.notes})
 		j.stored.notes = nil
 		writes = append(writes, c.recordWrites(j)...)
 		batch[len(batch)-1].sequence = j.stored.sequence
@@ -269,6 +273,10 @@
 	case open:
 		s.version = version
 		c.confirmEnds(e.notes)
+		if e.verifies && s.phase == open {
+			s.unverified = false
+			c.begin(j)
+		}
 	case ending:
 		c.confirmEnds(append(e.notes, s.notes...))
 		c.finishStored(j)
@@ -415,6 +423,23 @@
 	c.decide("job lost", jobField(j.ID), zap.String("Cause", cause), zap.Int("Round", j.stored.round))
 }
 
+// verifyStored has every open job's row written before anything more of it is
+// placed: while this instance was cut off or stood still, another one may have
+// become the home.
+func (c *Control) verifyStored(cause string) {
+	n := 0
+	for _, j := range c.home.jobs.All() {
+		if j.stored != nil && j.stored.phase == open {
+			j.stored.unverified = true
+			c.record(j)
+			n++
+		}
+	}
+	if n > 0 {
+		c.decide("stored jobs verified", zap.Int("Jobs", n), zap.String("Cause", cause))
+	}
+}
+
 // noteEnd notes an end that its holder keeps, to be confirmed with the next
 // record of the job.
 func (c *Control) noteEnd(j *job, from instance.ID, m *Ended) {
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -210,7 +210,11 @@
 	}
 	m.heardAt = c.now
 	if !m.suspected.IsZero() {
-		c.decide("member heard again", zap.Stringer("Peer", m.id), zap.Duration("Silent", c.now.Sub(m.suspected)))
+		silent := c.now.Sub(m.suspected)
+		c.decide("member heard again", zap.Stringer("Peer", m.id), zap.Duration("Silent", silent))
+		if silent >= c.config.Timing.Term {
+			c.verifyStored("a member was not heard for long")
+		}
 		m.suspected = time.Time{}
 	}
 	if m.dead {
--- a/pkg/placement/stored_test.go
+++ b/pkg/placement/stored_test.go
@@ -319,3 +319,23 @@
 	w.Run(2 * time.Minute)
 	assert.Equal(t, states()[placement.Absent], 40)
 }
+
+// A home that was cut off alone finds, when it is back, that another instance has
+// seen to its jobs: it starts nothing of them again.
+func TestHomeOfStoredJobsCutOffAlone(t *testing.T) {
+	storedDay(t, 1.1, 8*time.Second, nil, func(w *model.World) {
+		w.Run(2 * time.Second)
+		cut := func(yes bool) {
+			for _, o := range []string{"domain-b", "domain-c", "domain-d"} {
+				w.Cut("domain-a", o, yes)
+			}
+			for _, n := range w.Nodes[:2] {
+				w.Cut(n.ID.Instance, "store", yes)
+			}
+		}
+		cut(true)
+		w.Run(6 * time.Second)
+		cut(false)
+		w.Run(3 * time.Second)
+	})
+}
