--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -34,6 +34,7 @@
 const (
 	memoryShare      = 0.75 // of the memory, from which the garbage collector works harder
 	shareUnit        = 0.01 // of a processor, in the relative size of an instance
+	callersShare     = 0.15 // of a processor, which an instance needs for its own callers: 90 jobs a second
 	storeReadTime    = 700 * time.Millisecond
 	storeWriteTime   = time.Second
 	storeConnections = 16
@@ -99,7 +100,7 @@
 	})
 	server, err := gate.New(gate.Config{
 		Self:   instance.ID{Instance: s.Instance, Incarnation: nextIncarnation(store, s.Instance, logger)},
-		Domain: s.Domain, Share: max(1, int(s.Processor/shareUnit)), FarFactor: s.FarFactor, Retention: time.Duration(s.Retention),
+		Domain: s.Domain, Share: holderShare(s.Processor), FarFactor: s.FarFactor, Retention: time.Duration(s.Retention),
 		Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Metrics: s.Metrics,
 		Store:  store,
 		Timing: timing, Timers: timers, Logger: logger, LinesLeftOut: book.LeftOut,
@@ -122,6 +123,10 @@
 	return errors.Join(err, group.Wait(), writer.Wait())
 }
 
+// holderShare is the relative size of an instance as a holder of endpoints: what
+// it has beyond the needs of its own callers.
+func holderShare(processor float64) int { return max(0, int((processor-callersShare)/shareUnit)) }
+
 // nextIncarnation is the number of this life of the instance: the time of day, or
 // more than the number in the instance's row if the clock was set back. Without
 // the store the time has to do.
--- a/pkg/hold/hold.go
+++ b/pkg/hold/hold.go
@@ -24,7 +24,9 @@
 type Config struct {
 	Self   instance.ID
 	Domain string
-	Share  int // relative size of the instance
+	// Share is the relative size of the instance. One of size 0 holds endpoints
+	// only where its domain has no larger one.
+	Share int
 	// AskPeriod is the time between requests to yield.
 	AskPeriod time.Duration
 	// YieldTerm is how long a yielded endpoint is left to the one that asked.
@@ -83,6 +85,9 @@
 	return &Book{config: config, entries: table.New[string, *entry](), division: make(map[string]string)}
 }
 
+// Changed reports whether the division is to be made anew.
+func (b *Book) Changed() bool { return b.stale }
+
 // Settle says that this instance knows the others well enough to take holds.
 func (b *Book) Settle() { b.settled, b.stale = true, true }
 
@@ -153,8 +158,14 @@
 func (b *Book) divide() {
 	b.stale = false
 	byDomain := make(map[string][]slots.Member)
-	var all []slots.Member
+	small := make(map[string][]slots.Member)
+	var all, allSmall []slots.Member
 	add := func(domain string, m slots.Member) {
+		if m.Capacity < 1 {
+			small[domain] = append(small[domain], m)
+			allSmall = append(allSmall, m)
+			return
+		}
 		byDomain[domain] = append(byDomain[domain], m)
 		all = append(all, m)
 	}
@@ -174,8 +185,10 @@
 	b.division = make(map[string]string, b.entries.Len())
 	for domain, names := range byName {
 		members := byDomain[domain]
-		if len(members) == 0 {
-			members = all
+		for _, others := range [][]slots.Member{small[domain], all, allSmall} {
+			if len(members) == 0 {
+				members = others
+			}
 		}
 		for name, holder := range slots.Divide(names, members) {
 			b.division[string(name)] = holder
--- a/pkg/hold/plan.go
+++ b/pkg/hold/plan.go
@@ -24,6 +24,9 @@
 	Probe []workload.Endpoint
 }
 
+// Empty reports whether nothing is to be done.
+func (p *Plan) Empty() bool { return len(p.Take) == 0 && p.Ask.Len() == 0 && len(p.Probe) == 0 }
+
 // Take is a commit that takes endpoints.
 type Take struct {
 	Endpoints []string
--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -14,6 +14,7 @@
 type Node struct {
 	ID     instance.ID
 	Domain string
+	Share  int // relative size
 	Up     bool
 	Frozen bool
 	// Decisions counts the decisions by event.
@@ -43,7 +44,7 @@
 
 // AddNode starts an instance in a failure domain.
 func (w *World) AddNode(domain string) *Node {
-	n := &Node{world: w, Domain: domain, Decisions: make(map[string]int)}
+	n := &Node{world: w, Domain: domain, Share: 1, Decisions: make(map[string]int)}
 	n.ID.Instance = fmt.Sprintf("%s-%d", domain, len(w.Nodes)+1)
 	w.Nodes = append(w.Nodes, n)
 	n.Start()
@@ -62,7 +63,7 @@
 	n.sessions = make(map[instance.ID]bool)
 	n.watches = make(map[string]*watch)
 	n.Control = placement.New(placement.Config{
-		Self: n.ID, Domain: n.Domain, Address: netip.MustParseAddrPort("127.0.0.1:1"), Share: 1,
+		Self: n.ID, Domain: n.Domain, Address: netip.MustParseAddrPort("127.0.0.1:1"), Share: n.Share,
 		Seed: n.world.Config.Seed, Timing: n.world.Config.Timing, Retention: n.world.Config.Retention,
 	})
 	n.deliver(placement.Configured{Configuration: &workload.Configuration{Version: 1}})
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -36,6 +36,8 @@
 	Name      string
 	Instances int
 	Endpoints []EndpointConfig
+	// Shares are the relative sizes of the instances; 1 where there are fewer.
+	Shares []int
 }
 
 // EndpointConfig describes an endpoint.
@@ -144,8 +146,12 @@
 		}
 	}
 	for _, d := range config.Domains {
-		for range d.Instances {
-			w.AddNode(d.Name)
+		for i := range d.Instances {
+			n := w.AddNode(d.Name)
+			if i < len(d.Shares) {
+				n.Share = d.Shares[i]
+				n.Start()
+			}
 		}
 	}
 	return w
--- a/pkg/placement/choice.go
+++ b/pkg/placement/choice.go
@@ -30,7 +30,6 @@
 // Figures of the choice of a place.
 const (
 	hopBetweenDomains = time.Millisecond
-	advertTerm        = time.Second // an older advert is not relied on
 	// estimateMargin is kept between the expected end and the objective, as
 	// speeds are learned from estimates that are off.
 	estimateMargin = 1.15
@@ -178,9 +177,10 @@
 	}
 }
 
-// offers reports whether a member's advert can be relied on.
+// offers reports whether a member's advert can be relied on: it is the last one
+// of a session on which the member is heard.
 func (c *Control) offers(m *member) bool {
-	return m.up && m.suspected.IsZero() && !m.beat.Leaving && m.advert != nil && c.now.Sub(m.advertAt) < advertTerm
+	return m.up && m.suspected.IsZero() && !m.beat.Leaving && m.advert != nil
 }
 
 func (c *Control) anyRoom() bool {
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -61,9 +61,9 @@
 // DefaultTiming returns the timing that serves unless settings say otherwise.
 func DefaultTiming() Timing {
 	return Timing{
-		Beat:        100 * time.Millisecond,
+		Beat:        150 * time.Millisecond,
 		AdvertPause: 5 * time.Millisecond,
-		Silence:     450 * time.Millisecond, // four beats and a slow link
+		Silence:     450 * time.Millisecond, // three beats
 		Term:        700 * time.Millisecond, // two renewals of a row
 		Lease:       time.Second,
 		Settle:      time.Second,
@@ -180,11 +180,18 @@
 	c.runStop()
 	effects := c.effects
 	c.effects = nil
-	return effects, now.Add(c.config.Timing.tick())
+	tick := c.config.Timing.Beat / busyTicks
+	if c.home.jobs.Len() == 0 && c.holder.runs.Len() == 0 {
+		tick = c.config.Timing.Beat / idleTicks
+	}
+	return effects, now.Add(tick)
 }
 
-// tick is the longest time between two steps.
-func (t Timing) tick() time.Duration { return t.Beat / 5 }
+// Steps within a beat without any input, at least.
+const (
+	busyTicks = 7
+	idleTicks = 3
+)
 
 func (c *Control) handle(in Input) {
 	switch m := in.(type) {
@@ -329,7 +336,7 @@
 	}
 	c.stop, c.stopAt = leaving, c.now
 	c.holder.book.Leave()
-	c.holder.advertDue = c.now
+	c.holder.advertDue, c.holder.advertNew = c.now, true
 	c.roster.nextBeat = c.now
 	c.decide("planned stop begins", zap.Int("OpenJobs", c.home.jobs.Len()), zap.Int("Runs", c.holder.runs.Len()))
 }
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -93,8 +93,12 @@
 	roomsOld  bool
 	advertDue time.Time
 	advertNew bool // something to advertise
-	adverts   int
 	bookDue   time.Time
+	allRead   bool // the rows of the holds of every listed domain
+	lookDue   time.Time
+	checkedAt time.Time       // when the rooms were last compared with those advertised
+	version   uint64          // of the advert
+	told      []Room          // as last advertised
 	commits   int             // of holds, on their way
 	rowsRead  map[string]bool // domains whose rows of holds were read at the start
 }
@@ -104,16 +108,18 @@
 	askPeriod          = 500 * time.Millisecond  // between requests to yield; a run takes longer to end
 	yieldTerm          = 2 * time.Second         // several asks, after which a yielded endpoint is wanted back
 	bookPeriod         = 50 * time.Millisecond   // between looks at the division; a commit takes 10 ms
+	idleBookPeriod     = 200 * time.Millisecond  // the same while there is nothing to do
 	commitPause        = 250 * time.Millisecond  // after a commit of holds that failed
 	keepEnded          = 5 * time.Second         // longer than a session takes to be set up anew
 	unknownStopGap     = 100 * time.Millisecond  // twice the time of a stop
 	silencesToPause    = 2                       // one lost report is common
 	minRoom            = 1000                    // thousandths of a processor that are worth an advert
 	shortestRest       = 5 * time.Millisecond    // expected until something ends that should have ended
-	advertPeriod       = 400 * time.Millisecond  // without changes; well within advertTerm
+	advertPeriod       = 100 * time.Millisecond  // between looks for rooms that have changed by time alone
 	advertPausePerPeer = 1500 * time.Microsecond // a message costs some 15 us, so a hundredth of a processor
 	fewPeers           = 10                      // that all hear every advert without a longer pause
-	farAdverts         = 4                       // one of so many goes to other domains
+	farPauses          = 4                       // pauses between adverts to members of other domains, where there are many
+	lookPeriod         = 5 * time.Millisecond    // between looks at all endpoints and runs
 )
 
 func newHolder(config hold.Config) holder {
@@ -136,6 +142,8 @@
 		delete(h.missing, e.ID.Name)
 		if old, ok := h.listed.Get(e.ID.Name); !ok || old.Draining != e.Draining || old.ID != e.ID {
 			c.decide("endpoint listed", zap.String("Endpoint", e.ID.Name), zap.Int64("Born", e.ID.Born), zap.Bool("Draining", e.Draining), zap.String("Domain", e.Domain))
+			h.allRead = false
+			h.bookDue = c.now
 		}
 		h.listed.Put(e.ID.Name, &e)
 	}
@@ -181,7 +189,7 @@
 // runHolds carries out the plan of the book.
 func (c *Control) runHolds() {
 	h := &c.holder
-	if c.now.Before(h.bookDue) || h.commits > 0 {
+	if h.commits > 0 || (c.now.Before(h.bookDue) && !h.book.Changed()) {
 		return
 	}
 	h.bookDue = c.now.Add(bookPeriod)
@@ -190,6 +198,9 @@
 	}
 	c.yieldIdle()
 	plan := h.book.Plan(c.now)
+	if plan.Empty() {
+		h.bookDue = c.now.Add(idleBookPeriod)
+	}
 	for holder, names := range plan.Ask.All() {
 		c.decide("hold asked for", zap.Stringer("Holder", holder), zap.Strings("Endpoints", names))
 		c.send(holder, &Yield{Endpoints: names})
@@ -213,6 +224,9 @@
 // whether that is done.
 func (c *Control) readHolds() bool {
 	h := &c.holder
+	if h.allRead {
+		return true
+	}
 	complete := true
 	for _, domain := range h.book.Domains() {
 		read, asked := h.rowsRead[domain]
@@ -234,6 +248,7 @@
 			}
 		})
 	}
+	h.allRead = complete
 	return complete
 }
 
@@ -287,6 +302,7 @@
 		c.endRun(r, how, cause)
 	}
 	c.holder.endpoints.Delete(e.info.ID.Name)
+	c.holder.lookDue = c.now
 	c.holder.roomsOld, c.holder.advertNew = true, true
 }
 
@@ -443,6 +459,7 @@
 			c.decide("endpoint in use", zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)))
 		}
 		e.state, e.paused = active, false
+		c.holder.lookDue = c.now
 		e.leaseSent = c.now
 		c.holder.advertNew = true
 		c.watch(e)
@@ -472,6 +489,7 @@
 	c.holder.roomsOld = true
 	if e.silences == silencesToPause {
 		e.paused = true
+		c.holder.lookDue = c.now
 		c.counted.SilentEndpoints++
 		c.decide("endpoint silent", zap.String("Endpoint", e.info.ID.Name), zap.Stringer("Outcome", m.Outcome), zap.Duration("ReportAge", c.now.Sub(e.reportAt)), zap.Int("Runs", e.runs.Len()), zap.Error(m.Err))
 		c.watch(e)
@@ -504,6 +522,21 @@
 // runHolder starts what can start, stops what nobody wants any more, and looks
 // after orders that were not answered.
 func (c *Control) runHolder() {
+	h := &c.holder
+	if !c.now.Before(h.lookDue) {
+		h.lookDue = c.now.Add(lookPeriod)
+		c.lookAtEndpoints()
+	}
+	if h.crowded || len(h.queue) > 0 {
+		h.crowded = false
+		c.startQueued()
+	}
+	c.forgetEnded()
+}
+
+// lookAtEndpoints counts what is held, and looks after runs and orders that
+// time has run out for.
+func (c *Control) lookAtEndpoints() {
 	h := &c.holder
 	c.orphanSilent()
 	h.held, h.active, h.total = 0, 0, workload.Resources{}
@@ -519,11 +552,6 @@
 	for _, r := range h.runs.All() {
 		c.watchRun(r)
 	}
-	if h.crowded || len(h.queue) > 0 {
-		h.crowded = false
-		c.startQueued()
-	}
-	c.forgetEnded()
 }
 
 // orphanSilent stops the runs of homes that are silent or do not hear this
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -313,3 +313,46 @@
 	assert.Check(t, !long.Started)
 	settle(t, w)
 }
+
+// unequal is a deployment of many instances of which few are large enough to
+// hold endpoints.
+func unequal(seed uint64) model.Config {
+	config := deployment(seed)
+	for i := range config.Domains {
+		config.Domains[i].Instances = 6
+		config.Domains[i].Shares = []int{65, 0, 33, 0, 0, 0}
+	}
+	return config
+}
+
+// Small instances serve their callers and hold nothing, while a larger one of
+// their domain lives; they take its endpoints when none does.
+func TestSmallInstancesHoldNothing(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(unequal(seed))
+		w.Run(4 * time.Second)
+		for _, n := range w.Nodes {
+			held := n.Control.Overview().Held
+			assert.Check(t, (held > 0) == (n.Share > 0), "%s of size %d holds %d", n.ID, n.Share, held)
+		}
+		w.Offer(load(model.Mix(0.8), 9*time.Second))
+		w.Run(3 * time.Second)
+		for _, n := range w.Nodes[:6] {
+			if n.Share > 0 {
+				n.Kill()
+			}
+		}
+		w.Run(4 * time.Second)
+		held := 0
+		for _, n := range w.Nodes[:6] {
+			if n.Up {
+				held += n.Control.Overview().Held
+			}
+		}
+		assert.Equal(t, held, 12)
+		w.Run(2 * time.Second)
+		settle(t, w)
+		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+		assert.Check(t, w.Credit() >= 0.85)
+	})
+}
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -51,29 +51,30 @@
 
 // member is another instance as this one sees it.
 type member struct {
-	id        instance.ID
-	row       MemberRow
-	listed    bool // its row has been read
-	up        bool // there is a session with it
-	heardAt   time.Time
-	suspected time.Time // since when it has been silent; zero while it is heard
-	changedAt time.Time // when a read last showed a new sequence
-	dead      bool
-	beat      Beat
-	beatAt    time.Time
-	passed    uint64 // last configuration version passed on to it
-	passedAt  time.Time
-	dropAt    time.Time // when a silent session is to be dropped
-	sentAt    time.Time // when a message was last sent to it
-	told      Beat      // as last sent to it
-	advert    *Advert
-	advertAt  time.Time
-	toldAt    time.Time // when an advert was last sent to it
-	sequence  uint64    // of the last Place sent to it
-	pending   []pendingTask
-	rooms     []Room  // of the advert, less what was placed since
-	backlog   float64 // placed since beyond the rooms, in core time
-	seen      uint64  // last Place received from it
+	id          instance.ID
+	row         MemberRow
+	listed      bool // its row has been read
+	up          bool // there is a session with it
+	heardAt     time.Time
+	suspected   time.Time // since when it has been silent; zero while it is heard
+	changedAt   time.Time // when a read last showed a new sequence
+	dead        bool
+	beat        Beat
+	beatAt      time.Time
+	passed      uint64 // last configuration version passed on to it
+	passedAt    time.Time
+	dropAt      time.Time // when a silent session is to be dropped
+	sentAt      time.Time // when a message was last sent to it
+	told        Beat      // as last sent to it
+	advert      *Advert
+	advertAt    time.Time
+	toldAt      time.Time // when an advert was last sent to it
+	toldVersion uint64    // of that advert
+	sequence    uint64    // of the last Place sent to it
+	pending     []pendingTask
+	rooms       []Room  // of the advert, less what was placed since
+	backlog     float64 // placed since beyond the rooms, in core time
+	seen        uint64  // last Place received from it
 }
 
 // roster is what this instance knows of the others.
@@ -89,6 +90,7 @@
 	nextScan  time.Time
 	scanned   time.Time // last successful read
 	nextBeat  time.Time
+	nextWatch time.Time
 	settled   bool
 	connected string
 	changed   bool // members or their states have changed since the book was told
@@ -103,6 +105,7 @@
 // Figures of the own row.
 const (
 	writeRetry     = 300 * time.Millisecond // after a failed write
+	watchPeriod    = 10 * time.Millisecond  // between looks at who is silent
 	beatRefresh    = time.Second            // between beats to a peer that other messages reach
 	speedsPeriod   = 5 * time.Second        // between writes of what was learned
 	speedPrecision = 100
@@ -120,6 +123,7 @@
 	if c.roster.changed {
 		c.roster.changed = false
 		c.holder.book.SetMembers(c.bookMembers())
+		c.connectPeers()
 	}
 }
 
@@ -166,11 +170,19 @@
 // rows stand still as well. While rows cannot be read nobody dies.
 func (c *Control) watchMembers() {
 	t := c.config.Timing
+	if c.now.Before(c.roster.nextWatch) {
+		return
+	}
+	c.roster.nextWatch = c.now.Add(watchPeriod)
 	for _, m := range c.roster.members.All() {
 		silent := c.now.Sub(m.heardAt)
 		if silent < t.Silence {
 			continue
 		}
+		if !c.needs(m) {
+			m.heardAt = c.now // it is not listened to
+			continue
+		}
 		if m.suspected.IsZero() {
 			m.suspected = c.now
 			m.dropAt = c.now.Add(t.Silence)
@@ -267,8 +279,8 @@
 		c.roster.nextScan = c.now
 	}
 	c.send(id, c.beatTo(m, c.ownWaiting()))
-	m.advertAt = time.Time{}
-	c.holder.advertDue = c.now
+	m.advertAt, m.toldVersion = time.Time{}, 0
+	c.holder.advertDue, c.holder.advertNew = c.now, true
 	c.resendTo(id)
 }
 
@@ -291,6 +303,9 @@
 	settledBefore := !first && c.established(m)
 	left := b.Leaving != m.beat.Leaving
 	m.beat, m.beatAt = *b, c.now
+	if b.Unheard {
+		c.holder.lookDue = c.now
+	}
 	if first || left || settledBefore != c.established(m) {
 		c.roster.changed = true
 	}
@@ -437,12 +452,33 @@
 	c.connectPeers()
 }
 
+// needs reports whether this instance keeps a session with a member. Two that
+// hold no endpoints have nothing to say to each other, unless there are stored
+// jobs to count and to adopt.
+func (c *Control) needs(m *member) bool {
+	return m.up || m.row.Share > 0 || c.config.Share > 0 || c.storedExist() || !c.domainHasHolder(m.row.Domain) || !c.domainHasHolder(c.config.Domain)
+}
+
+// domainHasHolder reports whether a live member of a domain is large enough to
+// hold its endpoints.
+func (c *Control) domainHasHolder(domain string) bool {
+	if domain == c.config.Domain && c.config.Share > 0 {
+		return true
+	}
+	for _, m := range c.roster.members.All() {
+		if m.row.Domain == domain && m.row.Share > 0 && !m.dead && !m.beat.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // connectPeers names the peers to keep sessions with, when they have changed.
 func (c *Control) connectPeers() {
 	var peers []instance.Peer
 	var names strings.Builder
 	for _, m := range c.roster.members.All() {
-		if !m.listed {
+		if !m.listed || !c.needs(m) {
 			continue
 		}
 		peers = append(peers, instance.Peer{ID: m.id, Domain: m.row.Domain, Address: m.row.Peers})
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -424,29 +424,49 @@
 
 // runAdverts tells peers of room when it has changed, with a pause in between
 // that grows with their number. Peers of other domains place less here, and hear
-// of it less often.
+// of it less often. An advert holds until the next one, while its sender is
+// heard.
 func (c *Control) runAdverts() {
 	h := &c.holder
-	if c.now.Before(h.advertDue) || (!h.advertNew && c.now.Sub(h.advertDue) < advertPeriod) {
+	if c.now.Before(h.advertDue) {
 		return
 	}
-	h.advertNew = false
-	h.advertDue = c.now.Add(c.config.Timing.AdvertPause + time.Duration(max(0, c.roster.members.Len()-fewPeers))*advertPausePerPeer)
-	h.adverts++
-	var rooms []Room
-	var waits Waits
-	if c.stop == serving {
-		rooms = slices.Clone(c.ownRooms())
-		waits = c.ownWaits()
+	if c.now.Sub(h.checkedAt) >= advertPeriod {
+		h.checkedAt, h.roomsOld = c.now, true
+		h.advertNew = h.advertNew || !slices.Equal(c.ownRooms(), h.told)
+	}
+	if h.advertNew {
+		h.advertNew = false
+		h.version++
+		h.told = append(h.told[:0], c.ownRooms()...)
 	}
-	far := c.roster.members.Len() <= fewPeers || h.adverts%farAdverts == 0
+	many := c.roster.members.Len() > fewPeers
+	pause := c.config.Timing.AdvertPause + time.Duration(max(0, c.roster.members.Len()-fewPeers))*advertPausePerPeer
+	var advert *Advert
 	for _, m := range c.roster.members.All() {
-		if !m.up || !m.suspected.IsZero() || (!far && m.row.Domain != c.config.Domain && c.now.Sub(m.toldAt) < advertPeriod) {
+		if !m.up || !m.suspected.IsZero() || m.toldVersion == h.version ||
+			(many && m.row.Domain != c.config.Domain && c.now.Sub(m.toldAt) < farPauses*pause) {
 			continue
 		}
-		m.toldAt = c.now
-		c.send(m.id, &Advert{Seen: m.seen, Rooms: rooms, Waits: waits, Total: h.total})
+		if advert == nil {
+			advert = c.ownAdvert()
+		}
+		m.toldAt, m.toldVersion = c.now, h.version
+		toMember := *advert
+		toMember.Seen = m.seen
+		c.send(m.id, &toMember)
+	}
+	if advert != nil {
+		h.advertDue = c.now.Add(pause)
+	}
+}
+
+func (c *Control) ownAdvert() *Advert {
+	a := &Advert{Total: c.holder.total}
+	if c.stop == serving {
+		a.Rooms, a.Waits = slices.Clone(c.ownRooms()), c.ownWaits()
 	}
+	return a
 }
 
 // conflictRows returns the present state of the rows that a commit found
