--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -34,6 +34,7 @@
 const (
 	memoryShare      = 0.75 // of the memory, from which the garbage collector works harder
 	shareUnit        = 0.01 // of a processor, in the relative size of an instance
+	garbagePercent   = 250  // of the live heap of a few MB; the memory limit bounds it
 	callersShare     = 0.15 // of a processor, which an instance needs for its own callers: 90 jobs a second
 	storeReadTime    = 700 * time.Millisecond
 	storeWriteTime   = time.Second
@@ -88,6 +89,7 @@
 	if err != nil {
 		return &settings.ErrSetting{Name: "Log", Value: s.Log, Allowed: logLevels}
 	}
+	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	book := logbook.New(os.Stdout)
 	logger := book.Logger(level)
--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -258,7 +258,7 @@
 		return
 	}
 	w := n.world
-	if w.Store.serves(n) {
+	if w.Store.serves(n) && n.Control.Overview().ReadsList {
 		var list []workload.Endpoint
 		for _, x := range w.Endpoints {
 			if x.Listed {
--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -220,7 +220,7 @@
 	j := c.newJob(Submit{Job: submitted.Job, Route: c.presentRoute(submitted.Route)})
 	j.handles = nil
 	j.stored = &storedState{phase: open, digest: o.row.Digest, round: o.row.Round, sequence: o.row.Sequence, version: version, unsure: c.now}
-	if err := j.restore(&o.row); err != nil {
+	if err := j.restore(&o.row, c.now.Add(c.config.Timing.leaseEnd())); err != nil {
 		return err
 	}
 	c.home.jobs.Put(j.ID, j)
@@ -391,7 +391,7 @@
 			t := &j.steps[s][i]
 			switch {
 			case t.phase != lost:
-			case q.live[workload.TaskID{Job: j.ID, Step: s, Index: i}]:
+			case q.live[workload.TaskID{Job: j.ID, Step: s, Index: i}] || c.now.Before(t.lostAt):
 				rest = true
 			default:
 				t.phase = blocked
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -119,6 +119,7 @@
 	ledger   ledger
 	adoption adoption
 	kept     kept
+	listing  listing
 	stop     stopState
 	stopAt   time.Time
 	nextID   uint64
@@ -150,6 +151,7 @@
 	c.roster = newRoster()
 	c.ledger = newLedger()
 	c.kept = newKept()
+	c.listing.lists = make(map[instance.ID][]workload.Endpoint)
 	c.adoption.strangers, c.adoption.marks = make(map[instance.ID]time.Time), make(map[string][]mark)
 	return c
 }
@@ -251,6 +253,8 @@
 		c.beaten(from, m)
 	case *Settings:
 		c.emit(Adopt{From: from, Version: m.Version, Raw: m.Raw})
+	case *Listing:
+		c.heardList(from, m)
 	case *Yield:
 		c.asked(from, m)
 	case *Yielded:
@@ -364,13 +368,15 @@
 
 // Overview is what the traffic side needs to know of the control state.
 type Overview struct {
-	Ready    bool
-	Version  uint64 // of the configuration in force
-	Jobs     int
-	Runs     int
-	Held     int
-	Members  int
-	Counters Counters
+	Ready   bool
+	Version uint64 // of the configuration in force
+	Jobs    int
+	Runs    int
+	Held    int
+	Members int
+	// ReadsList says that the instance is to read the list of endpoints.
+	ReadsList bool
+	Counters  Counters
 }
 
 // Overview returns a copy of the state for reports. An instance is ready when it
@@ -379,7 +385,7 @@
 	return Overview{
 		Ready:   c.stop == serving && c.configuration != nil && c.anyRoom(),
 		Version: c.version(), Jobs: c.home.jobs.Len(), Runs: c.holder.runs.Len(), Held: c.holder.held,
-		Members: c.roster.members.Len(), Counters: c.counted,
+		Members: c.roster.members.Len(), ReadsList: c.readsList(), Counters: c.counted,
 	}
 }
 
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -130,14 +130,15 @@
 	}
 }
 
-// listed takes what discovery shows. An endpoint that is missing is kept for
+// takeList takes what discovery shows. An endpoint that is missing is kept for
 // a while: entries lapse while the platform is away although their endpoints
 // live.
-func (c *Control) listed(m Listed) {
+func (c *Control) takeList(endpoints []workload.Endpoint) {
 	h := &c.holder
-	present := make(map[string]bool, len(m.Endpoints))
-	for i := range m.Endpoints {
-		e := m.Endpoints[i]
+	c.listing.freshAt = c.now
+	present := make(map[string]bool, len(endpoints))
+	for i := range endpoints {
+		e := endpoints[i]
 		present[e.ID.Name] = true
 		delete(h.missing, e.ID.Name)
 		if old, ok := h.listed.Get(e.ID.Name); !ok || old.Draining != e.Draining || old.ID != e.ID {
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -71,6 +71,7 @@
 	minMoveGain  = 10 * time.Millisecond
 	answerMargin = 5 * time.Millisecond // an answer leaves before the caller stops waiting
 	usefulFactor = 3                    // multiple of its objective after which an answer is of no use
+	storedTerm   = 24 * time.Hour       // in which a stored job is served, however late
 	leaveMargin  = 2                    // a leaving instance takes what ends in time even if it takes this many times its estimate
 	maxRetrySpan = 3                    // refused callers come back within this many times RetryAfter
 )
@@ -125,6 +126,9 @@
 		objective: c.now.Add(objective), deadline: c.now.Add(left - answerMargin), useful: c.now.Add(min(usefulFactor*objective, left-answerMargin)),
 		steps: make([][]task, len(m.Job.Steps)), left: m.Job.Tasks(),
 	}
+	if !m.Job.Ephemeral {
+		j.useful = c.now.Add(storedTerm)
+	}
 	for i := range j.steps {
 		j.steps[i] = make([]task, m.Job.Steps[i].Count)
 	}
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -451,6 +451,13 @@
 	Raw     []byte
 }
 
+// Listing passes the list of endpoints on, within a failure domain. Without Full
+// it is the one that was sent before.
+type Listing struct {
+	Full      bool
+	Endpoints []workload.Endpoint
+}
+
 // Yield asks the holder of endpoints to give them up.
 type Yield struct{ Endpoints []string }
 
@@ -474,6 +481,7 @@
 func (*Advert) isMessage()    {}
 func (*Beat) isMessage()      {}
 func (*Settings) isMessage()  {}
+func (*Listing) isMessage()   {}
 func (*Yield) isMessage()     {}
 func (*Yielded) isMessage()   {}
 func (*CancelJob) isMessage() {}
--- a/pkg/placement/records.go
+++ b/pkg/placement/records.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/storage"
@@ -113,8 +114,9 @@
 }
 
 // restore sets the tasks of an adopted job to what its row says. Whether a task
-// that is not done runs somewhere is not known.
-func (j *job) restore(row *OpenRow) error {
+// that is not done runs somewhere is not known; at an endpoint that nobody
+// answers for it has ended at that time.
+func (j *job) restore(row *OpenRow, endedAt time.Time) error {
 	if len(row.Done) != len(j.steps) {
 		return fmt.Errorf("row of job %s has %d steps, the job %d", j.ID, len(row.Done), len(j.steps))
 	}
@@ -126,7 +128,7 @@
 		for k := range j.steps[i] {
 			t := &j.steps[i][k]
 			t.number = row.Round * runsPerRound
-			t.phase = lost
+			t.phase, t.lostAt = lost, endedAt
 			if row.Done[i][k/8]&(1<<(k%8)) != 0 {
 				t.phase = done
 				j.left--
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -69,6 +69,7 @@
 	advert      *Advert
 	advertAt    time.Time
 	toldAt      time.Time // when an advert was last sent to it
+	listVersion uint64    // of the list of endpoints last sent to it
 	toldVersion uint64    // of that advert
 	sequence    uint64    // of the last Place sent to it
 	pending     []pendingTask
@@ -105,6 +106,7 @@
 // Figures of the own row.
 const (
 	writeRetry     = 300 * time.Millisecond // after a failed write
+	scanPerMember  = 100 * time.Millisecond // makes the scans of all together no more frequent
 	watchPeriod    = 10 * time.Millisecond  // between looks at who is silent
 	beatRefresh    = time.Second            // between beats to a peer that other messages reach
 	speedsPeriod   = 5 * time.Second        // between writes of what was learned
@@ -279,7 +281,7 @@
 		c.roster.nextScan = c.now
 	}
 	c.send(id, c.beatTo(m, c.ownWaiting()))
-	m.advertAt, m.toldVersion = time.Time{}, 0
+	m.advertAt, m.toldVersion, m.listVersion = time.Time{}, 0, 0
 	c.holder.advertDue, c.holder.advertNew = c.now, true
 	c.resendTo(id)
 }
@@ -291,6 +293,7 @@
 	}
 	m.up = false
 	m.advert = nil
+	delete(c.listing.lists, id)
 	c.decide("peer down", zap.Stringer("Peer", id))
 }
 
@@ -402,7 +405,7 @@
 	asked := c.now
 	c.scan(MemberPrefix, func(m ScanDone) {
 		r.scanning = false
-		period := c.config.Timing.MemberScan
+		period := c.config.Timing.MemberScan + time.Duration(r.members.Len())*scanPerMember
 		if !r.settled || c.suspects() {
 			period = c.config.Timing.SuspectScan
 		}
--- a/service/gate/follow.go
+++ b/service/gate/follow.go
@@ -20,8 +20,8 @@
 	feedWait        = 1500 * time.Millisecond // a silent connection is noticed within the bound of a configuration
 	followRetry     = 200 * time.Millisecond  // five calls a second while the store is away
 	discoveryPeriod = 700 * time.Millisecond  // a draining endpoint is known well before the bound of draining
-	// Each peer makes the reads of all rarer: thirty read every 1.5 s.
-	discoveryPerPeer = 25 * time.Millisecond
+	// Each member makes the waits longer: members pass a new version on.
+	feedPerMember = 50 * time.Millisecond
 )
 
 // dependency logs when an outside system is lost and when it is back.
@@ -53,7 +53,7 @@
 		var next storage.Version
 		var err error
 		if known {
-			rows, next, err = s.config.Store.Feed(ctx, platform.OperatorTable, version, feedWait)
+			rows, next, err = s.config.Store.Feed(ctx, platform.OperatorTable, version, feedWait+time.Duration(s.Overview().Members)*feedPerMember)
 			s.metrics.storeCall("feed", err)
 		} else {
 			rows, next, err = s.config.Store.ScanAt(ctx, platform.OperatorTable+"/", scanLimit)
@@ -100,11 +100,16 @@
 	s.deliver(placement.Configured{Configuration: c, Raw: raw})
 }
 
-// followEndpoints reads the discovery entries again and again.
+// followEndpoints reads the discovery entries again and again, while it is on this
+// instance to read them.
 func (s *Server) followEndpoints(ctx context.Context) error {
 	d := dependency{name: "discovery", logger: s.logger}
 	damaged := ""
 	for ctx.Err() == nil {
+		if o := s.overview.Load(); o != nil && !o.ReadsList {
+			s.timers.Sleep(ctx, overviewPeriod)
+			continue
+		}
 		rows, err := s.config.Store.Scan(ctx, platform.EndpointPrefix, scanLimit)
 		s.metrics.storeCall("scan", err)
 		if ctx.Err() != nil {
@@ -121,7 +126,7 @@
 			}
 			s.deliver(placement.Listed{Endpoints: list})
 		}
-		s.timers.Sleep(ctx, discoveryPeriod+time.Duration(s.Overview().Members)*discoveryPerPeer)
+		s.timers.Sleep(ctx, discoveryPeriod)
 	}
 	return nil
 }
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"fmt"
 	"math"
+	"net/netip"
 	"time"
 
 	"crocusseam/pkg/placement"
@@ -45,6 +47,8 @@
 		}}}
 	case *placement.Settings:
 		return &wire.Message{Kind: &wire.Message_Settings{Settings: &wire.Settings{Version: m.Version, Raw: m.Raw}}}
+	case *placement.Listing:
+		return &wire.Message{Kind: &wire.Message_EndpointList{EndpointList: &wire.EndpointList{Full: m.Full, Endpoints: endpointsToWire(m.Endpoints)}}}
 	case *placement.Yield:
 		return &wire.Message{Kind: &wire.Message_YieldRequest{YieldRequest: &wire.YieldRequest{Endpoints: m.Endpoints}}}
 	case *placement.Yielded:
@@ -170,6 +174,33 @@
 	return &placement.Advert{Seen: m.GetSeen(), Rooms: rooms, Waits: waits, Total: resourcesFromWire(m.GetTotal())}, nil
 }
 
+func endpointsToWire(list []workload.Endpoint) []*wire.ListedEndpoint {
+	out := make([]*wire.ListedEndpoint, len(list))
+	for i := range list {
+		e := &list[i]
+		out[i] = &wire.ListedEndpoint{
+			Name: e.ID.Name, Born: e.ID.Born, Service: e.Service, Address: e.Address.String(), Domain: e.Domain,
+			Labels: e.Labels, Capacity: resourcesToWire(e.Capacity), Draining: e.Draining,
+		}
+	}
+	return out
+}
+
+func endpointsFromWire(list []*wire.ListedEndpoint) ([]workload.Endpoint, error) {
+	var out []workload.Endpoint
+	for _, e := range list {
+		address, err := netip.ParseAddrPort(e.GetAddress())
+		if err != nil {
+			return nil, fmt.Errorf("endpoint %q: %w", e.GetName(), err)
+		}
+		out = append(out, workload.Endpoint{
+			ID: workload.EndpointID{Name: e.GetName(), Born: e.GetBorn()}, Service: e.GetService(), Address: address, Domain: e.GetDomain(),
+			Labels: e.GetLabels(), Capacity: resourcesFromWire(e.GetCapacity()), Draining: e.GetDraining(),
+		})
+	}
+	return out, nil
+}
+
 func placementFromWire(m *wire.Message) (placement.Message, error) {
 	switch k := m.GetKind().(type) {
 	case *wire.Message_PlaceTasks:
@@ -210,6 +241,12 @@
 		}, nil
 	case *wire.Message_Settings:
 		return &placement.Settings{Version: k.Settings.GetVersion(), Raw: k.Settings.GetRaw()}, nil
+	case *wire.Message_EndpointList:
+		endpoints, err := endpointsFromWire(k.EndpointList.GetEndpoints())
+		if err != nil {
+			return nil, &ErrMessage{Kind: "EndpointList", Cause: err}
+		}
+		return &placement.Listing{Full: k.EndpointList.GetFull(), Endpoints: endpoints}, nil
 	case *wire.Message_YieldRequest:
 		return &placement.Yield{Endpoints: k.YieldRequest.GetEndpoints()}, nil
 	case *wire.Message_Yielded:
--- a/service/peer/placement_test.go
+++ b/service/peer/placement_test.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -33,6 +35,10 @@
 		&placement.Advert{Seen: 4, Rooms: []placement.Room{{Endpoint: "e", Free: need, Speed: 1.5}}, Waits: placement.Waits{{Priority: 1, Wait: time.Second}}, Total: need},
 		&placement.Beat{Leaving: true, Configuration: 9, Uptime: time.Minute, Waiting: map[string]int{"r": 3}, Unheard: true},
 		&placement.Settings{Version: 9, Raw: []byte("{}")},
+		&placement.Listing{Full: true, Endpoints: []workload.Endpoint{{
+			ID: workload.EndpointID{Name: "e", Born: 7}, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Domain: "d",
+			Labels: []string{"a", "r"}, Capacity: need, Draining: true,
+		}}},
 		&placement.Yield{Endpoints: []string{"e"}},
 		&placement.Yielded{Endpoint: "e", Version: 5},
 		&placement.CancelJob{ID: "j"},
@@ -43,7 +49,7 @@
 		assert.NilError(t, proto.Unmarshal(raw, message))
 		back, err := codec.Decode(message)
 		assert.NilError(t, err)
-		assert.DeepEqual(t, back, m)
+		assert.DeepEqual(t, back, m, cmpopts.EquateComparable(netip.AddrPort{}))
 	}
 }
 
@@ -53,6 +59,7 @@
 		{},
 		{Kind: &wire.Message_RunEnded{RunEnded: &wire.RunEnded{How: 99}}},
 		{Kind: &wire.Message_Advert{Advert: &wire.Advert{Rooms: []*wire.Room{{Speed: 0}}}}},
+		{Kind: &wire.Message_EndpointList{EndpointList: &wire.EndpointList{Endpoints: []*wire.ListedEndpoint{{Name: "e", Address: "x"}}}}},
 		{Kind: &wire.Message_Beat{Beat: &wire.Beat{}}},
 	} {
 		_, err := codec.Decode(m)
