--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -356,3 +356,31 @@
 		assert.Check(t, w.Credit() >= 0.85)
 	})
 }
+
+// Where the store refuses the instance that reads the list of endpoints for its
+// domain, another one reads it: new endpoints are put to use, and those that
+// leave get nothing more.
+func TestListIsReadWhereItsReaderIsRefused(t *testing.T) {
+	w := model.New(unequal(1))
+	w.Run(4 * time.Second)
+	readers := 0
+	for _, n := range w.Nodes {
+		if n.Control.Overview().ReadsList {
+			readers++
+		}
+	}
+	assert.Equal(t, readers, 4, "one instance of each domain reads the list")
+	w.Store.Refuses = map[string]bool{w.Nodes[0].ID.Instance: true}
+	w.Run(3 * time.Second)
+	added := w.AddEndpoint("domain-a", model.EndpointConfig{Capacity: workload.Resources{MilliCPU: 96000, MemoryMB: 1000}, Speed: 1})
+	w.Endpoints[0].Info.Draining = true
+	w.Run(6 * time.Second)
+	before := len(w.Jobs)
+	w.Offer(load(model.Mix(1.2), 3*time.Second))
+	w.Run(2 * time.Second)
+	assert.Check(t, len(w.Jobs) > before)
+	assert.Check(t, added.Used().MilliCPU > 0)
+	assert.Equal(t, w.Endpoints[0].Used().MilliCPU, 0)
+	w.Run(2 * time.Second)
+	settle(t, w)
+}
