--- a/pkg/settings/gate.go
+++ b/pkg/settings/gate.go
@@ -19,6 +19,9 @@
 	Ready   netip.AddrPort
 	Peers   netip.AddrPort
 	Metrics netip.AddrPort
+	// Advertised is the address at which other instances reach Peers; the same
+	// one if it is not set.
+	Advertised netip.AddrPort
 	// Store is the address of the platform's store.
 	Store netip.AddrPort
 	// Processor is the share of a processor that the instance may use.
--- a/pkg/standin/workers.go
+++ b/pkg/standin/workers.go
@@ -189,6 +189,9 @@
 			x.WhenEnded(q.Wait, func() { close(ended) })
 		}
 	})
+	if outcome == placement.Unanswered {
+		panic(http.ErrAbortHandler)
+	}
 	if outcome == placement.Accepted {
 		select {
 		case <-ended:
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -38,8 +38,10 @@
 	Ready   netip.AddrPort
 	Peers   netip.AddrPort
 	Metrics netip.AddrPort
-	Store   *platform.Store
-	Timing  placement.Timing
+	// Advertised is where other instances reach Peers; not set, it is the same.
+	Advertised netip.AddrPort
+	Store      *platform.Store
+	Timing     placement.Timing
 	// Timers is the process's timer service; the server runs it.
 	Timers *timer.Service
 	Logger *zap.Logger
@@ -114,8 +116,12 @@
 	if err != nil {
 		return nil, err
 	}
+	advertised := config.Advertised
+	if !advertised.IsValid() {
+		advertised = s.links.Address()
+	}
 	s.control = placement.New(placement.Config{
-		Self: config.Self, Domain: config.Domain, Address: s.links.Address(), Share: config.Share, FarFactor: config.FarFactor, Retention: config.Retention,
+		Self: config.Self, Domain: config.Domain, Address: advertised, Share: config.Share, FarFactor: config.FarFactor, Retention: config.Retention,
 		Seed: config.Self.Incarnation, Timing: config.Timing,
 	})
 	s.http = &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
