--- a/cmd/crocus-gate/proxy_test.go
+++ b/cmd/crocus-gate/proxy_test.go
@@ -66,12 +66,6 @@
 
 func (l *link) address() netip.AddrPort { return l.listener.Addr().(*net.TCPAddr).AddrPort() }
 
-func (l *link) aim(target netip.AddrPort) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.target = target
-}
-
 // set changes what the link does. Making it unreachable resets what is open.
 func (l *link) set(s linkState) {
 	l.mu.Lock()
