A start that reaches an endpoint's next life is stopped there

Before: taken as never run, the task started elsewhere within 20 ms. Now: stopped, and the task waits for the lease.

--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -259,6 +259,7 @@
 		c.asked(from, m)
 	case *Yielded:
 		c.holder.book.Yielded(m.Endpoint, m.Version)
+		c.holder.bookDue = c.now
 	case *CancelJob:
 		c.cancelLocal(m.ID)
 	case *Recorded:
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -218,6 +218,7 @@
 func (c *Control) probeDone(m ProbeDone) {
 	if m.Reachable {
 		c.holder.book.Reached(m.Endpoint, c.now)
+		c.holder.bookDue = c.now
 	}
 }
 
@@ -300,6 +301,12 @@
 	c.decide("endpoint lost", zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)), zap.Stringer("Runs", how), zap.Int("Count", e.runs.Len()), zap.String("Cause", cause))
 	c.emit(Unwatch{Endpoint: e.info.ID})
 	for _, r := range e.runs.All() {
+		if how == workload.Lapsed && r.confirmed.IsZero() {
+			// A start that was not answered may be carried out by the next life.
+			c.emit(StopRun{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r.id})
+			c.endRun(r, workload.Unknown, cause)
+			continue
+		}
 		c.endRun(r, how, cause)
 	}
 	c.holder.endpoints.Delete(e.info.ID.Name)
@@ -310,6 +317,7 @@
 func (c *Control) fence(e *endpoint) {
 	c.counted.FencedOrders++
 	c.holder.book.Fenced(e.info.ID.Name)
+	c.holder.bookDue = c.now
 	c.loseEndpoint(e, workload.Unknown, "another instance holds it")
 }
 
@@ -478,7 +486,7 @@
 	case Fenced:
 		c.fence(e)
 		return
-	case OtherLife:
+	case OtherLife, Misdirected:
 		c.holder.book.Fenced(e.info.ID.Name)
 		c.loseEndpoint(e, workload.Lapsed, "another life of it answers")
 		return
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -92,21 +92,23 @@
 // OrderOutcome tells how an order to an endpoint ended.
 type OrderOutcome int
 
-// Outcomes of an order. All but Accepted and Unanswered certainly did nothing.
+// Outcomes of an order. All but Accepted, Unanswered and OtherLife certainly did
+// nothing.
 const (
-	Accepted   OrderOutcome = iota + 1
-	Unanswered              // it may have been carried out, or may be later
-	NotSent                 // the endpoint could not be reached
-	Fenced                  // the endpoint has seen a higher token
-	TooOld                  // a run with a number that is not lower was there
-	TooLate                 // the lease was over before the order came
-	NoRoom                  // it does not fit what runs there
-	Unwell                  // the endpoint refuses work for now
-	OtherLife               // another life of the endpoint answered
-	Malformed               // the endpoint did not understand it
+	Accepted    OrderOutcome = iota + 1
+	Unanswered               // it may have been carried out, or may be later
+	NotSent                  // the endpoint could not be reached
+	Fenced                   // the endpoint has seen a higher token
+	TooOld                   // a run with a number that is not lower was there
+	TooLate                  // the lease was over before the order came
+	NoRoom                   // it does not fit what runs there
+	Unwell                   // the endpoint refuses work for now
+	OtherLife                // another life of the endpoint has carried it out
+	Misdirected              // something else answered
+	Malformed                // the endpoint did not understand it
 )
 
-var orderNames = [...]string{"", "Accepted", "Unanswered", "NotSent", "Fenced", "TooOld", "TooLate", "NoRoom", "Unwell", "OtherLife", "Malformed"}
+var orderNames = [...]string{"", "Accepted", "Unanswered", "NotSent", "Fenced", "TooOld", "TooLate", "NoRoom", "Unwell", "OtherLife", "Misdirected", "Malformed"}
 
 func (o OrderOutcome) String() string { return orderNames[o] }
 
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -354,3 +354,34 @@
 	b.step(Received{From: present, Message: place(1)})
 	assert.Equal(t, len(find[Start](b)), 1)
 }
+
+// An endpoint that has begun a new life under its name carries out a start that
+// was meant for the former one: the run is stopped, and its task waits until the
+// lease is over.
+func TestStartCarriedOutByAnotherLife(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], OtherLife)
+	stops := find[StopRun](b)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Run, starts[0].Run)
+	for range 80 {
+		b.pass(10 * time.Millisecond)
+		assert.Equal(t, len(find[Start](b)), 0)
+		b.report(nil, nil)
+	}
+}
+
+// A start that was not answered before the endpoint began a new life may be
+// carried out by that one.
+func TestUnansweredStartIsStoppedInTheNextLife(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(2, 1000)
+	b.answerStart(&starts[0], Accepted)
+	next := benchEndpoint
+	next.ID.Born++
+	b.step(Listed{Endpoints: []workload.Endpoint{next}})
+	stops := find[StopRun](b)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Run, starts[1].Run)
+}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -196,6 +196,11 @@
 		return
 	}
 	switch {
+	case m.Outcome == OtherLife:
+		// The new life has started it under the same name. It is stopped there, and
+		// is over when the lease of that start is.
+		c.emit(StopRun{Endpoint: m.Endpoint, Address: e.info.Address, Token: m.Token, Run: m.Run})
+		c.endRun(r, workload.Unknown, "another life of the endpoint has started it")
 	case m.Outcome == Unanswered && r.tries <= c.config.Timing.StartRetry:
 		c.counted.RepeatedStarts++
 		c.orderStart(r)
--- a/service/gate/watch.go
+++ b/service/gate/watch.go
@@ -111,7 +111,7 @@
 		s.metrics.report(outcome)
 		if outcome != placement.Accepted {
 			s.deliver(placement.Silent{Endpoint: q.Endpoint, Token: q.Token, Outcome: outcome, Err: err})
-			if outcome == placement.Fenced || outcome == placement.OtherLife || !s.timers.Sleep(ctx, reportRetry) {
+			if outcome == placement.Fenced || outcome == placement.OtherLife || outcome == placement.Misdirected || !s.timers.Sleep(ctx, reportRetry) {
 				return
 			}
 			q.Wait = 0
