--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -55,6 +54,14 @@
 	soakCalm = 4 * time.Second
 )
 
+// Ports of a gate.
+const (
+	portCallers = 8001 + iota
+	portReady
+	portPeers
+	portMetrics
+)
+
 // soak is one run: real processes, faults from outside, and the promises that
 // callers and endpoints can check.
 type soak struct {
@@ -108,13 +115,11 @@
 	s.broken = append(s.broken, fmt.Sprintf(format, args...))
 }
 
-// freeAddress returns an address on loopback that nothing listens at.
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, l.Close()) }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+// gateAddress returns an address of a gate: each has an IP of its own in the
+// loopback range, so that its ports stay free while it restarts.
+func gateAddress(gate int, port uint16) netip.AddrPort {
+	pid := os.Getpid()
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + pid%64), byte(pid / 64), byte(gate + 1)}), port)
 }
 
 func newSoak(t *testing.T, seed uint64, binary string) *soak {
@@ -183,13 +188,13 @@
 func (s *soak) addGate(i int, binary string) {
 	toStore, err := newLink(s.ctx, s.group, s.store.Address())
 	assert.NilError(s.t, err)
-	peers := freeAddress(s.t)
-	p := &process{name: fmt.Sprintf("gate-%d", i), callers: freeAddress(s.t), settings: filepath.Join(s.dir, fmt.Sprintf("gate-%d.json", i))}
+	peers := gateAddress(i, portPeers)
+	p := &process{name: fmt.Sprintf("gate-%d", i), callers: gateAddress(i, portCallers), settings: filepath.Join(s.dir, fmt.Sprintf("gate-%d.json", i))}
 	p.peers, err = newLink(s.ctx, s.group, peers)
 	assert.NilError(s.t, err)
 	text, err := json.Marshal(map[string]any{
-		"Instance": p.name, "Domain": fmt.Sprintf("domain-%d", i%soakDomains), "Callers": p.callers, "Ready": freeAddress(s.t), "Peers": peers,
-		"Advertised": p.peers.address(), "Metrics": freeAddress(s.t), "Store": toStore.address(), "Processor": 0.4, "MemoryMB": 284,
+		"Instance": p.name, "Domain": fmt.Sprintf("domain-%d", i%soakDomains), "Callers": p.callers, "Ready": gateAddress(i, portReady), "Peers": peers,
+		"Advertised": p.peers.address(), "Metrics": gateAddress(i, portMetrics), "Store": toStore.address(), "Processor": 0.4, "MemoryMB": 284,
 		"Lease": "1s", "Grace": "6s", "FarFactor": 1.5, "Retention": "120s", "Log": "info",
 	})
 	assert.NilError(s.t, err)
