crocus-experiment: patterns in virtual time against an earlier version and a central scheduler

The tests of patterns use the same deployment and load. A sum over a map's order made the credit differ in its last digit.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: trial trial-gate test matrix capacity check generate build
+.PHONY: trial trial-gate experiment test matrix capacity check generate build
 
 trial:
 	@go run ./cmd/crocus-trial --out out/trial.json
@@ -7,6 +7,11 @@
 trial-gate:
 	@go run ./cmd/crocus-trial --gate --length 15s --out out/trial-gate.json
 
+# Patterns of load and faults in virtual time; AGAINST=file.csv compares with an
+# earlier version.
+experiment:
+	@go run ./cmd/crocus-experiment --plot out/experiment.png $(if $(AGAINST),--against $(AGAINST))
+
 test:
 	@go test ./...
 
--- a/pkg/cmds/docs_test.go
+++ b/pkg/cmds/docs_test.go
@@ -37,7 +37,7 @@
 	for _, p := range []struct {
 		name    string
 		options any
-	}{{"crocus-standin", &standinOptions{}}, {"crocus-trial", &trialOptions{}}, {"crocus-report", &reportOptions{}}, {"crocus-load", &loadOptions{}}, {"crocus-gate", &gateOptions{}}} {
+	}{{"crocus-standin", &standinOptions{}}, {"crocus-trial", &trialOptions{}}, {"crocus-report", &reportOptions{}}, {"crocus-load", &loadOptions{}}, {"crocus-gate", &gateOptions{}}, {"crocus-experiment", &experimentOptions{}}} {
 		fmt.Fprintf(&b, "\n## %s\n\n%s", p.name, flagTable(t, p.options))
 	}
 	golden.Assert(t, b.String(), docs+"CLI.md")
--- a/pkg/model/load.go
+++ b/pkg/model/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -126,7 +127,8 @@
 // time, a fifth up to three times the objective.
 func (w *World) Credit() float64 {
 	earned, owed := 0.0, 0.0
-	for _, o := range w.Jobs {
+	for _, id := range slices.Sorted(maps.Keys(w.Jobs)) { // sums depend on the order
+		o := w.Jobs[id]
 		owed += o.Worth
 		switch {
 		case o.InTime():
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -8,31 +8,14 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
+	"crocusseam/pkg/experiment"
 	"crocusseam/pkg/model"
 	"crocusseam/pkg/placement"
 	"crocusseam/pkg/workload"
 )
 
 // deployment is a service of 48 endpoints in four failure domains.
-func deployment(seed uint64) model.Config {
-	config := model.Config{
-		Seed: seed, Service: "booking", Timing: placement.DefaultTiming(), MaxAttempts: 3, Retention: 2 * time.Minute,
-		InDomain: 200 * time.Microsecond, BetweenDomains: 500 * time.Microsecond, ToStore: 4 * time.Millisecond,
-	}
-	speeds := []float64{0.55, 1, 1.6}
-	for i, instances := range []int{2, 2, 1, 1} {
-		d := model.Domain{Name: fmt.Sprintf("domain-%c", 'a'+i), Instances: instances}
-		for j := range 12 {
-			capacity := workload.Resources{MilliCPU: 64000, MemoryMB: 262144}
-			if j%3 == 2 {
-				capacity.MilliCPU = 96000
-			}
-			d.Endpoints = append(d.Endpoints, model.EndpointConfig{Capacity: capacity, Speed: speeds[(i+j)%3]})
-		}
-		config.Domains = append(config.Domains, d)
-	}
-	return config
-}
+func deployment(seed uint64) model.Config { return experiment.Deployment(seed) }
 
 // day is a load on a deployment that has settled.
 func day(w *model.World, rate float64, span time.Duration) {
@@ -41,12 +24,7 @@
 }
 
 // load is a load with estimates that are off by 40%.
-func load(kinds []model.Kind, span time.Duration) model.Load {
-	return model.Load{
-		Kinds: kinds, Stretch: 1.6, Slack: 60 * time.Millisecond, Patience: 1500 * time.Millisecond, For: span,
-		EstimateError: 0.4, Uneven: 0.15,
-	}
-}
+func load(kinds []model.Kind, span time.Duration) model.Load { return experiment.Load(kinds, span) }
 
 // settle lets everything end and checks what must always hold.
 func settle(t *testing.T, w *model.World) {
