The first answer of an endpoint's next life ends the hold of the former one

Now the hold ends with the first such answer, and the endpoint is taken again only in a life that discovery lists.

--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -34,6 +34,7 @@
 // regressionSeeds are seeds that have failed once, each with its cause.
 var regressionSeeds = []uint64{
 	100, // a start carried out by an endpoint's next life (docs/incidents/soak-100.md)
+	205, // an endpoint's next life filled beyond its capacity (docs/incidents/soak-205.md)
 }
 
 // Size of a soak, unless SOAK_GATES says otherwise.
@@ -588,7 +589,9 @@
 	if len(s.broken) > 10 {
 		s.broken = s.broken[:10]
 	}
-	assert.Check(t, len(s.broken) == 0, "seed %d: %v", seed, s.broken)
+	if len(s.broken) > 0 {
+		t.Errorf("seed %d: %v", seed, s.broken)
+	}
 	if t.Failed() && os.Getenv("SOAK_LOGS") != "" {
 		assert.NilError(t, os.CopyFS(filepath.Join(os.Getenv("SOAK_LOGS"), fmt.Sprint(seed)), os.DirFS(s.dir)))
 	}
--- a/pkg/hold/hold.go
+++ b/pkg/hold/hold.go
@@ -67,6 +67,7 @@
 	asked    time.Time
 	sent     time.Time
 	reached  time.Time // when a probe last reached it
+	over     bool      // the life that is listed has ended
 }
 
 // Book keeps the holds of all endpoints as one instance sees them.
@@ -117,7 +118,7 @@
 			if old.state != foreign {
 				ended = append(ended, e.ID.Name)
 			}
-			old.state = foreign
+			old.state, old.over = foreign, false
 		}
 		old.endpoint = *e
 	}
@@ -153,6 +154,15 @@
 	}
 }
 
+// LifeEnded says that the listed life of an endpoint has ended: the hold is lost,
+// and nobody is to take it here before the next life is listed.
+func (b *Book) LifeEnded(endpoint string) {
+	b.Fenced(endpoint)
+	if e, ok := b.entries.Get(endpoint); ok {
+		e.over = true
+	}
+}
+
 // divide gives each endpoint to a live member of its domain, or of any domain
 // where its own has none.
 func (b *Book) divide() {
--- a/pkg/hold/hold_test.go
+++ b/pkg/hold/hold_test.go
@@ -192,3 +192,22 @@
 	errs := a.Read([]storage.Row{{Key: Key("east", "e-0"), Value: []byte("{"), Version: 4}, {Key: Key("east", "e-1"), Value: []byte(`{"Holder":{"Instance":"b"}}`), Version: 5}})
 	assert.Equal(t, len(errs), 1)
 }
+
+// An endpoint whose listed life has ended is taken again only in its next life.
+func TestEndedLifeIsNotTaken(t *testing.T) {
+	b := New(Config{Self: instance.ID{Instance: "a", Incarnation: 1}, Domain: "east", Share: 1, AskPeriod: time.Second, YieldTerm: 2 * time.Second})
+	e := workload.Endpoint{ID: workload.EndpointID{Name: "e", Born: 1}, Domain: "east"}
+	b.SetEndpoints([]workload.Endpoint{e})
+	b.Settle()
+	now := time.Unix(1000, 0)
+	plan := b.Plan(now)
+	assert.Equal(t, len(plan.Take), 1)
+	b.Taken(plan.Take[0], 5)
+	b.LifeEnded("e")
+	plan = b.Plan(now.Add(time.Minute))
+	assert.Equal(t, len(plan.Take), 0)
+	e.ID.Born = 2
+	b.SetEndpoints([]workload.Endpoint{e})
+	plan = b.Plan(now.Add(time.Minute))
+	assert.Equal(t, len(plan.Take), 1)
+}
--- a/pkg/hold/plan.go
+++ b/pkg/hold/plan.go
@@ -49,7 +49,7 @@
 		if e.state == yielding && b.division[name] == b.config.Self.Instance {
 			e.state, e.yieldTo = held, instance.ID{}
 		}
-		if e.state != foreign || e.endpoint.Draining || !b.mayTake(name, e) {
+		if e.state != foreign || e.over || e.endpoint.Draining || !b.mayTake(name, e) {
 			continue
 		}
 		if holder, alive := b.liveHolder(e); alive {
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -314,6 +314,14 @@
 	c.holder.roomsOld, c.holder.advertNew = true, true
 }
 
+// loseLife ends the hold of an endpoint that has begun a new life under its name.
+// The new life carries out whatever reaches it: nothing more is ordered before
+// discovery lists it and its own report was seen.
+func (c *Control) loseLife(e *endpoint) {
+	c.holder.book.LifeEnded(e.info.ID.Name)
+	c.loseEndpoint(e, workload.Lapsed, "another life of it answers")
+}
+
 func (c *Control) fence(e *endpoint) {
 	c.counted.FencedOrders++
 	c.holder.book.Fenced(e.info.ID.Name)
@@ -487,8 +495,7 @@
 		c.fence(e)
 		return
 	case OtherLife, Misdirected:
-		c.holder.book.Fenced(e.info.ID.Name)
-		c.loseEndpoint(e, workload.Lapsed, "another life of it answers")
+		c.loseLife(e)
 		return
 	}
 	if !e.paused && e.state == active {
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -365,6 +365,8 @@
 	stops := find[StopRun](b)
 	assert.Equal(t, len(stops), 1)
 	assert.Equal(t, stops[0].Run, starts[0].Run)
+	assert.Equal(t, b.control.Overview().Held, 0, "nothing more is ordered there")
+	assert.Equal(t, len(b.submit(1, 1000)), 0)
 	for range 80 {
 		b.pass(10 * time.Millisecond)
 		assert.Equal(t, len(find[Start](b)), 0)
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -177,9 +177,13 @@
 	if !ok {
 		return
 	}
-	if m.Outcome == Fenced {
+	switch m.Outcome {
+	case Fenced:
 		c.fence(e)
 		return
+	case OtherLife, Misdirected:
+		c.loseLife(e)
+		return
 	}
 	if m.Outcome == Accepted || (m.Outcome == TooOld && r.tries > 1) {
 		if r.state == starting {
@@ -196,11 +200,6 @@
 		return
 	}
 	switch {
-	case m.Outcome == OtherLife:
-		// The new life has started it under the same name. It is stopped there, and
-		// is over when the lease of that start is.
-		c.emit(StopRun{Endpoint: m.Endpoint, Address: e.info.Address, Token: m.Token, Run: m.Run})
-		c.endRun(r, workload.Unknown, "another life of the endpoint has started it")
 	case m.Outcome == Unanswered && r.tries <= c.config.Timing.StartRetry:
 		c.counted.RepeatedStarts++
 		c.orderStart(r)
@@ -229,9 +228,13 @@
 	if !ok {
 		return
 	}
-	if m.Outcome == Fenced {
+	switch m.Outcome {
+	case Fenced:
 		c.fence(e)
 		return
+	case OtherLife, Misdirected:
+		c.loseLife(e)
+		return
 	}
 	r, ok := e.runs.Get(m.Run)
 	if !ok || r.state != stopping {
