--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -257,7 +257,7 @@
 		if r.endpoint.state == active && r.stuck() {
 			c.counted.StragglersStopped++
 			c.decide("run makes no progress", jobField(r.id.Task.Job), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.String("Endpoint", r.endpoint.info.ID.Name),
-				zap.Int("Percent", r.percent), zap.Duration("Unchanged", c.now.Sub(r.percentAt)), zap.Duration("Estimate", r.place.Estimate))
+				zap.Int("Percent", r.percent), zap.Duration("Unchanged", c.now.Sub(later(r.percentAt, r.ordered))), zap.Duration("Estimate", r.place.Estimate))
 			r.endpoint.health.eject(c.now)
 			c.holder.roomsOld = true
 			c.stopRun(r)
