--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -234,7 +234,7 @@
 	}
 }
 
-// Hold takes note of ends up to seen, and renews the lease of what runs until
+// Hold acknowledges ends up to seen, and renews the lease of what runs until
 // that time on the endpoint's clock unless it is 0.
 func (x *Endpoint) Hold(token workload.Token, seen int64, until time.Duration) placement.OrderOutcome {
 	if !x.Up {
@@ -244,7 +244,7 @@
 		return placement.Fenced
 	}
 	for len(x.ended) > 0 && x.ended[0].Sequence <= seen {
-		x.world.noted(&x.ended[0], x.lapsedAt.After(x.endedAt[x.ended[0].Sequence]))
+		x.world.acknowledged(&x.ended[0], x.lapsedAt.After(x.endedAt[x.ended[0].Sequence]))
 		delete(x.endedAt, x.ended[0].Sequence)
 		x.ended = x.ended[1:]
 	}
--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -35,11 +35,11 @@
 
 type watch struct {
 	placement.Watch
-	seen  int64
-	noted int64
-	clock time.Duration
-	at    time.Time
-	ended bool
+	seen         int64
+	acknowledged int64
+	clock        time.Duration
+	at           time.Time
+	ended        bool
 }
 
 // AddNode starts an instance in a failure domain.
@@ -177,9 +177,9 @@
 		n.startWatch(m)
 	case placement.Look:
 		n.look(m)
-	case placement.Note:
+	case placement.Acknowledge:
 		if x, ok := n.watches[m.Endpoint.Name]; ok && x.Endpoint == m.Endpoint && x.Token == m.Token {
-			x.noted = max(x.noted, m.Upto)
+			x.acknowledged = max(x.acknowledged, m.Upto)
 		}
 	case placement.Unwatch:
 		if x, ok := n.watches[m.Endpoint.Name]; ok {
@@ -369,7 +369,7 @@
 	})
 }
 
-// askAgain takes note of ends and asks for the next report. Ends that wait to be
+// askAgain acknowledges ends and asks for the next report. Ends that wait to be
 // confirmed are looked at again after a moment.
 func (n *Node) askAgain(x *watch, ended []workload.EndedRun) {
 	if !x.Confirmed {
@@ -384,7 +384,7 @@
 		pause = confirmWait
 	}
 	n.later(pause, func() {
-		x.seen = max(x.seen, x.noted)
+		x.seen = max(x.seen, x.acknowledged)
 		n.ask(x, reportWait)
 	})
 }
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -91,7 +91,7 @@
 	Started   bool // an endpoint has started a task of it
 
 	finished map[workload.TaskID]bool // tasks that have ended as done
-	done     map[workload.TaskID]bool // ends that were taken note of, of a stored job
+	done     map[workload.TaskID]bool // acknowledged ends, of a stored job
 	lastRun  map[workload.TaskID]int  // highest number started, of a stored job
 }
 
@@ -185,10 +185,10 @@
 	w.Now = end
 }
 
-// noted takes note of an end. A task of a stored job that is done starts never
-// again, also not between its end and the note, unless the endpoint's lease ran
+// acknowledged takes the acknowledgement of an end. A task of a stored job that is done starts never
+// again, also not between its end and its acknowledgement, unless the endpoint's lease ran
 // out between the two: then its holder had no way to know.
-func (w *World) noted(e *workload.EndedRun, lapsed bool) {
+func (w *World) acknowledged(e *workload.EndedRun, lapsed bool) {
 	o, ok := w.Jobs[e.Run.Task.Job]
 	if !ok || o.Job.Ephemeral || e.How != workload.Done || lapsed {
 		return
@@ -198,7 +198,7 @@
 	}
 	o.done[e.Run.Task] = true
 	if last := o.lastRun[e.Run.Task]; last > e.Run.Number {
-		w.breach(fmt.Sprintf("run %d of task %v was started, although run %d is done and noted", last, e.Run.Task, e.Run.Number))
+		w.breach(fmt.Sprintf("run %d of task %v was started, although run %d is done and acknowledged", last, e.Run.Task, e.Run.Number))
 	}
 }
 
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -22,24 +22,24 @@
 // endpoint is an endpoint that this instance holds. What is reserved there
 // counts from the sending of a start order until the end is certain.
 type endpoint struct {
-	info      workload.Endpoint
-	token     workload.Token
-	state     endpointState
-	runs      *taskRuns
-	reserved  workload.Resources
-	reportAt  time.Time           // when the last report came
-	askedAt   time.Time           // when it was asked for
-	lookedAt  time.Time           // when a report was asked for beside the watch
-	clock     time.Duration       // of the endpoint, at reportAt
-	leaseSent time.Time           // when something that renews the lease was last sent
-	silences  int                 // in a row
-	paused    bool                // the lease is not renewed, as nothing is heard
-	stoppedAt time.Time           // when unknown runs were last ordered to stop
-	confirmed bool                // ends are taken note of one by one
-	lastEnd   int64               // sequence of the last end that was listed
-	unnoted   []workload.EndedRun // that the endpoint still keeps
-	speed     speedModel
-	health    health
+	info           workload.Endpoint
+	token          workload.Token
+	state          endpointState
+	runs           *taskRuns
+	reserved       workload.Resources
+	reportAt       time.Time           // when the last report came
+	askedAt        time.Time           // when it was asked for
+	lookedAt       time.Time           // when a report was asked for beside the watch
+	clock          time.Duration       // of the endpoint, at reportAt
+	leaseSent      time.Time           // when something that renews the lease was last sent
+	silences       int                 // in a row
+	paused         bool                // the lease is not renewed, as nothing is heard
+	stoppedAt      time.Time           // when unknown runs were last ordered to stop
+	confirmed      bool                // ends are acknowledged one by one
+	lastEnd        int64               // sequence of the last end that was listed
+	unacknowledged []workload.EndedRun // that the endpoint still keeps
+	speed          speedModel
+	health         health
 }
 
 type runState int
@@ -389,7 +389,7 @@
 		c.takeEnd(e, &m.Report.Ended[i])
 	}
 	unknown := c.takeRunning(e, &m)
-	c.noteEnds(e, m.Report.Ended)
+	c.acknowledgeEnds(e, m.Report.Ended)
 	c.settleVanished(e, &m)
 	c.judgeUnknown(e, unknown)
 	c.holder.crowded = true
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -367,7 +367,7 @@
 		return
 	}
 	if j.stored != nil {
-		c.noteEnd(j, from, m)
+		c.recordEnd(j, from, m)
 	}
 	if m.How != workload.NeverRan && m.How != workload.Outdated {
 		j.ran = true
--- a/pkg/placement/kept.go
+++ b/pkg/placement/kept.go
@@ -53,7 +53,7 @@
 	return true
 }
 
-// confirmEndpoint has the ends of an endpoint taken note of one by one from now
+// confirmEndpoint has the ends of an endpoint acknowledged one by one from now
 // on.
 func (c *Control) confirmEndpoint(e *endpoint) {
 	if e.confirmed {
@@ -71,29 +71,29 @@
 	})
 }
 
-// noteEnds takes note of the ends of a report up to the first that is kept.
-func (c *Control) noteEnds(e *endpoint, ended []workload.EndedRun) {
+// acknowledgeEnds acknowledges the ends of a report up to the first that is kept.
+func (c *Control) acknowledgeEnds(e *endpoint, ended []workload.EndedRun) {
 	if !e.confirmed {
 		return
 	}
 	for i := range ended {
 		if ended[i].Sequence > e.lastEnd {
 			e.lastEnd = ended[i].Sequence
-			e.unnoted = append(e.unnoted, ended[i])
+			e.unacknowledged = append(e.unacknowledged, ended[i])
 		}
 	}
-	c.noteSettled(e)
+	c.acknowledgeSettled(e)
 }
 
-// noteSettled tells the endpoint's watch how far ends are settled.
-func (c *Control) noteSettled(e *endpoint) {
+// acknowledgeSettled tells the endpoint's watch how far ends are settled.
+func (c *Control) acknowledgeSettled(e *endpoint) {
 	upto := int64(0)
-	for len(e.unnoted) > 0 && !c.kept.ends.Has(e.unnoted[0].Run) {
-		upto = e.unnoted[0].Sequence
-		e.unnoted = e.unnoted[1:]
+	for len(e.unacknowledged) > 0 && !c.kept.ends.Has(e.unacknowledged[0].Run) {
+		upto = e.unacknowledged[0].Sequence
+		e.unacknowledged = e.unacknowledged[1:]
 	}
 	if upto > 0 {
-		c.emit(Note{Endpoint: e.info.ID, Token: e.token, Upto: upto})
+		c.emit(Acknowledge{Endpoint: e.info.ID, Token: e.token, Upto: upto})
 	}
 }
 
@@ -131,7 +131,7 @@
 	}
 	c.kept.ends.Delete(id)
 	if e, ok := c.holder.endpoints.Get(k.endpoint); ok {
-		c.noteSettled(e)
+		c.acknowledgeSettled(e)
 	}
 }
 
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -35,12 +35,12 @@
 	unverified bool
 	final      Status // with which it ends
 	reason     string
-	notes      []keptNote // ends that the next record covers
+	unrecorded []unrecordedEnd // ends that the next record covers
 	cancels    []Handle
 }
 
-// keptNote is an end that its holder keeps until it is recorded.
-type keptNote struct {
+// unrecordedEnd is an end that its holder keeps until it is recorded.
+type unrecordedEnd struct {
 	holder instance.ID
 	run    workload.Run
 }
@@ -155,8 +155,8 @@
 	job      *job
 	phase    storedPhase
 	sequence uint64
-	verifies bool // the job was unverified when the commit was sent
-	notes    []keptNote
+	verifies bool            // the job was unverified when the commit was sent
+	ends     []unrecordedEnd // that this commit records
 }
 
 func (c *Control) writePart(p *ledgerPart) {
@@ -170,8 +170,8 @@
 		if known, ok := c.home.jobs.Get(id); !ok || known != j {
 			continue
 		}
-		batch = append(batch, entry{job: j, phase: j.stored.phase, verifies: j.stored.unverified, notes: j.stored.notes})
-		j.stored.notes = nil
+		batch = append(batch, entry{job: j, phase: j.stored.phase, verifies: j.stored.unverified, ends: j.stored.unrecorded})
+		j.stored.unrecorded = nil
 		writes = append(writes, c.recordWrites(j)...)
 		batch[len(batch)-1].sequence = j.stored.sequence
 	}
@@ -256,7 +256,7 @@
 }
 
 func (c *Control) recordAgain(e *entry) {
-	e.job.stored.notes = append(e.notes, e.job.stored.notes...)
+	e.job.stored.unrecorded = append(e.ends, e.job.stored.unrecorded...)
 	c.record(e.job)
 }
 
@@ -272,13 +272,13 @@
 		}
 	case open:
 		s.version = version
-		c.confirmEnds(e.notes)
+		c.confirmEnds(e.ends)
 		if e.verifies && s.phase == open {
 			s.unverified = false
 			c.begin(j)
 		}
 	case ending:
-		c.confirmEnds(append(e.notes, s.notes...))
+		c.confirmEnds(append(e.ends, s.unrecorded...))
 		c.finishStored(j)
 	}
 }
@@ -299,9 +299,9 @@
 }
 
 // confirmEnds tells holders that ends are recorded.
-func (c *Control) confirmEnds(notes []keptNote) {
+func (c *Control) confirmEnds(ends []unrecordedEnd) {
 	byHolder := table.New[instance.ID, *Recorded]()
-	for _, n := range notes {
+	for _, n := range ends {
 		m, ok := byHolder.Get(n.holder)
 		if !ok {
 			m = &Recorded{}
@@ -381,7 +381,7 @@
 	default:
 		j.stored.final, j.stored.reason = ended.Status, ended.Reason
 		c.dropRuns(j)
-		c.confirmEnds(append(e.notes, j.stored.notes...))
+		c.confirmEnds(append(e.ends, j.stored.unrecorded...))
 		c.finishStored(j)
 	}
 }
@@ -440,13 +440,12 @@
 	}
 }
 
-// noteEnd notes an end that its holder keeps, to be confirmed with the next
-// record of the job.
-func (c *Control) noteEnd(j *job, from instance.ID, m *Ended) {
+// recordEnd has an end recorded that its holder keeps until then.
+func (c *Control) recordEnd(j *job, from instance.ID, m *Ended) {
 	if !m.Kept {
 		return
 	}
-	j.stored.notes = append(j.stored.notes, keptNote{holder: from, run: m.Run})
+	j.stored.unrecorded = append(j.stored.unrecorded, unrecordedEnd{holder: from, run: m.Run})
 	c.record(j)
 }
 
@@ -458,7 +457,7 @@
 		return
 	}
 	t := &j.steps[m.Run.Task.Step][m.Run.Task.Index]
-	c.noteEnd(j, from, m)
+	c.recordEnd(j, from, m)
 	counts := m.How == workload.Done || (m.How == workload.Failed && m.Run.Number == t.number)
 	if !counts || t.phase == done || j.stored.phase != open {
 		return
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -237,13 +237,13 @@
 	Address  netip.AddrPort
 	Token    workload.Token
 	Renew    bool
-	// Confirmed says that ends are taken note of only when a Note says so.
-	// Otherwise the watch takes note of all that it has delivered.
+	// Confirmed says that ends are acknowledged only when an Acknowledge says so.
+	// Otherwise the watch acknowledges all that it has delivered.
 	Confirmed bool
 }
 
-// Note lets a watch that waits for it take note of ends.
-type Note struct {
+// Acknowledge lets a watch that waits for it acknowledge ends.
+type Acknowledge struct {
 	Endpoint workload.EndpointID
 	Token    workload.Token
 	Upto     int64 // the sequence of the last end
@@ -318,7 +318,7 @@
 func (StopRun) isEffect()     {}
 func (Watch) isEffect()       {}
 func (Look) isEffect()        {}
-func (Note) isEffect()        {}
+func (Acknowledge) isEffect() {}
 func (Unwatch) isEffect()     {}
 func (Probe) isEffect()       {}
 func (Commit) isEffect()      {}
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -299,7 +299,7 @@
 }
 
 // An end of a stored job's run is kept by the endpoint until its home has
-// recorded it; those before it are taken note of.
+// recorded it; those before it are acknowledged.
 func TestEndsOfStoredJobsAreKeptUntilRecorded(t *testing.T) {
 	b := newBench(t)
 	starts := b.submit(1, 1000)
@@ -317,13 +317,13 @@
 	b.answerStart(&stored[0], Accepted)
 	ends := []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Done}, {Sequence: 2, Run: stored[0].Run, How: workload.Done}}
 	b.report(nil, ends)
-	notes := find[Note](b)
+	notes := find[Acknowledge](b)
 	assert.Equal(t, len(notes), 1)
 	assert.Equal(t, notes[0].Upto, int64(1))
 	b.report(nil, ends)
-	assert.Equal(t, len(find[Note](b)), 0)
+	assert.Equal(t, len(find[Acknowledge](b)), 0)
 	b.step(Received{From: home, Message: &Recorded{Runs: []workload.Run{stored[0].Run}}})
-	notes = find[Note](b)
+	notes = find[Acknowledge](b)
 	assert.Equal(t, len(notes), 1)
 	assert.Equal(t, notes[0].Upto, int64(2))
 }
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -238,8 +238,8 @@
 		s.links.Drop(m.Peer)
 	case placement.Watch:
 		s.startWatch(ctx, m)
-	case placement.Note:
-		s.note(m)
+	case placement.Acknowledge:
+		s.acknowledge(m)
 	case placement.Unwatch:
 		s.endWatch(m.Endpoint.Name)
 	case placement.Finished:
--- a/service/gate/watch.go
+++ b/service/gate/watch.go
@@ -19,12 +19,12 @@
 
 // watch keeps asking one endpoint for reports.
 type watch struct {
-	target    placement.Watch
-	renew     atomic.Bool
-	confirmed atomic.Bool  // ends are taken note of only as far as noted
-	noted     atomic.Int64 // the last end of which note may be taken
-	settled   chan struct{}
-	cancel    context.CancelFunc
+	target       placement.Watch
+	renew        atomic.Bool
+	confirmed    atomic.Bool  // ends are acknowledged only so far
+	acknowledged atomic.Int64 // the last end that may be acknowledged
+	settled      chan struct{}
+	cancel       context.CancelFunc
 }
 
 // startWatch begins to watch an endpoint, or changes whether its lease is
@@ -49,20 +49,20 @@
 	})
 }
 
-// note lets the watch of an endpoint take note of ends.
-func (s *Server) note(m placement.Note) {
+// acknowledge lets the watch of an endpoint acknowledge ends.
+func (s *Server) acknowledge(m placement.Acknowledge) {
 	w, ok := s.watches[m.Endpoint.Name]
 	if !ok || w.target.Endpoint != m.Endpoint || w.target.Token != m.Token {
 		return
 	}
-	w.noted.Store(max(m.Upto, w.noted.Load()))
+	w.acknowledged.Store(max(m.Upto, w.acknowledged.Load()))
 	select {
 	case w.settled <- struct{}{}:
 	default: // the watch has not seen the last one yet
 	}
 }
 
-// seen returns the last end of which note may be taken, after a report. Where
+// seen returns the last end that may be acknowledged, after a report. Where
 // ends wait to be confirmed it waits a moment, as the endpoint answers at once
 // while it has ends to tell.
 func (s *Server) seen(ctx context.Context, w *watch, before int64, ended []workload.EndedRun) int64 {
@@ -80,7 +80,7 @@
 		case <-short.Done():
 		}
 	}
-	return max(before, w.noted.Load())
+	return max(before, w.acknowledged.Load())
 }
 
 func (s *Server) endWatch(endpoint string) {
@@ -91,7 +91,7 @@
 }
 
 // runWatch asks until the watch ends or the endpoint says that this instance no
-// longer holds it. The last end that was delivered is taken note of with the
+// longer holds it. The last end that was delivered is acknowledged with the
 // next question.
 func (s *Server) runWatch(ctx context.Context, w *watch) {
 	q := platform.Question{Endpoint: w.target.Endpoint, Address: w.target.Address, Token: w.target.Token}
