--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -74,6 +74,7 @@
 
 func (c *Control) runAdoption() {
 	a := &c.adoption
+	c.runInquiry()
 	if !c.roster.settled || c.stop != serving || !c.storedExist() {
 		return
 	}
@@ -89,7 +90,6 @@
 			c.sweepPart(part)
 		}
 	}
-	c.runInquiry()
 }
 
 // storedExist reports whether some instance was ever handed stored jobs.
@@ -303,21 +303,24 @@
 func (c *Control) unsureJobs() []JobRound {
 	var list []JobRound
 	for _, j := range c.home.jobs.All() {
-		if j.stored == nil || j.stored.phase != open || !j.anyLost() {
+		switch {
+		case j.stored == nil && !j.anyTask(func(t *task) bool { return t.doubtful != "" }):
 			continue
-		}
-		if j.stored.unsure.IsZero() {
+		case j.stored == nil:
+		case j.stored.phase != open || !j.anyTask(func(t *task) bool { return t.phase == lost }):
+			continue
+		case j.stored.unsure.IsZero():
 			j.stored.unsure = c.now
 		}
-		list = append(list, JobRound{Job: j.ID, Round: j.stored.round})
+		list = append(list, JobRound{Job: j.ID, Round: j.round()})
 	}
 	return list
 }
 
-func (j *job) anyLost() bool {
+func (j *job) anyTask(is func(*task) bool) bool {
 	for s := range j.steps {
 		for i := range j.steps[s] {
-			if j.steps[s][i].phase == lost {
+			if is(&j.steps[s][i]) {
 				return true
 			}
 		}
@@ -325,6 +328,17 @@
 	return false
 }
 
+// clearDoubt ends the doubt about starts that an endpoint's next life might carry
+// out, where its next holder has answered or their time is over.
+func (c *Control) clearDoubt(q *inquiry, j *job) {
+	j.anyTask(func(t *task) bool {
+		if t.doubtful != "" && (q.covered[t.doubtful] || !c.now.Before(t.doubtUntil)) {
+			t.doubtful = ""
+		}
+		return false
+	})
+}
+
 // runInquiry settles the last round of questions and begins the next while runs
 // are in doubt.
 func (c *Control) runInquiry() {
@@ -377,7 +391,11 @@
 // them is accounted for and none does.
 func (c *Control) settleDoubt(q *inquiry, id workload.JobID) {
 	j, ok := c.home.jobs.Get(id)
-	if !ok || j.stored.phase != open {
+	if !ok {
+		return
+	}
+	c.clearDoubt(q, j)
+	if j.stored == nil || j.stored.phase != open {
 		return
 	}
 	for name, e := range c.holder.listed.All() {
@@ -391,7 +409,7 @@
 			t := &j.steps[s][i]
 			switch {
 			case t.phase != lost:
-			case q.live[workload.TaskID{Job: j.ID, Step: s, Index: i}] || c.now.Before(t.lostAt):
+			case q.live[workload.TaskID{Job: j.ID, Step: s, Index: i}] || c.now.Before(t.lostAt) || t.doubtful != "":
 				rest = true
 			default:
 				t.phase = blocked
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -70,6 +70,7 @@
 	stopSent  time.Time
 	stopDone  time.Time // when the endpoint accepted the stop
 	dropped   bool      // the home does not want it any more
+	late      bool      // its start may be carried out after its end was told
 	percent   int
 	percentAt time.Time
 	end       *Ended
@@ -304,6 +305,7 @@
 		if how == workload.Lapsed && r.confirmed.IsZero() {
 			// A start that was not answered may be carried out by the next life.
 			c.emit(StopRun{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r.id})
+			r.late = true
 			c.endRun(r, workload.Unknown, cause)
 			continue
 		}
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -48,6 +48,10 @@
 	avoid   []string
 	retryAt time.Time
 	lostAt  time.Time // when its last run has certainly ended
+	// doubtful names an endpoint whose next life may still start the last run,
+	// until the next holder has its report or that time has passed.
+	doubtful   string
+	doubtUntil time.Time
 }
 
 // home holds the jobs of this instance's callers.
@@ -65,15 +69,16 @@
 
 // Bounds of the home's systems.
 const (
-	bouncePause  = 5 * time.Millisecond  // after a holder had no use for a task
-	maxBounce    = 80 * time.Millisecond // longest such pause
-	movePeriod   = 20 * time.Millisecond // between looks for better places
-	minMoveGain  = 10 * time.Millisecond
-	answerMargin = 5 * time.Millisecond // an answer leaves before the caller stops waiting
-	usefulFactor = 3                    // multiple of its objective after which an answer is of no use
-	storedTerm   = 24 * time.Hour       // in which a stored job is served, however late
-	leaveMargin  = 2                    // a leaving instance takes what ends in time even if it takes this many times its estimate
-	maxRetrySpan = 3                    // refused callers come back within this many times RetryAfter
+	bouncePause   = 5 * time.Millisecond  // after a holder had no use for a task
+	maxBounce     = 80 * time.Millisecond // longest such pause
+	movePeriod    = 20 * time.Millisecond // between looks for better places
+	minMoveGain   = 10 * time.Millisecond
+	answerMargin  = 5 * time.Millisecond // an answer leaves before the caller stops waiting
+	usefulFactor  = 3                    // multiple of its objective after which an answer is of no use
+	lateOrderTerm = 15 * time.Second     // orders are carried out up to 12 s late
+	storedTerm    = 24 * time.Hour       // in which a stored job is served, however late
+	leaveMargin   = 2                    // a leaving instance takes what ends in time even if it takes this many times its estimate
+	maxRetrySpan  = 3                    // refused callers come back within this many times RetryAfter
 )
 
 // submit takes a job from a caller, or joins a caller to a job that is known.
@@ -396,6 +401,9 @@
 		}
 	case workload.Unknown:
 		j.lose(t, c.now.Add(c.config.Timing.leaseEnd()))
+		if m.Late {
+			t.doubtful, t.doubtUntil = m.Endpoint, c.now.Add(lateOrderTerm)
+		}
 		return
 	default:
 		c.counted.Retries++
@@ -519,7 +527,7 @@
 					j.lose(t, c.now)
 				}
 			}
-			if t.phase == lost && j.stored == nil && !c.now.Before(t.lostAt) {
+			if t.phase == lost && j.stored == nil && t.doubtful == "" && !c.now.Before(t.lostAt) {
 				t.phase = ready
 			}
 		}
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -382,6 +382,9 @@
 	Detail   string
 	// Kept says that the holder keeps the end until it is Recorded.
 	Kept bool
+	// Late says that the start may still be carried out, by the endpoint's next
+	// life, until that life has seen the token of its next holder.
+	Late bool
 }
 
 // Recorded tells a holder that ends of runs are stored, so that the endpoints
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -387,3 +387,31 @@
 	assert.Equal(t, len(stops), 1)
 	assert.Equal(t, stops[0].Run, starts[1].Run)
 }
+
+// A task whose start may still be carried out by an endpoint's next life is
+// started elsewhere only when that life has answered its next holder.
+func TestTaskWaitsForTheNextLifeOfItsEndpoint(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], OtherLife)
+	other := benchEndpoint
+	other.ID, other.Domain = workload.EndpointID{Name: "e-2", Born: 1}, "east"
+	next := benchEndpoint
+	next.ID.Born++
+	b.step(Listed{Endpoints: []workload.Endpoint{next, other}})
+	pass := func(span time.Duration) (starts int) {
+		for end := b.now.Add(span); b.now.Before(end); {
+			b.serveStore()
+			b.pass(10 * time.Millisecond)
+			starts += len(find[Start](b))
+			b.serveStore()
+			b.now = b.now.Add(time.Millisecond)
+			b.step(Reported{Endpoint: other.ID, Token: benchToken, Sent: b.now, Received: b.now, Report: workload.Report{Clock: time.Minute}})
+			starts += len(find[Start](b))
+		}
+		return starts
+	}
+	assert.Equal(t, pass(2*time.Second), 0, "the next life has not answered")
+	b.step(Reported{Endpoint: next.ID, Token: benchToken, Sent: b.now, Received: b.now, Report: workload.Report{Clock: time.Second}})
+	assert.Equal(t, pass(500*time.Millisecond), 1)
+}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -330,7 +330,7 @@
 	if how == workload.Lapsed {
 		c.counted.Lapsed++
 	}
-	ended := &Ended{Run: r.id, How: how, Detail: detail}
+	ended := &Ended{Run: r.id, How: how, Detail: detail, Late: r.late}
 	if e := r.endpoint; e != nil {
 		ended.Endpoint = e.info.ID.Name
 		ended.Elapsed = c.now.Sub(r.ordered)
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -25,7 +25,7 @@
 		return &wire.Message{Kind: &wire.Message_DropRuns{DropRuns: &wire.DropRuns{Runs: runsToWire(m.Runs), OnlyWaiting: m.OnlyWaiting}}}
 	case *placement.Ended:
 		return &wire.Message{Kind: &wire.Message_RunEnded{RunEnded: &wire.RunEnded{
-			Run: runToWire(m.Run), How: uint32(m.How), Endpoint: m.Endpoint, ElapsedNanos: int64(m.Elapsed), Detail: m.Detail, Kept: m.Kept,
+			Run: runToWire(m.Run), How: uint32(m.How), Endpoint: m.Endpoint, ElapsedNanos: int64(m.Elapsed), Detail: m.Detail, Kept: m.Kept, Late: m.Late,
 		}}}
 	case *placement.Recorded:
 		return &wire.Message{Kind: &wire.Message_EndsRecorded{EndsRecorded: &wire.EndsRecorded{Runs: runsToWire(m.Runs)}}}
@@ -214,7 +214,7 @@
 		}
 		return &placement.Ended{
 			Run: runFromWire(k.RunEnded.GetRun()), How: how, Endpoint: k.RunEnded.GetEndpoint(),
-			Elapsed: time.Duration(k.RunEnded.GetElapsedNanos()), Detail: k.RunEnded.GetDetail(), Kept: k.RunEnded.GetKept(),
+			Elapsed: time.Duration(k.RunEnded.GetElapsedNanos()), Detail: k.RunEnded.GetDetail(), Kept: k.RunEnded.GetKept(), Late: k.RunEnded.GetLate(),
 		}, nil
 	case *wire.Message_EndsRecorded:
 		return &placement.Recorded{Runs: runsFromWire(k.EndsRecorded.GetRuns())}, nil
--- a/service/peer/placement_test.go
+++ b/service/peer/placement_test.go
@@ -27,7 +27,7 @@
 			Tasks: []placement.PlacedTask{{Index: 3, Number: 2, Avoid: []string{"e"}}},
 		},
 		&placement.Drop{Runs: []workload.Run{run}, OnlyWaiting: true},
-		&placement.Ended{Run: run, How: workload.Lapsed, Endpoint: "e", Elapsed: time.Second, Detail: "d", Kept: true},
+		&placement.Ended{Run: run, How: workload.Lapsed, Endpoint: "e", Elapsed: time.Second, Detail: "d", Kept: true, Late: true},
 		&placement.Recorded{Runs: []workload.Run{run}},
 		&placement.Inquire{Sequence: 4, Jobs: []placement.JobRound{{Job: "j", Round: 2}}},
 		&placement.Found{Sequence: 4, Live: []workload.Run{run}, Covered: []string{"e"}},
