--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -216,7 +216,15 @@
 	defer func() { assert.NilError(s.t, log.Close()) }()
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.stopping, p.calm = false, false
+	seen, err := log.Stat()
+	assert.NilError(s.t, err)
 	assert.NilError(s.t, p.cmd.Start())
+	// Signals are caught from its first line on.
+	for end := time.Now().Add(soakSettle); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if now, err := log.Stat(); err == nil && now.Size() > seen.Size() {
+			return
+		}
+	}
 }
 
 func (p *process) signal(sig syscall.Signal) {
--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -34,6 +34,7 @@
 const (
 	memoryShare      = 0.75 // of the memory, from which the garbage collector works harder
 	shareUnit        = 0.01 // of a processor, in the relative size of an instance
+	maxSignals       = 4    // that wait while the process starts
 	garbagePercent   = 250  // of the live heap of a few MB; the memory limit bounds it
 	callersShare     = 0.15 // of a processor, which an instance needs for its own callers: 90 jobs a second
 	storeReadTime    = 700 * time.Millisecond
@@ -50,6 +51,11 @@
 	if status, proceed := parse(&o, "crocus-gate", args); !proceed {
 		return status
 	}
+	// Caught from the first moment: a signal to reload must not end a process that
+	// is starting.
+	signals := make(chan os.Signal, maxSignals)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	path := o.Settings
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
@@ -68,7 +74,7 @@
 		fmt.Printf("the settings in %s are valid\n", path)
 		return ExitOK
 	}
-	if err := runGate(path, s); err != nil {
+	if err := runGate(path, s, signals); err != nil {
 		return fail(ExitFailed, err)
 	}
 	return ExitOK
@@ -84,7 +90,7 @@
 	return &s, s.Validate()
 }
 
-func runGate(path string, s *settings.Gate) error {
+func runGate(path string, s *settings.Gate, signals <-chan os.Signal) error {
 	level, err := zap.ParseAtomicLevel(s.Log)
 	if err != nil {
 		return &settings.ErrSetting{Name: "Log", Value: s.Log, Allowed: logLevels}
@@ -117,7 +123,7 @@
 	var writer errgroup.Group
 	writer.Go(func() error { return book.Run(ctx) })
 	var group errgroup.Group
-	group.Go(func() error { return followSignals(ctx, server, logger, reload) })
+	group.Go(func() error { return followSignals(ctx, signals, server, logger, reload) })
 	group.Go(func() error { return watchSettings(ctx, timers, path, reload) })
 	err = server.Run(ctx)
 	logger.Info("instance stops", zap.Error(err))
@@ -173,10 +179,7 @@
 
 // followSignals begins a planned stop on a signal to stop, and reads the
 // settings again on one that they have changed.
-func followSignals(ctx context.Context, server *gate.Server, logger *zap.Logger, reload func(cause string)) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func followSignals(ctx context.Context, signals <-chan os.Signal, server *gate.Server, logger *zap.Logger, reload func(cause string)) error {
 	for {
 		select {
 		case <-ctx.Done():
