One reaction to answers that end a hold, one loop over orphaned runs, one name for what is divided

Found on reading the whole change: three copies of the switch on Fenced and OtherLife, two loops that differ in a condition, two types of a name, and a home of kept ends that nothing read. Behaviour is unchanged.

--- a/pkg/hold/hold.go
+++ b/pkg/hold/hold.go
@@ -188,9 +188,9 @@
 			add(m.Domain, slots.Member{Instance: m.ID.Instance, Capacity: m.Share})
 		}
 	}
-	byName := make(map[string][]endpointName)
+	byName := make(map[string][]slots.Name)
 	for name, e := range b.entries.All() {
-		byName[e.endpoint.Domain] = append(byName[e.endpoint.Domain], endpointName(name))
+		byName[e.endpoint.Domain] = append(byName[e.endpoint.Domain], slots.Name(name))
 	}
 	b.division = make(map[string]string, b.entries.Len())
 	for domain, names := range byName {
@@ -206,11 +206,6 @@
 	}
 }
 
-type endpointName string
-
-// String returns the name.
-func (n endpointName) String() string { return string(n) }
-
 func (b *Book) member(id instance.ID) (Member, bool) {
 	for _, m := range b.members {
 		if m.ID == id {
--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -44,11 +44,6 @@
 	inquiryPeriod = 150 * time.Millisecond // between rounds; a stopped run is gone after 50 ms
 )
 
-type partName string
-
-// String returns the name.
-func (n partName) String() string { return string(n) }
-
 // ownParts are the parts of the tables of stored jobs that this instance looks
 // after: each part is one live instance's. The rows decide if two differ.
 func (c *Control) ownParts() []string {
@@ -58,9 +53,9 @@
 			members = append(members, slots.Member{Instance: m.id.Instance, Capacity: m.row.Share})
 		}
 	}
-	names := make([]partName, len(storedParts))
+	names := make([]slots.Name, len(storedParts))
 	for i := range names {
-		names[i] = partName(storedParts[i : i+1])
+		names[i] = slots.Name(storedParts[i : i+1])
 	}
 	var own []string
 	division := slots.Divide(names, members)
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -316,6 +316,20 @@
 	c.holder.roomsOld, c.holder.advertNew = true, true
 }
 
+// holdLost ends the hold of an endpoint if an answer of it says that another
+// instance holds it or that another life of it answers.
+func (c *Control) holdLost(e *endpoint, outcome OrderOutcome) bool {
+	switch outcome {
+	case Fenced:
+		c.fence(e)
+	case OtherLife, Misdirected:
+		c.loseLife(e)
+	default:
+		return false
+	}
+	return true
+}
+
 // loseLife ends the hold of an endpoint that has begun a new life under its name.
 // The new life carries out whatever reaches it: nothing more is ordered before
 // discovery lists it and its own report was seen.
@@ -492,12 +506,7 @@
 	if !ok {
 		return
 	}
-	switch m.Outcome {
-	case Fenced:
-		c.fence(e)
-		return
-	case OtherLife, Misdirected:
-		c.loseLife(e)
+	if c.holdLost(e, m.Outcome) {
 		return
 	}
 	if !e.paused && e.state == active {
@@ -590,17 +599,16 @@
 // still for so long that they have given them up.
 func (c *Control) orphanAll(gap time.Duration) {
 	c.decide("instance stood still", zap.Duration("Gap", gap), zap.Int("Runs", c.holder.runs.Len()))
-	for _, r := range c.holder.runs.All() {
-		if r.home != c.self && !r.dropped {
-			c.counted.Orphans++
-			c.dropRun(r, "this instance stood still")
-		}
-	}
+	c.orphanRuns(func(home instance.ID) bool { return home != c.self }, "this instance stood still")
 }
 
 func (c *Control) orphan(home instance.ID, cause string) {
+	c.orphanRuns(func(id instance.ID) bool { return id == home }, cause)
+}
+
+func (c *Control) orphanRuns(of func(home instance.ID) bool, cause string) {
 	for _, r := range c.holder.runs.All() {
-		if r.home == home && !r.dropped {
+		if of(r.home) && !r.dropped {
 			c.counted.Orphans++
 			c.dropRun(r, cause)
 		}
--- a/pkg/placement/kept.go
+++ b/pkg/placement/kept.go
@@ -15,7 +15,6 @@
 type keptEnd struct {
 	end      *Ended
 	endpoint string
-	home     instance.ID
 	askedAt  time.Time // when the home was last told, or the store asked
 }
 
@@ -97,10 +96,10 @@
 	}
 }
 
-// keep keeps an end and tells its home, if it is known.
-func (c *Control) keep(e *endpoint, end *Ended, home instance.ID) {
+// keep keeps an end until it is recorded.
+func (c *Control) keep(e *endpoint, end *Ended) {
 	end.Kept = true
-	c.kept.ends.Put(end.Run, &keptEnd{end: end, endpoint: e.info.ID.Name, home: home, askedAt: c.now})
+	c.kept.ends.Put(end.Run, &keptEnd{end: end, endpoint: e.info.ID.Name, askedAt: c.now})
 }
 
 // keepUnknown keeps an end that a former holder's run has left at an endpoint:
@@ -113,7 +112,7 @@
 		return
 	}
 	end := &Ended{Run: ended.Run, How: ended.How, Endpoint: e.info.ID.Name, Detail: "found at a take-over"}
-	c.keep(e, end, instance.ID{})
+	c.keep(e, end)
 	c.lookUpHome(end.Run)
 }
 
@@ -175,9 +174,8 @@
 			c.decide("row of a job not understood", jobField(id.Task.Job), zap.Error(err))
 			return
 		}
-		k.home = found.Home
-		if c.reachable(k.home) {
-			c.send(k.home, k.end)
+		if c.reachable(found.Home) {
+			c.send(found.Home, k.end)
 		}
 	})
 }
@@ -209,7 +207,7 @@
 	}
 	for id, k := range c.kept.ends.All() {
 		if _, asked := rounds[id.Task.Job]; asked {
-			k.home, k.askedAt = from, c.now
+			k.askedAt = c.now
 			c.send(from, k.end)
 		}
 	}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -177,12 +177,7 @@
 	if !ok {
 		return
 	}
-	switch m.Outcome {
-	case Fenced:
-		c.fence(e)
-		return
-	case OtherLife, Misdirected:
-		c.loseLife(e)
+	if c.holdLost(e, m.Outcome) {
 		return
 	}
 	if m.Outcome == Accepted || (m.Outcome == TooOld && r.tries > 1) {
@@ -228,12 +223,7 @@
 	if !ok {
 		return
 	}
-	switch m.Outcome {
-	case Fenced:
-		c.fence(e)
-		return
-	case OtherLife, Misdirected:
-		c.loseLife(e)
+	if c.holdLost(e, m.Outcome) {
 		return
 	}
 	r, ok := e.runs.Get(m.Run)
@@ -335,7 +325,7 @@
 		ended.Endpoint = e.info.ID.Name
 		ended.Elapsed = c.now.Sub(r.ordered)
 		if r.place.Stored && (how == workload.Done || how == workload.Failed) {
-			c.keep(e, ended, r.home)
+			c.keep(e, ended)
 		}
 		e.runs.Delete(r.id)
 		e.reserved = e.reserved.Sub(r.place.Need)
--- a/pkg/slots/slots.go
+++ b/pkg/slots/slots.go
@@ -14,6 +14,12 @@
 	fmt.Stringer
 }
 
+// Name names what is divided where a text is enough.
+type Name string
+
+// String returns the name.
+func (n Name) String() string { return string(n) }
+
 // Member is an instance that takes part in a division.
 type Member struct {
 	Instance string
