What is placed on an old word is refused, and what is placed just now is not taken as lost

Change: the loss term runs from the later of the last sign and the placing; after a pause the others are judged before anything is decided. Messages carry the uptime of their sender and echo that of the receiver, so a holder knows up to when its home has certainly heard it: it refuses places, and stops runs, when that is 0.9 s old, whatever hides the age (a pause, a cut in one direction, late bytes, an earlier incarnation). A refusal is kept, so the same place again gets the same answer. A run of the same number of another home is answered when it has ended, not before. An endpoint that answers reports but not the stop of an orphan is left to its lease.

--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -214,7 +214,7 @@
 	from := n.ID
 	w.After(w.oneWay(n.place(), o.place()), func() {
 		if o.ID == m.Peer && o.sessions[from] && w.reaches(n.place(), o.place()) {
-			o.deliver(placement.Received{From: from, Message: m.Message})
+			o.deliver(placement.Received{From: from, Stamped: m.Stamped})
 		}
 	})
 }
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -40,6 +40,7 @@
 	Beat        time.Duration // between signs of life to peers
 	AdvertPause time.Duration // shortest time between adverts of room
 	Silence     time.Duration // of a peer, after which it is suspected
+	Echo        time.Duration // since the last message that a home has certainly received, after which its runs are stopped
 	Term        time.Duration // of silence in links and rows, after which an instance is dead
 	Lease       time.Duration // of what runs at an endpoint, on the endpoint's clock
 	Settle      time.Duration // a new instance waits for others before it takes holds
@@ -64,6 +65,7 @@
 		Beat:        150 * time.Millisecond,
 		AdvertPause: 5 * time.Millisecond,
 		Silence:     450 * time.Millisecond, // three beats
+		Echo:        900 * time.Millisecond, // a silence in each direction
 		Term:        700 * time.Millisecond, // two renewals of a row
 		Lease:       time.Second,
 		Settle:      time.Second,
@@ -95,9 +97,10 @@
 // stopTime is the longest time that an endpoint takes to stop a run.
 const stopTime = 50 * time.Millisecond
 
-// lossTerm is how long after the last sign of a holder its runs have certainly
-// ended: it stops the runs of a silent home, or its leases run out.
-func (t Timing) lossTerm() time.Duration { return t.Silence + t.StopRetry + t.leaseEnd() }
+// lossTerm is how long after the last sign of a holder, or after the placing of
+// the run, its runs have certainly ended: the holder stops the runs of a home that
+// has not confirmed a message for the Echo term, or its leases run out.
+func (t Timing) lossTerm() time.Duration { return t.Echo + t.StopRetry + t.leaseEnd() }
 
 // Control is the control state of one instance. It is not safe for concurrent
 // use: one goroutine owns it.
@@ -164,8 +167,7 @@
 	if c.began.IsZero() {
 		c.began = now
 	} else if gap > c.config.Timing.Silence {
-		c.orphanAll(gap)
-		c.verifyStored("this instance stood still")
+		c.wake(gap)
 	}
 	for _, in := range inputs {
 		c.handle(in)
@@ -189,6 +191,15 @@
 	return effects, now.Add(tick)
 }
 
+// wake judges everything anew after the instance stood still: what it believes of
+// others is as old as the gap, and what they placed here they have given up.
+func (c *Control) wake(gap time.Duration) {
+	c.orphanAll(gap)
+	c.verifyStored("this instance stood still")
+	c.roster.nextWatch = c.now
+	c.watchMembers()
+}
+
 // Steps within a beat without any input, at least.
 const (
 	busyTicks = 7
@@ -230,6 +241,7 @@
 	case PeerDown:
 		c.peerDown(m.Peer)
 	case Received:
+		c.heard(m.From, m.Stamped)
 		c.received(m.From, m.Message)
 	case Stop:
 		c.beginStop()
@@ -237,7 +249,6 @@
 }
 
 func (c *Control) received(from instance.ID, message Message) {
-	c.heard(from)
 	switch m := message.(type) {
 	case *Place:
 		c.placed(from, m)
@@ -282,10 +293,12 @@
 		c.received(to, m)
 		return
 	}
-	if p, ok := c.roster.members.Get(to.Instance); ok {
+	stamped := Stamped{Message: m, Sent: c.now.Sub(c.began)}
+	if p, ok := c.roster.members.Get(to.Instance); ok && p.id == to {
 		p.sentAt = c.now
+		stamped.Heard = p.lastSent
 	}
-	c.emit(Send{Peer: to, Message: m})
+	c.emit(Send{Peer: to, Stamped: stamped})
 }
 
 func (c *Control) decide(event string, fields ...zap.Field) {
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -34,6 +34,7 @@
 	leaseSent      time.Time           // when something that renews the lease was last sent
 	silences       int                 // in a row
 	paused         bool                // the lease is not renewed, as nothing is heard
+	withheld       bool                // the lease is not renewed, as the stop of an orphan is not accepted
 	stoppedAt      time.Time           // when unknown runs were last ordered to stop
 	confirmed      bool                // ends are acknowledged one by one
 	lastEnd        int64               // sequence of the last end that was listed
@@ -56,6 +57,7 @@
 type run struct {
 	id        workload.Run
 	home      instance.ID
+	others    []instance.ID // homes that have placed a run of the same number, and wait for its end
 	place     *Place
 	avoid     []string
 	state     runState
@@ -70,6 +72,7 @@
 	stopSent  time.Time
 	stopDone  time.Time // when the endpoint accepted the stop
 	dropped   bool      // the home does not want it any more
+	orphaned  time.Time // when it was dropped because its home takes it as ended soon
 	late      bool      // its start may be carried out after its end was told
 	percent   int
 	percentAt time.Time
@@ -398,7 +401,7 @@
 	}
 	e.askedAt = later(e.askedAt, m.Sent)
 	e.silences = 0
-	if !e.paused && e.state == active {
+	if e.renews() {
 		e.leaseSent = later(e.leaseSent, m.Sent)
 	}
 	for i := range m.Report.Ended {
@@ -509,7 +512,7 @@
 	if c.holdLost(e, m.Outcome) {
 		return
 	}
-	if !e.paused && e.state == active {
+	if e.renews() {
 		e.leaseSent = c.now
 	}
 	e.silences++
@@ -523,16 +526,39 @@
 	}
 }
 
+// renews reports whether the reports of an endpoint renew the lease of what runs
+// there.
+func (e *endpoint) renews() bool { return e.state == active && !e.paused && !e.withheld }
+
+// withholdLease lets the lease of an endpoint run out that does not accept the
+// stop of an orphan: its home counts on its end within the loss term.
+func (c *Control) withholdLease(e *endpoint) {
+	withheld := false
+	for _, r := range e.runs.All() {
+		withheld = withheld || (r.state == stopping && !r.orphaned.IsZero() && r.stopDone.IsZero() && c.now.Sub(r.orphaned) >= c.config.Timing.StopRetry)
+	}
+	if withheld == e.withheld {
+		return
+	}
+	e.withheld = withheld
+	c.holder.roomsOld = true
+	c.decide("renewal of the lease changed", zap.String("Endpoint", e.info.ID.Name), zap.Bool("Withheld", withheld), zap.Int("Runs", e.runs.Len()))
+	if !withheld && e.renews() {
+		e.leaseSent = c.now
+	}
+	c.watch(e)
+}
+
 // lapseSilent ends the runs at an endpoint whose lease has certainly run out. A
 // start that was not answered may still be carried out: it ends only when its
 // stop was accepted.
 func (c *Control) lapseSilent(e *endpoint) {
-	if !e.paused || e.runs.Len() == 0 || c.now.Sub(e.leaseSent) < c.config.Timing.leaseEnd() {
+	if !(e.paused || e.withheld) || e.runs.Len() == 0 || c.now.Sub(e.leaseSent) < c.config.Timing.leaseEnd() {
 		return
 	}
 	for _, r := range e.runs.All() {
 		if !r.confirmed.IsZero() {
-			c.endRun(r, workload.Lapsed, "the endpoint is silent and its lease is over")
+			c.endRun(r, workload.Lapsed, "the lease at the endpoint is over")
 		}
 	}
 }
@@ -540,7 +566,7 @@
 // usable reports whether runs may be started at an endpoint.
 func (c *Control) usable(e *endpoint) bool {
 	_, mayStart := c.holder.book.Token(e.info.ID.Name)
-	return mayStart && e.state == active && !e.paused && !e.info.Draining && c.stop == serving &&
+	return mayStart && e.renews() && !e.info.Draining && c.stop == serving &&
 		c.now.Sub(e.reportAt) < c.config.Timing.ReportAge && e.health.admits(c.now, e.runs.Len())
 }
 
@@ -569,9 +595,10 @@
 	h.held, h.active, h.total = 0, 0, workload.Resources{}
 	for _, e := range h.endpoints.All() {
 		h.held++
+		c.withholdLease(e)
 		c.lapseSilent(e)
 		c.lookAfter(e)
-		if e.state == active && !e.paused {
+		if e.renews() {
 			h.active++
 			h.total = h.total.Add(e.info.Capacity)
 		}
@@ -581,20 +608,50 @@
 	}
 }
 
-// orphanSilent stops the runs of homes that are silent or do not hear this
-// instance: their callers may hand the jobs to other instances, and they count
-// on it that runs here have ended.
+// orphanSilent stops the runs of homes that can not be relied on any more: their
+// callers may hand the jobs to other instances, and they count on it that runs
+// here have ended.
 func (c *Control) orphanSilent() {
-	for _, m := range c.roster.members.All() {
-		switch {
-		case !m.suspected.IsZero():
-			c.orphan(m.id, "its home is silent")
-		case m.beat.Unheard:
-			c.orphan(m.id, "its home does not hear this instance")
+	for _, r := range c.holder.runs.All() {
+		if cause, silent := c.silentHome(r.home); silent {
+			c.orphanRun(r, cause)
 		}
 	}
 }
 
+// orphanRun stops a run that its home takes as ended before long.
+func (c *Control) orphanRun(r *run, cause string) {
+	if !r.orphaned.IsZero() {
+		return
+	}
+	r.orphaned = c.now
+	if !r.dropped {
+		c.counted.Orphans++
+		c.dropRun(r, cause)
+	}
+}
+
+// silentHome reports whether what a home has placed here must not run, and why.
+// A home that is heard may itself not have heard this instance for long enough
+// to take its runs as ended: only the echo of a message tells.
+func (c *Control) silentHome(id instance.ID) (cause string, silent bool) {
+	if id == c.self {
+		return "", false
+	}
+	m, ok := c.roster.members.Get(id.Instance)
+	switch {
+	case !ok || m.id != id:
+		return "its home has restarted", true
+	case !m.suspected.IsZero():
+		return "its home is silent", true
+	case m.beat.Unheard:
+		return "its home does not hear this instance", true
+	case c.now.Sub(m.echoedAt) > c.config.Timing.Echo:
+		return "its home has not confirmed a message for too long", true
+	}
+	return "", false
+}
+
 // orphanAll stops the runs of all other homes after this instance has stood
 // still for so long that they have given them up.
 func (c *Control) orphanAll(gap time.Duration) {
@@ -608,9 +665,8 @@
 
 func (c *Control) orphanRuns(of func(home instance.ID) bool, cause string) {
 	for _, r := range c.holder.runs.All() {
-		if of(r.home) && !r.dropped {
-			c.counted.Orphans++
-			c.dropRun(r, cause)
+		if of(r.home) {
+			c.orphanRun(r, cause)
 		}
 	}
 }
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -41,7 +41,8 @@
 	phase   phase
 	number  int // of the last run
 	holder  instance.ID
-	waiting bool // its holder has no room for it
+	placed  time.Time // when its last run was placed
+	waiting bool      // its holder has no room for it
 	waitAt  time.Time
 	failed  int // runs that have failed
 	bounced int
@@ -291,7 +292,7 @@
 			p = c.newPlace(j, step)
 			places.Put(holder, p)
 		}
-		t.phase, t.holder, t.waiting = placed, holder, false
+		t.phase, t.holder, t.placed, t.waiting = placed, holder, c.now, false
 		t.number++
 		p.Tasks = append(p.Tasks, PlacedTask{Index: i, Number: t.number, Avoid: t.avoid})
 	}
@@ -441,13 +442,13 @@
 }
 
 // loseRuns marks the runs at a holder that is gone: each has certainly ended
-// some time after the holder was last heard.
+// some time after the holder was last heard, or after it was placed.
 func (c *Control) loseRuns(holder instance.ID, heardAt time.Time) {
 	for _, j := range c.home.jobs.All() {
 		for s := range j.steps {
 			for i := range j.steps[s] {
 				if t := &j.steps[s][i]; t.phase == placed && t.holder == holder {
-					j.lose(t, heardAt.Add(c.config.Timing.lossTerm()))
+					j.lose(t, later(heardAt, t.placed).Add(c.config.Timing.lossTerm()))
 				}
 			}
 		}
@@ -523,7 +524,7 @@
 		for i := range j.steps[s] {
 			t := &j.steps[s][i]
 			if t.phase == placed && !c.reachable(t.holder) {
-				if m, ok := c.roster.members.Get(t.holder.Instance); ok && m.id == t.holder && c.now.Sub(m.heardAt) > c.config.Timing.lossTerm() {
+				if m, ok := c.roster.members.Get(t.holder.Instance); ok && m.id == t.holder && c.now.Sub(later(m.heardAt, t.placed)) > c.config.Timing.lossTerm() {
 					j.lose(t, c.now)
 				}
 			}
--- a/pkg/placement/kept.go
+++ b/pkg/placement/kept.go
@@ -66,7 +66,7 @@
 func (c *Control) watch(e *endpoint) {
 	c.emit(Watch{
 		Endpoint: e.info.ID, Address: e.info.Address, Token: e.token,
-		Renew: e.state == active && !e.paused, Confirmed: e.confirmed,
+		Renew: e.renews(), Confirmed: e.confirmed,
 	})
 }
 
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -145,8 +145,8 @@
 
 // Received is a message from a peer.
 type Received struct {
-	From    instance.ID
-	Message Message
+	From instance.ID
+	Stamped
 }
 
 // Stop asks for a planned stop.
@@ -279,8 +279,8 @@
 
 // Send sends a message to a peer.
 type Send struct {
-	Peer    instance.ID
-	Message Message
+	Peer instance.ID
+	Stamped
 }
 
 // Connect names the peers that sessions are to be kept with.
@@ -334,6 +334,17 @@
 // Message is a message between instances.
 type Message interface{ isMessage() }
 
+// Stamped is a message with the times that bound how long its receiver may rely
+// on its sender. Each is an uptime, so clocks are never compared.
+type Stamped struct {
+	Message Message
+	// Sent is the uptime of the sender when it sent the message.
+	Sent time.Duration
+	// Heard is the Sent of the last message that the sender has received from the
+	// receiver.
+	Heard time.Duration
+}
+
 // Place asks the holder of endpoints to run tasks of one step. All times are
 // left from the sending on.
 type Place struct {
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -68,6 +68,12 @@
 	}
 }
 
+// from is a message of a peer that has received all that was sent to it.
+func (b *bench) from(peer instance.ID, m Message) Received {
+	uptime := b.now.Sub(b.control.began)
+	return Received{From: peer, Stamped: Stamped{Message: m, Sent: uptime, Heard: uptime}}
+}
+
 func (b *bench) report(running []workload.RunningRun, ended []workload.EndedRun) {
 	sent := b.now
 	b.now = b.now.Add(time.Millisecond)
@@ -232,7 +238,7 @@
 	for i := range ids {
 		ids[i] = workload.Run{Task: workload.TaskID{Job: starts[0].Run.Task.Job, Index: i}, Number: 1}
 	}
-	b.step(Received{From: b.control.self, Message: &Drop{Runs: ids, OnlyWaiting: true}})
+	b.step(Received{From: b.control.self, Stamped: Stamped{Message: &Drop{Runs: ids, OnlyWaiting: true}}})
 	assert.Equal(t, len(find[StopRun](b)), 0)
 	assert.Equal(t, b.control.Overview().Jobs, 1)
 }
@@ -265,16 +271,16 @@
 func TestRunsOfAHomeThatDoesNotHearAreStopped(t *testing.T) {
 	b := newBench(t)
 	home := instance.ID{Instance: "b", Incarnation: 1}
-	b.step(PeerUp{Peer: home}, Received{From: home, Message: &Beat{Configuration: 1}})
+	b.step(PeerUp{Peer: home}, b.from(home, &Beat{Configuration: 1}))
 	place := &Place{
 		Sequence: 1, Job: "j", Service: "s", Need: workload.Resources{MilliCPU: 1000}, Estimate: time.Second,
 		Objective: time.Second, Useful: 3 * time.Second, Left: 3 * time.Second, Tasks: []PlacedTask{{Number: 1}},
 	}
-	b.step(Received{From: home, Message: place})
+	b.step(b.from(home, place))
 	starts := find[Start](b)
 	assert.Equal(t, len(starts), 1)
 	b.answerStart(&starts[0], Accepted)
-	b.step(Received{From: home, Message: &Beat{Configuration: 1, Unheard: true}})
+	b.step(b.from(home, &Beat{Configuration: 1, Unheard: true}))
 	assert.Equal(t, len(find[StopRun](b)), 1)
 }
 
@@ -283,7 +289,7 @@
 func TestRunsQueuedBeforeAPauseAreNotStarted(t *testing.T) {
 	b := newBench(t)
 	home := instance.ID{Instance: "b", Incarnation: 1}
-	b.step(PeerUp{Peer: home}, Received{From: home, Message: &Beat{Configuration: 1}})
+	b.step(PeerUp{Peer: home}, b.from(home, &Beat{Configuration: 1}))
 	full := b.submit(1, 64000)
 	assert.Equal(t, len(full), 1)
 	b.answerStart(&full[0], Accepted)
@@ -291,9 +297,9 @@
 		Sequence: 1, Job: "j", Service: "s", Need: workload.Resources{MilliCPU: 1000}, Estimate: time.Second,
 		Objective: 5 * time.Second, Useful: 9 * time.Second, Left: 9 * time.Second, Tasks: []PlacedTask{{Number: 1}},
 	}
-	b.step(Received{From: home, Message: place})
+	b.step(b.from(home, place))
 	b.now = b.now.Add(2 * time.Second)
-	b.step(Received{From: home, Message: &Beat{Configuration: 1}})
+	b.step(b.from(home, &Beat{Configuration: 1}))
 	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: full[0].Run, How: workload.Done}})
 	assert.Equal(t, len(find[Start](b)), 0)
 }
@@ -305,11 +311,11 @@
 	starts := b.submit(1, 1000)
 	b.answerStart(&starts[0], Accepted)
 	home := instance.ID{Instance: "b", Incarnation: 1}
-	b.step(PeerUp{Peer: home}, Received{From: home, Message: &Beat{Configuration: 1}})
-	b.step(Received{From: home, Message: &Place{
+	b.step(PeerUp{Peer: home}, b.from(home, &Beat{Configuration: 1}))
+	b.step(b.from(home, &Place{
 		Sequence: 1, Job: "0a", Service: "s", Need: workload.Resources{MilliCPU: 1000}, Estimate: time.Second, Stored: true, Round: 2,
 		Objective: time.Second, Useful: 3 * time.Second, Left: 3 * time.Second, Tasks: []PlacedTask{{Number: 2001}},
-	}})
+	}))
 	stored := find[Start](b)
 	assert.Equal(t, len(stored), 1)
 	watches := find[Watch](b)
@@ -322,7 +328,7 @@
 	assert.Equal(t, notes[0].Upto, int64(1))
 	b.report(nil, ends)
 	assert.Equal(t, len(find[Acknowledge](b)), 0)
-	b.step(Received{From: home, Message: &Recorded{Runs: []workload.Run{stored[0].Run}}})
+	b.step(b.from(home, &Recorded{Runs: []workload.Run{stored[0].Run}}))
 	notes = find[Acknowledge](b)
 	assert.Equal(t, len(notes), 1)
 	assert.Equal(t, notes[0].Upto, int64(2))
@@ -333,7 +339,7 @@
 	b := newBench(t)
 	former, present := instance.ID{Instance: "b", Incarnation: 1}, instance.ID{Instance: "c", Incarnation: 1}
 	for _, id := range []instance.ID{former, present} {
-		b.step(PeerUp{Peer: id}, Received{From: id, Message: &Beat{Configuration: 1}})
+		b.step(PeerUp{Peer: id}, b.from(id, &Beat{Configuration: 1}))
 	}
 	place := func(round int) *Place {
 		return &Place{
@@ -341,17 +347,17 @@
 			Objective: time.Second, Useful: 3 * time.Second, Left: 3 * time.Second, Tasks: []PlacedTask{{Number: round*runsPerRound + 1}},
 		}
 	}
-	b.step(Received{From: former, Message: place(0)})
+	b.step(b.from(former, place(0)))
 	starts := find[Start](b)
 	assert.Equal(t, len(starts), 1)
 	b.answerStart(&starts[0], Accepted)
-	b.step(Received{From: present, Message: &Inquire{Sequence: 1, Jobs: []JobRound{{Job: "0a", Round: 1}}}})
+	b.step(b.from(present, &Inquire{Sequence: 1, Jobs: []JobRound{{Job: "0a", Round: 1}}}))
 	assert.Equal(t, len(find[StopRun](b)), 1)
 	late := place(0)
 	late.Tasks[0].Number = 2
-	b.step(Received{From: former, Message: late})
+	b.step(b.from(former, late))
 	assert.Equal(t, len(find[Start](b)), 0)
-	b.step(Received{From: present, Message: place(1)})
+	b.step(b.from(present, place(1)))
 	assert.Equal(t, len(find[Start](b)), 1)
 }
 
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -56,7 +56,9 @@
 	listed      bool // its row has been read
 	up          bool // there is a session with it
 	heardAt     time.Time
-	suspected   time.Time // since when it has been silent; zero while it is heard
+	lastSent    time.Duration // Sent of the last message from it
+	echoedAt    time.Time     // when the last message was sent that it has certainly received
+	suspected   time.Time     // since when it has been silent; zero while it is heard
 	changedAt   time.Time // when a read last showed a new sequence
 	dead        bool
 	beat        Beat
@@ -213,19 +215,24 @@
 	return b
 }
 
-// heard notes a sign of life.
-func (c *Control) heard(id instance.ID) {
-	if id == c.self {
-		return
-	}
+// heard notes what a message says beside its content: its sender lives, and has
+// received what was sent to it up to some moment.
+func (c *Control) heard(id instance.ID, message Stamped) {
 	m, ok := c.roster.members.Get(id.Instance)
 	if !ok || m.id != id {
 		return
 	}
+	m.lastSent = max(m.lastSent, message.Sent)
+	m.echoedAt = later(m.echoedAt, c.began.Add(min(message.Heard, c.now.Sub(c.began))))
+	c.lives(m)
+}
+
+// lives notes a sign of life of a member.
+func (c *Control) lives(m *member) {
 	m.heardAt = c.now
 	if !m.suspected.IsZero() {
 		silent := c.now.Sub(m.suspected)
-		c.decide("member heard again", zap.Stringer("Peer", m.id), zap.Duration("Silent", silent))
+		c.decide("member heard again", zap.Stringer("Peer", m.id), zap.Duration("Silent", silent), zap.Duration("EchoAge", c.now.Sub(m.echoedAt)))
 		if silent >= c.config.Timing.Term {
 			c.verifyStored("a member was not heard for long")
 		}
@@ -275,7 +282,7 @@
 	}
 	m.up = true
 	m.dropAt = c.now.Add(c.config.Timing.Silence)
-	c.heard(id)
+	c.lives(m)
 	c.decide("peer up", zap.Stringer("Peer", id))
 	if !m.listed {
 		c.roster.nextScan = c.now
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -33,8 +33,8 @@
 		return // a later home sees to the job, and has stopped what this one had started
 	}
 	if r, ok := h.runs.Get(id); ok {
-		if r.home != from || r.dropped {
-			c.send(from, &Ended{Run: id, How: workload.NeverRan, Detail: "an earlier run of the task is being stopped here"})
+		if r.home != from {
+			r.others = append(r.others, from)
 		}
 		return
 	}
@@ -42,15 +42,21 @@
 		c.send(from, r.end)
 		return
 	}
-	if c.stop != serving {
-		c.send(from, &Ended{Run: id, How: workload.NeverRan, Detail: "the instance is leaving"})
-		return
-	}
 	r := &run{
 		id: id, home: from, place: p, avoid: t.Avoid, arrived: c.now,
 		objective: c.now.Add(p.Objective), useful: c.now.Add(p.Useful),
 	}
 	h.runs.Put(id, r)
+	// A refusal is kept like any other end: the same place may come again, and what
+	// its home was told must stay true.
+	if c.stop != serving {
+		c.endRun(r, workload.NeverRan, "the instance is leaving")
+		return
+	}
+	if cause, silent := c.silentHome(from); silent {
+		c.endRun(r, workload.NeverRan, cause)
+		return
+	}
 	h.queue = append(h.queue, r)
 }
 
@@ -195,7 +201,7 @@
 		return
 	}
 	switch {
-	case m.Outcome == Unanswered && r.tries <= c.config.Timing.StartRetry:
+	case m.Outcome == Unanswered && r.tries <= c.config.Timing.StartRetry && !e.withheld:
 		c.counted.RepeatedStarts++
 		c.orderStart(r)
 	case m.Outcome == Unanswered || r.tries > 1:
@@ -339,6 +345,9 @@
 	c.decide("run ended", jobField(r.id.Task.Job), zap.Int("Step", r.id.Task.Step), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.Stringer("How", how),
 		zap.String("Endpoint", ended.Endpoint), zap.Duration("Elapsed", ended.Elapsed), zap.Duration("Estimate", r.place.Estimate), zap.String("Detail", detail))
 	c.send(r.home, ended)
+	for _, id := range r.others {
+		c.send(id, &Ended{Run: r.id, How: workload.NeverRan, Detail: "a run of this number was there for another home"})
+	}
 }
 
 // ownRooms are the free places at the endpoints held here.
--- /dev/null
+++ b/pkg/placement/silence_test.go
@@ -0,0 +1,183 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/workload"
+)
+
+// What an instance may do on the word of another ends when that word is old, also
+// where a pause, a cut in one direction or a late message hides its age.
+
+var benchPeer = instance.ID{Instance: "b", Incarnation: 1}
+
+const benchPeerEndpoint = "e-2"
+
+// meetPeer sets up a session with a peer that holds an endpoint with room.
+func (b *bench) meetPeer() {
+	second := benchEndpoint
+	second.ID.Name = benchPeerEndpoint
+	b.step(Listed{Endpoints: []workload.Endpoint{benchEndpoint, second}})
+	b.step(PeerUp{Peer: benchPeer}, b.from(benchPeer, &Beat{Configuration: 1}),
+		b.from(benchPeer, &Advert{Rooms: []Room{{Endpoint: benchPeerEndpoint, Free: second.Capacity, Speed: 1}}, Total: second.Capacity}))
+}
+
+func placeOf(number int) *Place {
+	return &Place{
+		Sequence: 1, Job: "j", Service: "s", Need: workload.Resources{MilliCPU: 1000}, Estimate: time.Second,
+		Objective: time.Second, Useful: 3 * time.Second, Left: 3 * time.Second, Tasks: []PlacedTask{{Number: number}},
+	}
+}
+
+func (b *bench) placedNumbers() []int {
+	var numbers []int
+	for _, s := range find[Send](b) {
+		if p, ok := s.Message.(*Place); ok {
+			for _, t := range p.Tasks {
+				numbers = append(numbers, t.Number)
+			}
+		}
+	}
+	return numbers
+}
+
+// A home that wakes from a pause places with a peer that it has not heard for the
+// length of the pause. It must not take that run as ended before the peer had the
+// time to stop it.
+func TestPausedHomeDoesNotTakeWhatItHasJustPlacedAsLost(t *testing.T) {
+	b := newBench(t)
+	b.meetPeer()
+	full := b.submit(1, 64000)
+	assert.Equal(t, len(full), 1)
+	b.now = b.now.Add(3 * time.Second)
+	b.submit(1, 64000)
+	began := b.now
+	numbers := b.placedNumbers()
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: full[0].Run, How: workload.Done}})
+	for b.now.Sub(began) < 1500*time.Millisecond {
+		for _, s := range find[Start](b) {
+			numbers = append(numbers, s.Run.Number)
+		}
+		numbers = append(numbers, b.placedNumbers()...)
+		b.pass(10 * time.Millisecond)
+	}
+	assert.Assert(t, len(numbers) <= 1, "runs %v were placed while the first may run", numbers)
+}
+
+// A place that was sent when its home had long not heard this instance is refused:
+// the home takes such runs as ended, so one that starts late runs beside another.
+// The same place again gets the same answer, although its home is heard by then.
+func TestLatePlaceIsRefused(t *testing.T) {
+	b := newBench(t)
+	b.meetPeer()
+	late := b.from(benchPeer, placeOf(1))
+	b.pass(2 * time.Second)
+	b.report(nil, nil)
+	b.step(late)
+	assert.Equal(t, len(find[Start](b)), 0)
+	assert.Assert(t, slices.Contains(endsTo(b), workload.NeverRan))
+	b.step(b.from(benchPeer, &Beat{Configuration: 1}), b.from(benchPeer, placeOf(1)))
+	assert.Equal(t, len(find[Start](b)), 0)
+	assert.Assert(t, slices.Contains(endsTo(b), workload.NeverRan))
+	b.step(b.from(benchPeer, placeOf(2)))
+	assert.Equal(t, len(find[Start](b)), 1)
+}
+
+// A job that was handed to a second home begins its numbers anew. What the first
+// one has placed here may still run: the second hears of it when that has ended.
+func TestSecondHomeWaitsForTheRunOfTheFirst(t *testing.T) {
+	b := newBench(t)
+	b.meetPeer()
+	second := instance.ID{Instance: "c", Incarnation: 1}
+	b.step(PeerUp{Peer: second}, b.from(second, &Beat{Configuration: 1}))
+	b.step(b.from(benchPeer, placeOf(1)))
+	starts := find[Start](b)
+	assert.Equal(t, len(starts), 1)
+	b.answerStart(&starts[0], Accepted)
+	b.step(b.from(second, placeOf(1)))
+	assert.Equal(t, len(endsTo(b)), 0)
+	b.step(b.from(benchPeer, &Drop{Runs: []workload.Run{starts[0].Run}}))
+	b.step(b.from(second, placeOf(1)))
+	assert.Equal(t, len(endsTo(b)), 0, "it is still being stopped")
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Stopped}})
+	assert.Assert(t, slices.Contains(endsTo(b), workload.NeverRan))
+}
+
+func endsTo(b *bench) []workload.How {
+	var ends []workload.How
+	for _, s := range find[Send](b) {
+		if e, ok := s.Message.(*Ended); ok {
+			ends = append(ends, e.How)
+		}
+	}
+	return ends
+}
+
+// A place that an earlier incarnation of its home had sent comes after the next
+// one is there. Nobody waits for it.
+func TestPlaceOfAFormerIncarnationIsRefused(t *testing.T) {
+	b := newBench(t)
+	b.meetPeer()
+	late := b.from(benchPeer, placeOf(1))
+	next := instance.ID{Instance: benchPeer.Instance, Incarnation: 2}
+	b.step(PeerUp{Peer: next}, b.from(next, &Beat{Configuration: 1}))
+	b.step(late)
+	assert.Equal(t, len(find[Start](b)), 0)
+}
+
+// A home whose beats arrive, but which confirms nothing that was sent to it, does
+// not hear this instance: what it has placed is stopped before it counts on that.
+func TestRunsOfAHomeThatConfirmsNothingAreStopped(t *testing.T) {
+	b := newBench(t)
+	b.meetPeer()
+	b.step(b.from(benchPeer, placeOf(1)))
+	starts := find[Start](b)
+	assert.Equal(t, len(starts), 1)
+	b.answerStart(&starts[0], Accepted)
+	began, heard := b.now, b.now.Sub(b.control.began)
+	const beat = 50 * time.Millisecond
+	stops := 0
+	for stops == 0 && b.now.Sub(began) <= DefaultTiming().Echo {
+		b.now = b.now.Add(beat)
+		b.step(Received{From: benchPeer, Stamped: Stamped{Message: &Beat{Configuration: 1}, Sent: b.now.Sub(b.control.began), Heard: heard}})
+		stops += len(find[StopRun](b))
+	}
+	assert.Equal(t, stops, 1)
+	assert.Assert(t, b.now.Sub(began) > DefaultTiming().Echo)
+}
+
+// An endpoint that answers reports, but not the stop of an orphan, is left to its
+// lease: the run has ended within the time that its home counts on.
+func TestLeaseIsWithheldWhileTheStopOfAnOrphanIsNotAccepted(t *testing.T) {
+	b := newBench(t)
+	b.meetPeer()
+	b.step(b.from(benchPeer, placeOf(1)))
+	starts := find[Start](b)
+	assert.Equal(t, len(starts), 1)
+	b.answerStart(&starts[0], Accepted)
+	running := []workload.RunningRun{{Run: starts[0].Run, Percent: 10}}
+	timing := DefaultTiming()
+	began := b.now
+	var withheldAt time.Time
+	for b.now.Sub(began) < timing.Silence+2*timing.StopRetry+timing.leaseEnd() {
+		b.pass(20 * time.Millisecond)
+		for _, stop := range find[StopRun](b) {
+			b.step(StopDone{Endpoint: stop.Endpoint, Token: stop.Token, Run: stop.Run, Outcome: Unanswered})
+		}
+		for _, w := range find[Watch](b) {
+			if !w.Renew {
+				withheldAt = b.now
+			}
+		}
+		if withheldAt.IsZero() {
+			b.report(running, nil)
+		}
+	}
+	assert.Assert(t, !withheldAt.IsZero() && withheldAt.Sub(began) <= timing.Silence+2*timing.StopRetry, "%v", withheldAt.Sub(began))
+	assert.Equal(t, b.control.Overview().Runs, 0)
+}
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -54,7 +54,7 @@
 	config    Config
 	control   *placement.Control
 	mailbox   *mailbox.Box[placement.Input]
-	links     *peer.Links[placement.Message]
+	links     *peer.Links[placement.Stamped]
 	endpoints *platform.Endpoints
 	timers    *timer.Service
 	group     *errgroup.Group
@@ -106,11 +106,11 @@
 		*l.to = listener
 	}
 	var err error
-	s.links, err = peer.Listen(peer.Config[placement.Message]{
+	s.links, err = peer.Listen(peer.Config[placement.Stamped]{
 		Self: config.Self, Domain: config.Domain, Listen: config.Peers, Codec: peer.PlacementCodec(),
 		Up:       func(id instance.ID) { s.deliver(placement.PeerUp{Peer: id}) },
 		Down:     func(id instance.ID) { s.deliver(placement.PeerDown{Peer: id}) },
-		Received: func(id instance.ID, m placement.Message) { s.deliver(placement.Received{From: id, Message: m}) },
+		Received: func(id instance.ID, m placement.Stamped) { s.deliver(placement.Received{From: id, Stamped: m}) },
 		Logger:   config.Logger.Named("peers"),
 	})
 	if err != nil {
@@ -231,7 +231,7 @@
 	case placement.Reply:
 		s.replies.Answer(m.Handle, m.Answer)
 	case placement.Send:
-		s.links.Send(m.Peer, m.Message)
+		s.links.Send(m.Peer, m.Stamped)
 	case placement.Connect:
 		s.links.SetPeers(m.Peers)
 	case placement.DropSession:
--- a/service/peer/convert.go
+++ b/service/peer/convert.go
@@ -31,6 +31,7 @@
 	errOwner   = errors.New("the owner is missing")
 	errOutcome = errors.New("the outcome is unknown")
 	errSpeed   = errors.New("the speed is not a positive number")
+	errUptime  = errors.New("the uptime is longer than an instance can run")
 	errReply   = errors.New("it has neither an answer nor a refusal")
 )
 
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -13,10 +13,29 @@
 )
 
 // PlacementCodec returns the codec of the messages of package placement.
-func PlacementCodec() Codec[placement.Message] {
-	return Codec[placement.Message]{Encode: placementToWire, Decode: placementFromWire}
+func PlacementCodec() Codec[placement.Stamped] {
+	return Codec[placement.Stamped]{Encode: stampedToWire, Decode: stampedFromWire}
 }
 
+func stampedToWire(s placement.Stamped) *wire.Message {
+	m := placementToWire(s.Message)
+	m.SentMillis, m.HeardMillis = uint64(s.Sent.Milliseconds()), uint64(s.Heard.Milliseconds())
+	return m
+}
+
+func stampedFromWire(m *wire.Message) (placement.Stamped, error) {
+	message, err := placementFromWire(m)
+	if err == nil && max(m.GetSentMillis(), m.GetHeardMillis()) > maxUptimeMillis {
+		err = &ErrMessage{Kind: "stamp", Cause: errUptime}
+	}
+	return placement.Stamped{
+		Message: message, Sent: time.Duration(m.GetSentMillis()) * time.Millisecond, Heard: time.Duration(m.GetHeardMillis()) * time.Millisecond,
+	}, err
+}
+
+// maxUptimeMillis is the longest uptime that fits a time.Duration.
+const maxUptimeMillis = uint64(math.MaxInt64 / time.Millisecond)
+
 func placementToWire(m placement.Message) *wire.Message {
 	switch m := m.(type) {
 	case *placement.Place:
--- a/service/peer/placement_test.go
+++ b/service/peer/placement_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -43,13 +44,14 @@
 		&placement.Yielded{Endpoint: "e", Version: 5},
 		&placement.CancelJob{ID: "j"},
 	} {
-		raw, err := proto.Marshal(codec.Encode(m))
+		stamped := placement.Stamped{Message: m, Sent: 90 * time.Second, Heard: 30 * time.Second}
+		raw, err := proto.Marshal(codec.Encode(stamped))
 		assert.NilError(t, err)
 		message := &wire.Message{}
 		assert.NilError(t, proto.Unmarshal(raw, message))
 		back, err := codec.Decode(message)
 		assert.NilError(t, err)
-		assert.DeepEqual(t, back, m, cmpopts.EquateComparable(netip.AddrPort{}))
+		assert.DeepEqual(t, back, stamped, cmpopts.EquateComparable(netip.AddrPort{}))
 	}
 }
 
@@ -61,6 +63,7 @@
 		{Kind: &wire.Message_Advert{Advert: &wire.Advert{Rooms: []*wire.Room{{Speed: 0}}}}},
 		{Kind: &wire.Message_EndpointList{EndpointList: &wire.EndpointList{Endpoints: []*wire.ListedEndpoint{{Name: "e", Address: "x"}}}}},
 		{Kind: &wire.Message_Beat{Beat: &wire.Beat{}}},
+		{Kind: &wire.Message_SignOfLife{SignOfLife: &wire.SignOfLife{}}, HeardMillis: math.MaxUint64},
 	} {
 		_, err := codec.Decode(m)
 		assert.Assert(t, err != nil)
