One instance reads the list of endpoints for all, and passes on what has changed

Cause: the reader of each domain scanned the whole list each 0.7 s. On a link of 2 Mbit/s one scan of 120 rows holds back orders for 0.23 s, and every scan went to every member as a whole.

Change: the first instance reads the list for all domains, one of each domain passes it on, as differences. An answer of the store takes 40 ms of the link at most. Who has not heard it in time reads it, one after the other. Bytes of messages and calls are counted by their kind.

--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -43,6 +43,8 @@
 	formerRowTime    = 200 * time.Millisecond // for one read at the start
 	settingsPeriod   = time.Second            // between looks at the settings file
 	leaveShare       = 0.85                   // of the grace, within which a planned stop ends
+	pageTime         = 40 * time.Millisecond  // that one answer of the store may take on the link
+	rowBytes         = 500                    // of a row in an answer, of those that are read in number
 )
 
 // Gate runs an instance on the users' platform until a signal stops it in plan.
@@ -104,7 +106,7 @@
 	timing.Lease = time.Duration(s.Lease)
 	timing.LeaveMax = time.Duration(float64(s.Grace) * leaveShare)
 	store := platform.NewStore(platform.StoreConfig{
-		Address: s.Store, ReadTimeout: storeReadTime, WriteTimeout: storeWriteTime, Connections: storeConnections,
+		Address: s.Store, ReadTimeout: storeReadTime, WriteTimeout: storeWriteTime, Connections: storeConnections, PageRows: pageRowsOf(s.LinkMbps),
 	})
 	server, err := gate.New(gate.Config{
 		Self:   instance.ID{Instance: s.Instance, Incarnation: nextIncarnation(store, s.Instance, logger)},
@@ -135,6 +137,13 @@
 // it has beyond the needs of its own callers.
 func holderShare(processor float64) int { return max(0, int((processor-callersShare)/shareUnit)) }
 
+// pageRowsOf is how many rows an answer of the store may have, so that orders do
+// not wait behind it on the link.
+func pageRowsOf(linkMbps float64) int {
+	const bytesPerMegabit = 1e6 / 8
+	return max(1, int(linkMbps*bytesPerMegabit*pageTime.Seconds()/rowBytes))
+}
+
 // nextIncarnation is the number of this life of the instance: the time of day, or
 // more than the number in the instance's row if the clock was set back. Without
 // the store the time has to do.
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -154,7 +154,7 @@
 	c.roster = newRoster()
 	c.ledger = newLedger()
 	c.kept = newKept()
-	c.listing.lists = make(map[instance.ID][]workload.Endpoint)
+	c.listing = newListing()
 	c.adoption.strangers, c.adoption.marks = make(map[instance.ID]time.Time), make(map[string][]mark)
 	return c
 }
@@ -166,6 +166,9 @@
 	c.now = now
 	if c.began.IsZero() {
 		c.began = now
+		if c.config.Share == 0 {
+			c.listing.freshAt = now.Add(smallStart - listTerm)
+		}
 	} else if gap > c.config.Timing.Silence {
 		c.wake(gap)
 	}
@@ -173,6 +176,7 @@
 		c.handle(in)
 	}
 	c.runRoster()
+	c.runListing()
 	c.runHolds()
 	c.runHolder()
 	c.runHome()
@@ -399,7 +403,7 @@
 	return Overview{
 		Ready:   c.stop == serving && c.configuration != nil && c.anyRoom(),
 		Version: c.version(), Jobs: c.home.jobs.Len(), Runs: c.holder.runs.Len(), Held: c.holder.held,
-		Members: c.roster.members.Len(), ReadsList: c.readsList(), Counters: c.counted,
+		Members: c.roster.members.Len(), ReadsList: c.listing.reading, Counters: c.counted,
 	}
 }
 
--- /dev/null
+++ b/pkg/placement/listing_test.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/storage"
+	"crocusseam/pkg/workload"
+)
+
+// largePeer goes before the bench's instance in reading the list; farPeer is the
+// first instance of another domain.
+var (
+	largePeer = instance.ID{Instance: "z", Incarnation: 1}
+	farPeer   = instance.ID{Instance: "far", Incarnation: 1}
+)
+
+// meetRows sets up sessions with peers whose rows are known.
+func (b *bench) meetRows(rows ...MemberRow) {
+	var stored []storage.Row
+	for i := range rows {
+		stored = append(stored, storage.Row{Key: MemberPrefix + rows[i].Instance, Value: encodeStored(rows[i]), Version: 1})
+	}
+	b.control.readMembers(stored)
+	for _, r := range rows {
+		id := instance.ID{Instance: r.Instance, Incarnation: r.Incarnation}
+		b.step(PeerUp{Peer: id}, b.from(id, &Beat{Configuration: 1}))
+	}
+}
+
+func (b *bench) listsTo(peer instance.ID) []*Listing {
+	var lists []*Listing
+	for _, s := range find[Send](b) {
+		if m, ok := s.Message.(*Listing); ok && s.Peer == peer {
+			lists = append(lists, m)
+		}
+	}
+	return lists
+}
+
+// The reader sends the whole list once, then what has changed: an unchanged list
+// of any length is a few bytes.
+func TestListIsPassedOnAsDifferences(t *testing.T) {
+	b := newBench(t)
+	b.meetRows(MemberRow{Instance: "b", Incarnation: 1, Domain: "east"}, MemberRow{Instance: "far", Incarnation: 1, Domain: "west"},
+		MemberRow{Instance: "far-2", Incarnation: 1, Domain: "west"})
+	second, third := benchEndpoint, benchEndpoint
+	second.ID.Name, third.ID.Name = "e-2", "e-3"
+	b.step(Listed{Endpoints: []workload.Endpoint{benchEndpoint, second}})
+	far := b.listsTo(farPeer)
+	assert.Equal(t, len(far), 1)
+	assert.Equal(t, far[0].Base, uint64(0))
+	assert.Equal(t, len(far[0].Endpoints), 2)
+	near := b.listsTo(benchPeer)
+	assert.Equal(t, len(near), 1)
+	assert.Assert(t, near[0].Base > 0 && len(near[0].Endpoints) == 1, "it was sent the list when it was met")
+	assert.Equal(t, len(b.listsTo(instance.ID{Instance: "far-2", Incarnation: 1})), 0, "the first of its domain passes it on")
+	b.step(Listed{Endpoints: []workload.Endpoint{benchEndpoint, second}})
+	same := b.listsTo(benchPeer)[0]
+	assert.Assert(t, same.Base > 0 && len(same.Endpoints) == 0 && len(same.Gone) == 0)
+	second.Draining = true
+	b.step(Listed{Endpoints: []workload.Endpoint{second, third}})
+	changed := b.listsTo(benchPeer)[0]
+	assert.Equal(t, changed.Base, same.Sequence)
+	assert.Equal(t, len(changed.Endpoints), 2)
+	assert.DeepEqual(t, changed.Gone, []string{"e-1"})
+}
+
+// What comes from another domain is passed on within this one, and nobody else
+// reads the list meanwhile. When it stops coming, this instance reads it until it
+// comes again.
+func TestListOfAnotherDomainIsPassedOn(t *testing.T) {
+	b := newBench(t)
+	b.meetRows(MemberRow{Instance: "b", Incarnation: 1, Domain: "east"}, MemberRow{Instance: "far", Incarnation: 1, Domain: "west", Share: 9})
+	for range 12 {
+		b.pass(200 * time.Millisecond)
+		b.step(b.from(farPeer, &Beat{Configuration: 1}), b.from(benchPeer, &Beat{Configuration: 1}))
+	}
+	assert.Assert(t, b.control.Overview().ReadsList)
+	second := benchEndpoint
+	second.ID.Name = "e-2"
+	b.step(b.from(farPeer, &Listing{Sequence: 4, Endpoints: []workload.Endpoint{benchEndpoint, second}}))
+	assert.Assert(t, !b.control.Overview().ReadsList)
+	assert.Equal(t, len(b.listsTo(benchPeer)[0].Endpoints), 1, "the other one is known since the start")
+	assert.Equal(t, len(b.listsTo(farPeer)), 0)
+	b.step(b.from(farPeer, &Listing{Sequence: 5, Base: 4, Gone: []string{"e-2"}}))
+	assert.DeepEqual(t, b.listsTo(benchPeer)[0].Gone, []string{"e-2"})
+	b.step(b.from(farPeer, &Listing{Sequence: 9, Base: 8, Gone: []string{"e-1"}}))
+	assert.Equal(t, len(b.listsTo(benchPeer)), 0, "changes since a list that is not known here")
+	for range 12 {
+		b.pass(200 * time.Millisecond)
+		b.step(b.from(farPeer, &Beat{Configuration: 1}), b.from(benchPeer, &Beat{Configuration: 1}))
+	}
+	assert.Assert(t, b.control.Overview().ReadsList)
+	b.step(Listed{Endpoints: []workload.Endpoint{benchEndpoint}})
+	assert.Assert(t, b.control.Overview().ReadsList, "nobody that goes before passes one on")
+	b.step(b.from(farPeer, &Listing{Sequence: 9, Endpoints: []workload.Endpoint{benchEndpoint}}))
+	assert.Assert(t, !b.control.Overview().ReadsList)
+}
+
+// Instances of a domain that all miss the list take their turns to read it.
+func TestOneOfManyReadsALostList(t *testing.T) {
+	b := newBench(t)
+	b.meetRows(MemberRow{Instance: "z", Incarnation: 1, Domain: "east", Share: 9})
+	b.step(b.from(largePeer, &Listing{Sequence: 4, Endpoints: []workload.Endpoint{benchEndpoint}}))
+	for range 12 {
+		b.step(b.from(largePeer, &Beat{Configuration: 1}))
+		assert.Assert(t, !b.control.Overview().ReadsList, "the one that goes before has its turn first")
+		b.pass(200 * time.Millisecond)
+	}
+	assert.Assert(t, b.control.Overview().ReadsList)
+}
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -467,11 +467,13 @@
 	Raw     []byte
 }
 
-// Listing passes the list of endpoints on, within a failure domain. Without Full
-// it is the one that was sent before.
+// Listing passes the list of endpoints on, as what has changed since the list with
+// the sequence Base, or whole if Base is 0.
 type Listing struct {
-	Full      bool
-	Endpoints []workload.Endpoint
+	Sequence  uint64
+	Base      uint64
+	Endpoints []workload.Endpoint // new or changed
+	Gone      []string
 }
 
 // Yield asks the holder of endpoints to give them up.
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -59,7 +59,7 @@
 	lastSent    time.Duration // Sent of the last message from it
 	echoedAt    time.Time     // when the last message was sent that it has certainly received
 	suspected   time.Time     // since when it has been silent; zero while it is heard
-	changedAt   time.Time // when a read last showed a new sequence
+	changedAt   time.Time     // when a read last showed a new sequence
 	dead        bool
 	beat        Beat
 	beatAt      time.Time
@@ -71,13 +71,14 @@
 	advert      *Advert
 	advertAt    time.Time
 	toldAt      time.Time // when an advert was last sent to it
-	listVersion uint64    // of the list of endpoints last sent to it
 	toldVersion uint64    // of that advert
-	sequence    uint64    // of the last Place sent to it
-	pending     []pendingTask
-	rooms       []Room  // of the advert, less what was placed since
-	backlog     float64 // placed since beyond the rooms, in core time
-	seen        uint64  // last Place received from it
+	// listSequence is of the list of endpoints last sent to it.
+	listSequence uint64
+	sequence     uint64 // of the last Place sent to it
+	pending      []pendingTask
+	rooms        []Room  // of the advert, less what was placed since
+	backlog      float64 // placed since beyond the rooms, in core time
+	seen         uint64  // last Place received from it
 }
 
 // roster is what this instance knows of the others.
@@ -288,8 +289,9 @@
 		c.roster.nextScan = c.now
 	}
 	c.send(id, c.beatTo(m, c.ownWaiting()))
-	m.advertAt, m.toldVersion, m.listVersion = time.Time{}, 0, 0
+	m.advertAt, m.toldVersion, m.listSequence = time.Time{}, 0, 0
 	c.holder.advertDue, c.holder.advertNew = c.now, true
+	c.greetWithList(m)
 	c.resendTo(id)
 }
 
@@ -300,7 +302,7 @@
 	}
 	m.up = false
 	m.advert = nil
-	delete(c.listing.lists, id)
+	delete(c.listing.heard, id)
 	c.decide("peer down", zap.Stringer("Peer", id))
 }
 
--- a/pkg/settings/gate.go
+++ b/pkg/settings/gate.go
@@ -28,6 +28,8 @@
 	Processor float64
 	// MemoryMB is the most memory that the process may use.
 	MemoryMB int
+	// LinkMbps is the rate of the instance's own link, in megabits a second.
+	LinkMbps float64
 	// Lease is the longest lease of what runs at an endpoint.
 	Lease document.Duration
 	// Grace is the time from the signal to stop until the process is killed.
@@ -60,6 +62,8 @@
 		return &ErrSetting{"Processor", fmt.Sprint(s.Processor), "more than 0"}
 	case s.MemoryMB < 1:
 		return &ErrSetting{"MemoryMB", fmt.Sprint(s.MemoryMB), "1 or more"}
+	case s.LinkMbps <= 0:
+		return &ErrSetting{"LinkMbps", fmt.Sprint(s.LinkMbps), "more than 0"}
 	case s.Lease <= 0:
 		return &ErrSetting{"Lease", fmt.Sprint(s.Lease), "more than 0"}
 	case s.FarFactor < 1:
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"crocusseam/pkg/storage"
@@ -186,6 +187,12 @@
 	Draining bool
 }
 
+// Equal reports whether two endpoints describe themselves alike.
+func (e *Endpoint) Equal(other *Endpoint) bool {
+	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address && e.Domain == other.Domain &&
+		e.Capacity == other.Capacity && e.Draining == other.Draining && slices.Equal(e.Labels, other.Labels)
+}
+
 // HasLabel reports whether the endpoint carries a label; every one carries the
 // empty one.
 func (e *Endpoint) HasLabel(label string) bool {
--- a/service/gate/metrics.go
+++ b/service/gate/metrics.go
@@ -29,6 +29,8 @@
 	server    *Server
 	calls     *expvar.Map // to the store, by step and outcome
 	reports   *expvar.Map // of endpoints, by outcome
+	sent      *expvar.Map // bytes of calls, by step
+	received  *expvar.Map // bytes of their answers, by step
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram // by route and status
 }
@@ -44,7 +46,10 @@
 }
 
 func newMetrics(s *Server) *metrics {
-	m := &metrics{server: s, calls: new(expvar.Map).Init(), reports: new(expvar.Map).Init(), latencies: make(map[string]*hdrhistogram.Histogram)}
+	m := &metrics{
+		server: s, calls: new(expvar.Map).Init(), reports: new(expvar.Map).Init(),
+		sent: new(expvar.Map).Init(), received: new(expvar.Map).Init(), latencies: make(map[string]*hdrhistogram.Histogram),
+	}
 	published.Set(s.config.Self.Instance, expvar.Func(func() any { return m.snapshot() }))
 	return m
 }
@@ -57,6 +62,12 @@
 	m.calls.Add(step+outcome, 1)
 }
 
+// traffic counts the bytes of a call to the store or to an endpoint.
+func (m *metrics) traffic(step string, sent, received int) {
+	m.sent.Add(step, int64(sent))
+	m.received.Add(step, int64(received))
+}
+
 func (m *metrics) report(outcome placement.OrderOutcome) { m.reports.Add(outcome.String(), 1) }
 
 func (m *metrics) finished(f placement.Finished) {
@@ -90,10 +101,14 @@
 		PeerBytesSent     int64
 		PeerBytesReceived int64
 		PeerMessagesSent  int64
+		PeerBytesByKind   json.RawMessage
+		CallBytesSent     json.RawMessage
+		CallBytesReceived json.RawMessage
 		LinesLeftOut      int64
 	}{
 		s.Overview(), latencies, json.RawMessage(m.calls.String()), json.RawMessage(m.reports.String()), s.links.Stats.SentBytes.Load(), s.links.Stats.ReceivedBytes.Load(),
-		s.links.Stats.SentMessages.Load(), s.config.LinesLeftOut(),
+		s.links.Stats.SentMessages.Load(), json.RawMessage(s.links.Stats.SentByKind.String()), json.RawMessage(m.sent.String()), json.RawMessage(m.received.String()),
+		s.config.LinesLeftOut(),
 	}
 }
 
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -91,9 +91,10 @@
 	s := &Server{
 		config: config, mailbox: mailbox.New[placement.Input](), timers: config.Timers, stopped: make(chan struct{}),
 		logger: config.Logger, replies: mailbox.NewReplies[placement.Handle, placement.Answer](), watches: make(map[string]*watch),
-		endpoints: platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: config.Timing.Order}),
 	}
 	s.metrics = newMetrics(s)
+	s.endpoints = platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: config.Timing.Order, Traffic: s.metrics.traffic})
+	config.Store.CountTraffic(s.metrics.traffic)
 	for _, l := range []struct {
 		name    string
 		address netip.AddrPort
--- a/service/peer/links.go
+++ b/service/peer/links.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -75,6 +76,8 @@
 	SentMessages  atomic.Int64
 	SentFrames    atomic.Int64
 	BadMessages   atomic.Int64
+	// SentByKind counts the bytes of messages before framing, by their kind.
+	SentByKind expvar.Map
 }
 
 // Links keeps a session with every peer that it is told of.
@@ -429,10 +432,21 @@
 		}
 		frame.Messages = append(frame.Messages, message)
 		size += next
+		l.Stats.SentByKind.Add(kindOf(message), int64(next))
 	}
 	return l.sendFrame(w, frame)
 }
 
+// kindOf names the kind of a message as the protocol does.
+func kindOf(m *wire.Message) string {
+	reflected := m.ProtoReflect()
+	field := reflected.WhichOneof(reflected.Descriptor().Oneofs().Get(0))
+	if field == nil {
+		return "unknown"
+	}
+	return string(field.Name())
+}
+
 func (l *Links[M]) sendFrame(w io.Writer, frame *wire.Frame) error {
 	l.Stats.SentMessages.Add(int64(len(frame.GetMessages())))
 	l.Stats.SentFrames.Add(1)
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -67,7 +67,7 @@
 	case *placement.Settings:
 		return &wire.Message{Kind: &wire.Message_Settings{Settings: &wire.Settings{Version: m.Version, Raw: m.Raw}}}
 	case *placement.Listing:
-		return &wire.Message{Kind: &wire.Message_EndpointList{EndpointList: &wire.EndpointList{Full: m.Full, Endpoints: endpointsToWire(m.Endpoints)}}}
+		return &wire.Message{Kind: &wire.Message_EndpointList{EndpointList: &wire.EndpointList{Sequence: m.Sequence, Base: m.Base, Endpoints: endpointsToWire(m.Endpoints), Gone: m.Gone}}}
 	case *placement.Yield:
 		return &wire.Message{Kind: &wire.Message_YieldRequest{YieldRequest: &wire.YieldRequest{Endpoints: m.Endpoints}}}
 	case *placement.Yielded:
@@ -265,7 +265,9 @@
 		if err != nil {
 			return nil, &ErrMessage{Kind: "EndpointList", Cause: err}
 		}
-		return &placement.Listing{Full: k.EndpointList.GetFull(), Endpoints: endpoints}, nil
+		return &placement.Listing{
+			Sequence: k.EndpointList.GetSequence(), Base: k.EndpointList.GetBase(), Endpoints: endpoints, Gone: k.EndpointList.GetGone(),
+		}, nil
 	case *wire.Message_YieldRequest:
 		return &placement.Yield{Endpoints: k.YieldRequest.GetEndpoints()}, nil
 	case *wire.Message_Yielded:
