Adverts and lists carry what has changed

Cause: 35 to 42 of the 48 KB/s that an instance sent to others were adverts of all its rooms, at a link of 250 KB/s in bursts to every member.

Change: table.Changes and table.Copy keep a copy by differences, for rooms and for the list of endpoints. Speeds are told to two digits, so that a room does not change with each run.

--- a/pkg/placement/choice.go
+++ b/pkg/placement/choice.go
@@ -1,8 +1,11 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/workload"
 )
@@ -154,8 +157,8 @@
 func (c *Control) refreshOwn() {
 	own := &c.home.own
 	own.id = c.self
-	own.advert = &Advert{Rooms: c.ownRooms(), Waits: c.ownWaits(), Total: c.holder.total}
-	own.rooms = append(own.rooms[:0], own.advert.Rooms...)
+	own.advert = &Advert{Waits: c.ownWaits(), Total: c.holder.total}
+	own.rooms = append(own.rooms[:0], c.ownRooms()...)
 	own.pending, own.backlog = own.pending[:0], 0
 }
 
@@ -259,8 +262,14 @@
 	if !ok || m.id != from {
 		return
 	}
+	if !m.offered.Apply(a.Rooms) {
+		// A new session begins with the whole of it.
+		c.decide("advert ignored", zap.Stringer("Peer", from), zap.Uint64("Base", a.Rooms.Base))
+		c.emit(DropSession{Peer: from})
+		return
+	}
 	m.advert, m.advertAt = a, c.now
-	m.rooms = append(m.rooms[:0], a.Rooms...)
+	m.rooms = slices.AppendSeq(m.rooms[:0], values(m.offered.Rows.All()))
 	m.backlog = 0
 	kept := m.pending[:0]
 	for _, p := range m.pending {
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -100,11 +100,11 @@
 	bookDue   time.Time
 	allRead   bool // the rows of the holds of every listed domain
 	lookDue   time.Time
-	checkedAt time.Time       // when the rooms were last compared with those advertised
-	version   uint64          // of the advert
-	told      []Room          // as last advertised
-	commits   int             // of holds, on their way
-	rowsRead  map[string]bool // domains whose rows of holds were read at the start
+	checkedAt time.Time                    // when the rooms were last compared with those advertised
+	version   uint64                       // of the advert
+	told      *table.Changes[string, Room] // as last advertised
+	commits   int                          // of holds, on their way
+	rowsRead  map[string]bool              // domains whose rows of holds were read at the start
 }
 
 // Bounds of the holder's systems.
@@ -131,6 +131,7 @@
 		book: hold.New(config), listed: table.New[string, *workload.Endpoint](), missing: make(map[string]time.Time),
 		endpoints: table.New[string, *endpoint](), runs: table.New[workload.Run, *run](), ended: table.New[workload.Run, *run](),
 		rowsRead: make(map[string]bool), roomsOld: true,
+		told: table.NewChanges[string](func(a, b Room) bool { return a == b }, maxGone),
 	}
 }
 
--- a/pkg/placement/listing.go
+++ b/pkg/placement/listing.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"iter"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,26 +18,11 @@
 // heard it for a while reads it until it hears it again from one that goes before
 // it.
 type listing struct {
-	entries  *table.Table[string, listedEntry] // as last passed on, and those gone since the floor
-	sequence uint64                            // counts the lists that differed from the one before
-	floor    uint64                            // changes after this sequence are known
-	freshAt  time.Time
-	from     instance.ID                // who has read or passed on the list that was last taken
-	reading  bool                       // no list was heard from one that goes before
-	heard    map[instance.ID]*heardList // as last passed on by others
-}
-
-// listedEntry is an entry of the list with the sequence of its last change.
-type listedEntry struct {
-	endpoint workload.Endpoint
-	changed  uint64
-	gone     bool
-}
-
-// heardList is the list as an instance has passed it on.
-type heardList struct {
-	sequence  uint64
-	endpoints *table.Table[string, workload.Endpoint]
+	list    *table.Changes[string, workload.Endpoint] // as last passed on
+	freshAt time.Time
+	from    instance.ID                                            // who has read or passed on the list that was last taken
+	reading bool                                                   // no list was heard from one that goes before
+	heard   map[instance.ID]*table.Copy[string, workload.Endpoint] // as last passed on by others
 }
 
 // Bounds of the list.
@@ -54,14 +41,30 @@
 )
 
 func newListing() listing {
-	return listing{entries: table.New[string, listedEntry](), heard: make(map[instance.ID]*heardList)}
+	equal := func(a, b workload.Endpoint) bool { return a.Equal(&b) }
+	return listing{
+		list: table.NewChanges[string](equal, maxGone), heard: make(map[instance.ID]*table.Copy[string, workload.Endpoint]),
+	}
+}
+
+func endpointName(e workload.Endpoint) string { return e.ID.Name }
+
+// byName iterates over endpoints by their names.
+func byName(list []workload.Endpoint) iter.Seq2[string, workload.Endpoint] {
+	return func(yield func(string, workload.Endpoint) bool) {
+		for _, e := range list {
+			if !yield(e.ID.Name, e) {
+				return
+			}
+		}
+	}
 }
 
 // listed takes a list that this instance has read, and passes it on.
 func (c *Control) listed(m Listed) {
 	c.takeList(m.Endpoints)
 	c.listing.from = c.self
-	c.listing.update(m.Endpoints)
+	c.listing.list.Replace(byName(m.Endpoints))
 	c.passOn(true)
 }
 
@@ -93,65 +96,10 @@
 	return m.up && m.suspected.IsZero() && !m.beat.Leaving
 }
 
-// update notes how a list differs from the one before.
-func (l *listing) update(list []workload.Endpoint) {
-	next := l.sequence + 1
-	changed := false
-	present := make(map[string]bool, len(list))
-	for i := range list {
-		name := list[i].ID.Name
-		present[name] = true
-		if old, ok := l.entries.Get(name); ok && !old.gone && old.endpoint.Equal(&list[i]) {
-			continue
-		}
-		changed = true
-		l.entries.Put(name, listedEntry{endpoint: list[i], changed: next})
-	}
-	gone := 0
-	for name, e := range l.entries.All() {
-		if !present[name] && !e.gone {
-			changed = true
-			e = listedEntry{changed: next, gone: true}
-			l.entries.Put(name, e)
-		}
-		if e.gone {
-			gone++
-		}
-	}
-	if changed {
-		l.sequence = next
-	}
-	if gone > maxGone {
-		l.forgetGone()
-	}
-}
-
-func (l *listing) forgetGone() {
-	l.floor = l.sequence
-	for name, e := range l.entries.All() {
-		if e.gone {
-			l.entries.Delete(name)
-		}
-	}
-}
-
 // sendList sends a member the list, as what has changed since it was last sent.
 func (c *Control) sendList(to *member) {
-	l := &c.listing
-	message := &Listing{Sequence: l.sequence, Base: to.listSequence}
-	if message.Base < l.floor {
-		message.Base = 0
-	}
-	for name, e := range l.entries.All() {
-		switch {
-		case e.changed <= message.Base:
-		case !e.gone:
-			message.Endpoints = append(message.Endpoints, e.endpoint)
-		case message.Base > 0:
-			message.Gone = append(message.Gone, name)
-		}
-	}
-	to.listSequence = l.sequence
+	message := &Listing{c.listing.list.Since(to.listSequence)}
+	to.listSequence = message.Sequence
 	c.send(to.id, message)
 }
 
@@ -163,38 +111,29 @@
 	if !ok || sender.id != from {
 		return
 	}
-	h := l.heard[from]
-	switch {
-	case m.Base == 0:
-		h = &heardList{endpoints: table.New[string, workload.Endpoint]()}
+	h, ok := l.heard[from]
+	if !ok {
+		h = table.NewCopy(endpointName)
 		l.heard[from] = h
-	case h == nil || h.sequence != m.Base:
+	}
+	if !h.Apply(m.Difference) {
+		// A new session begins with the whole of it.
 		c.decide("list of endpoints ignored", zap.Stringer("Peer", from), zap.Uint64("Base", m.Base))
+		c.emit(DropSession{Peer: from})
 		return
 	}
-	h.sequence = m.Sequence
-	for i := range m.Endpoints {
-		h.endpoints.Put(m.Endpoints[i].ID.Name, m.Endpoints[i])
-	}
-	for _, name := range m.Gone {
-		h.endpoints.Delete(name)
-	}
 	if l.reading && sender.before(c.config.Share, c.self.Instance) {
 		l.reading = false
 		c.decide("list of endpoints read elsewhere", zap.Stringer("Peer", from))
 	}
 	relays := sender.row.Domain != c.config.Domain
-	if len(m.Endpoints)+len(m.Gone)+len(c.holder.missing) == 0 && m.Base > 0 && l.from == from {
+	if m.Empty() && len(c.holder.missing) == 0 && l.from == from {
 		l.freshAt = c.now
 	} else {
-		list := make([]workload.Endpoint, 0, h.endpoints.Len())
-		for _, e := range h.endpoints.All() {
-			list = append(list, e)
-		}
 		l.from = from
-		c.takeList(list)
+		c.takeList(slices.Collect(values(h.Rows.All())))
 		if relays {
-			l.update(list)
+			l.list.Replace(h.Rows.All())
 		}
 	}
 	if relays {
@@ -202,10 +141,20 @@
 	}
 }
 
+func values[K, V any](rows iter.Seq2[K, V]) iter.Seq[V] {
+	return func(yield func(V) bool) {
+		for _, v := range rows {
+			if !yield(v) {
+				return
+			}
+		}
+	}
+}
+
 // greetWithList sends a member that has just met this one the list, if it is on
 // this instance to pass it on.
 func (c *Control) greetWithList(to *member) {
-	if c.listing.sequence > 0 && to.row.Domain == c.config.Domain && c.listRank() == 0 {
+	if c.listing.list.Sequence() > 0 && to.row.Domain == c.config.Domain && c.listRank() == 0 {
 		c.sendList(to)
 	}
 }
--- a/pkg/placement/listing_test.go
+++ b/pkg/placement/listing_test.go
@@ -8,6 +8,7 @@
 
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/storage"
+	"crocusseam/pkg/table"
 	"crocusseam/pkg/workload"
 )
 
@@ -53,19 +54,19 @@
 	far := b.listsTo(farPeer)
 	assert.Equal(t, len(far), 1)
 	assert.Equal(t, far[0].Base, uint64(0))
-	assert.Equal(t, len(far[0].Endpoints), 2)
+	assert.Equal(t, len(far[0].Rows), 2)
 	near := b.listsTo(benchPeer)
 	assert.Equal(t, len(near), 1)
-	assert.Assert(t, near[0].Base > 0 && len(near[0].Endpoints) == 1, "it was sent the list when it was met")
+	assert.Assert(t, near[0].Base > 0 && len(near[0].Rows) == 1, "it was sent the list when it was met")
 	assert.Equal(t, len(b.listsTo(instance.ID{Instance: "far-2", Incarnation: 1})), 0, "the first of its domain passes it on")
 	b.step(Listed{Endpoints: []workload.Endpoint{benchEndpoint, second}})
 	same := b.listsTo(benchPeer)[0]
-	assert.Assert(t, same.Base > 0 && len(same.Endpoints) == 0 && len(same.Gone) == 0)
+	assert.Assert(t, same.Base > 0 && len(same.Rows) == 0 && len(same.Gone) == 0)
 	second.Draining = true
 	b.step(Listed{Endpoints: []workload.Endpoint{second, third}})
 	changed := b.listsTo(benchPeer)[0]
 	assert.Equal(t, changed.Base, same.Sequence)
-	assert.Equal(t, len(changed.Endpoints), 2)
+	assert.Equal(t, len(changed.Rows), 2)
 	assert.DeepEqual(t, changed.Gone, []string{"e-1"})
 }
 
@@ -82,13 +83,13 @@
 	assert.Assert(t, b.control.Overview().ReadsList)
 	second := benchEndpoint
 	second.ID.Name = "e-2"
-	b.step(b.from(farPeer, &Listing{Sequence: 4, Endpoints: []workload.Endpoint{benchEndpoint, second}}))
+	b.step(b.from(farPeer, &Listing{table.Difference[string, workload.Endpoint]{Sequence: 4, Rows: []workload.Endpoint{benchEndpoint, second}}}))
 	assert.Assert(t, !b.control.Overview().ReadsList)
-	assert.Equal(t, len(b.listsTo(benchPeer)[0].Endpoints), 1, "the other one is known since the start")
+	assert.Equal(t, len(b.listsTo(benchPeer)[0].Rows), 1, "the other one is known since the start")
 	assert.Equal(t, len(b.listsTo(farPeer)), 0)
-	b.step(b.from(farPeer, &Listing{Sequence: 5, Base: 4, Gone: []string{"e-2"}}))
+	b.step(b.from(farPeer, &Listing{table.Difference[string, workload.Endpoint]{Sequence: 5, Base: 4, Gone: []string{"e-2"}}}))
 	assert.DeepEqual(t, b.listsTo(benchPeer)[0].Gone, []string{"e-2"})
-	b.step(b.from(farPeer, &Listing{Sequence: 9, Base: 8, Gone: []string{"e-1"}}))
+	b.step(b.from(farPeer, &Listing{table.Difference[string, workload.Endpoint]{Sequence: 9, Base: 8, Gone: []string{"e-1"}}}))
 	assert.Equal(t, len(b.listsTo(benchPeer)), 0, "changes since a list that is not known here")
 	for range 12 {
 		b.pass(200 * time.Millisecond)
@@ -97,7 +98,7 @@
 	assert.Assert(t, b.control.Overview().ReadsList)
 	b.step(Listed{Endpoints: []workload.Endpoint{benchEndpoint}})
 	assert.Assert(t, b.control.Overview().ReadsList, "nobody that goes before passes one on")
-	b.step(b.from(farPeer, &Listing{Sequence: 9, Endpoints: []workload.Endpoint{benchEndpoint}}))
+	b.step(b.from(farPeer, &Listing{table.Difference[string, workload.Endpoint]{Sequence: 9, Rows: []workload.Endpoint{benchEndpoint}}}))
 	assert.Assert(t, !b.control.Overview().ReadsList)
 }
 
@@ -105,7 +106,7 @@
 func TestOneOfManyReadsALostList(t *testing.T) {
 	b := newBench(t)
 	b.meetRows(MemberRow{Instance: "z", Incarnation: 1, Domain: "east", Share: 9})
-	b.step(b.from(largePeer, &Listing{Sequence: 4, Endpoints: []workload.Endpoint{benchEndpoint}}))
+	b.step(b.from(largePeer, &Listing{table.Difference[string, workload.Endpoint]{Sequence: 4, Rows: []workload.Endpoint{benchEndpoint}}}))
 	for range 12 {
 		b.step(b.from(largePeer, &Beat{Configuration: 1}))
 		assert.Assert(t, !b.control.Overview().ReadsList, "the one that goes before has its turn first")
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -8,6 +8,7 @@
 
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/storage"
+	"crocusseam/pkg/table"
 	"crocusseam/pkg/workload"
 )
 
@@ -433,8 +434,9 @@
 
 // Advert tells a peer what room a holder's endpoints have.
 type Advert struct {
-	Seen  uint64 // the last Place of that peer that is counted in
-	Rooms []Room
+	Seen uint64 // the last Place of that peer that is counted in
+	// Rooms are those that have changed since the last advert to that peer.
+	Rooms table.Difference[string, Room]
 	// Waits are how long a task that fits nowhere would wait, as far as known.
 	Waits Waits
 	// Total is the capacity of the endpoints in use.
@@ -467,13 +469,9 @@
 	Raw     []byte
 }
 
-// Listing passes the list of endpoints on, as what has changed since the list with
-// the sequence Base, or whole if Base is 0.
+// Listing passes the list of endpoints on, as what has changed.
 type Listing struct {
-	Sequence  uint64
-	Base      uint64
-	Endpoints []workload.Endpoint // new or changed
-	Gone      []string
+	table.Difference[string, workload.Endpoint]
 }
 
 // Yield asks the holder of endpoints to give them up.
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -74,11 +74,13 @@
 	toldVersion uint64    // of that advert
 	// listSequence is of the list of endpoints last sent to it.
 	listSequence uint64
+	toldRooms    uint64 // sequence of the rooms last advertised to it
 	sequence     uint64 // of the last Place sent to it
 	pending      []pendingTask
-	rooms        []Room  // of the advert, less what was placed since
-	backlog      float64 // placed since beyond the rooms, in core time
-	seen         uint64  // last Place received from it
+	offered      *table.Copy[string, Room] // the rooms as advertised
+	rooms        []Room                    // of the advert, less what was placed since
+	backlog      float64                   // placed since beyond the rooms, in core time
+	seen         uint64                    // last Place received from it
 }
 
 // roster is what this instance knows of the others.
@@ -270,7 +272,7 @@
 		c.decide("member restarted", zap.Stringer("Peer", id), zap.Uint64("Former", m.id.Incarnation))
 		c.losePeer(m.id, m.heardAt)
 	}
-	m = &member{id: id, heardAt: c.now, changedAt: c.now}
+	m = &member{id: id, heardAt: c.now, changedAt: c.now, offered: table.NewCopy(func(r Room) string { return r.Endpoint })}
 	c.roster.members.Put(id.Instance, m)
 	c.roster.changed = true
 	return m, true
@@ -289,7 +291,7 @@
 		c.roster.nextScan = c.now
 	}
 	c.send(id, c.beatTo(m, c.ownWaiting()))
-	m.advertAt, m.toldVersion, m.listSequence = time.Time{}, 0, 0
+	m.advertAt, m.toldVersion, m.toldRooms, m.listSequence = time.Time{}, 0, 0, 0
 	c.holder.advertDue, c.holder.advertNew = c.now, true
 	c.greetWithList(m)
 	c.resendTo(id)
@@ -396,7 +398,7 @@
 	speeds := make(map[string]float64)
 	for name, e := range c.holder.endpoints.All() {
 		if e.speed.samples >= assumedSamples {
-			speeds[name] = math.Round(e.speed.value()*speedPrecision) / speedPrecision
+			speeds[name] = rounded(e.speed.value())
 		}
 	}
 	if len(speeds) == 0 {
@@ -405,6 +407,8 @@
 	return speeds
 }
 
+func rounded(speed float64) float64 { return math.Round(speed*speedPrecision) / speedPrecision }
+
 func (c *Control) scanMembers() {
 	r := &c.roster
 	if r.scanning || c.now.Before(r.nextScan) {
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -360,7 +361,7 @@
 	h.rooms = h.rooms[:0]
 	for name, e := range h.endpoints.All() {
 		if free := e.free(); free.MilliCPU >= minRoom && c.usable(e) {
-			h.rooms = append(h.rooms, Room{Endpoint: name, Free: free, Speed: e.speed.value()})
+			h.rooms = append(h.rooms, Room{Endpoint: name, Free: free, Speed: rounded(e.speed.value())})
 		}
 	}
 	return h.rooms
@@ -440,12 +441,12 @@
 	}
 	if c.now.Sub(h.checkedAt) >= advertPeriod {
 		h.checkedAt, h.roomsOld = c.now, true
-		h.advertNew = h.advertNew || !slices.Equal(c.ownRooms(), h.told)
+		h.advertNew = h.told.Replace(c.offeredRooms()) || h.advertNew
 	}
 	if h.advertNew {
 		h.advertNew = false
 		h.version++
-		h.told = append(h.told[:0], c.ownRooms()...)
+		h.told.Replace(c.offeredRooms())
 	}
 	many := c.roster.members.Len() > fewPeers
 	pause := c.config.Timing.AdvertPause + time.Duration(max(0, c.roster.members.Len()-fewPeers))*advertPausePerPeer
@@ -458,9 +459,9 @@
 		if advert == nil {
 			advert = c.ownAdvert()
 		}
-		m.toldAt, m.toldVersion = c.now, h.version
 		toMember := *advert
-		toMember.Seen = m.seen
+		toMember.Seen, toMember.Rooms = m.seen, h.told.Since(m.toldRooms)
+		m.toldAt, m.toldVersion, m.toldRooms = c.now, h.version, toMember.Rooms.Sequence
 		c.send(m.id, &toMember)
 	}
 	if advert != nil {
@@ -468,10 +469,25 @@
 	}
 }
 
+// offeredRooms are the rooms to tell peers of, by endpoint.
+func (c *Control) offeredRooms() iter.Seq2[string, Room] {
+	return func(yield func(string, Room) bool) {
+		if c.stop != serving {
+			return
+		}
+		for _, r := range c.ownRooms() {
+			if !yield(r.Endpoint, r) {
+				return
+			}
+		}
+	}
+}
+
+// ownAdvert is the part of an advert that is the same for every peer.
 func (c *Control) ownAdvert() *Advert {
 	a := &Advert{Total: c.holder.total}
 	if c.stop == serving {
-		a.Rooms, a.Waits = slices.Clone(c.ownRooms()), c.ownWaits()
+		a.Waits = c.ownWaits()
 	}
 	return a
 }
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"crocusseam/pkg/instance"
+	"crocusseam/pkg/table"
 	"crocusseam/pkg/workload"
 )
 
@@ -24,7 +25,7 @@
 	second.ID.Name = benchPeerEndpoint
 	b.step(Listed{Endpoints: []workload.Endpoint{benchEndpoint, second}})
 	b.step(PeerUp{Peer: benchPeer}, b.from(benchPeer, &Beat{Configuration: 1}),
-		b.from(benchPeer, &Advert{Rooms: []Room{{Endpoint: benchPeerEndpoint, Free: second.Capacity, Speed: 1}}, Total: second.Capacity}))
+		b.from(benchPeer, &Advert{Rooms: table.Difference[string, Room]{Sequence: 1, Rows: []Room{{Endpoint: benchPeerEndpoint, Free: second.Capacity, Speed: 1}}}, Total: second.Capacity}))
 }
 
 func placeOf(number int) *Place {
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -8,6 +8,7 @@
 
 	"crocusseam/pkg/placement"
 	"crocusseam/pkg/storage"
+	"crocusseam/pkg/table"
 	"crocusseam/pkg/workload"
 	"crocusseam/service/peer/wire"
 )
@@ -67,7 +68,7 @@
 	case *placement.Settings:
 		return &wire.Message{Kind: &wire.Message_Settings{Settings: &wire.Settings{Version: m.Version, Raw: m.Raw}}}
 	case *placement.Listing:
-		return &wire.Message{Kind: &wire.Message_EndpointList{EndpointList: &wire.EndpointList{Sequence: m.Sequence, Base: m.Base, Endpoints: endpointsToWire(m.Endpoints), Gone: m.Gone}}}
+		return &wire.Message{Kind: &wire.Message_EndpointList{EndpointList: &wire.EndpointList{Sequence: m.Sequence, Base: m.Base, Endpoints: endpointsToWire(m.Rows), Gone: m.Gone}}}
 	case *placement.Yield:
 		return &wire.Message{Kind: &wire.Message_YieldRequest{YieldRequest: &wire.YieldRequest{Endpoints: m.Endpoints}}}
 	case *placement.Yielded:
@@ -165,32 +166,37 @@
 }
 
 func advertToWire(m *placement.Advert) *wire.Advert {
-	rooms := make([]*wire.Room, len(m.Rooms))
-	for i := range m.Rooms {
-		r := &m.Rooms[i]
+	rooms := make([]*wire.Room, len(m.Rooms.Rows))
+	for i := range m.Rooms.Rows {
+		r := &m.Rooms.Rows[i]
 		rooms[i] = &wire.Room{Endpoint: r.Endpoint, Free: resourcesToWire(r.Free), Speed: float32(r.Speed)}
 	}
 	waits := make([]*wire.PriorityWait, len(m.Waits))
 	for i, w := range m.Waits {
 		waits[i] = &wire.PriorityWait{Priority: int64(w.Priority), WaitNanos: int64(w.Wait)}
 	}
-	return &wire.Advert{Seen: m.Seen, Rooms: rooms, Waits: waits, Total: resourcesToWire(m.Total)}
+	return &wire.Advert{
+		Seen: m.Seen, Rooms: rooms, Gone: m.Rooms.Gone, Base: m.Rooms.Base, Sequence: m.Rooms.Sequence, Waits: waits, Total: resourcesToWire(m.Total),
+	}
 }
 
 func advertFromWire(m *wire.Advert) (*placement.Advert, error) {
-	rooms := make([]placement.Room, len(m.GetRooms()))
-	for i, r := range m.GetRooms() {
+	var rooms []placement.Room
+	for _, r := range m.GetRooms() {
 		speed := float64(r.GetSpeed())
 		if math.IsNaN(speed) || math.IsInf(speed, 0) || speed <= 0 {
 			return nil, errSpeed
 		}
-		rooms[i] = placement.Room{Endpoint: r.GetEndpoint(), Free: resourcesFromWire(r.GetFree()), Speed: speed}
+		rooms = append(rooms, placement.Room{Endpoint: r.GetEndpoint(), Free: resourcesFromWire(r.GetFree()), Speed: speed})
 	}
 	var waits placement.Waits
 	for _, w := range m.GetWaits() {
 		waits = append(waits, placement.PriorityWait{Priority: int(w.GetPriority()), Wait: time.Duration(w.GetWaitNanos())})
 	}
-	return &placement.Advert{Seen: m.GetSeen(), Rooms: rooms, Waits: waits, Total: resourcesFromWire(m.GetTotal())}, nil
+	return &placement.Advert{
+		Seen: m.GetSeen(), Waits: waits, Total: resourcesFromWire(m.GetTotal()),
+		Rooms: table.Difference[string, placement.Room]{Base: m.GetBase(), Sequence: m.GetSequence(), Rows: rooms, Gone: m.GetGone()},
+	}, nil
 }
 
 func endpointsToWire(list []workload.Endpoint) []*wire.ListedEndpoint {
@@ -265,9 +271,9 @@
 		if err != nil {
 			return nil, &ErrMessage{Kind: "EndpointList", Cause: err}
 		}
-		return &placement.Listing{
-			Sequence: k.EndpointList.GetSequence(), Base: k.EndpointList.GetBase(), Endpoints: endpoints, Gone: k.EndpointList.GetGone(),
-		}, nil
+		return &placement.Listing{Difference: table.Difference[string, workload.Endpoint]{
+			Sequence: k.EndpointList.GetSequence(), Base: k.EndpointList.GetBase(), Rows: endpoints, Gone: k.EndpointList.GetGone(),
+		}}, nil
 	case *wire.Message_YieldRequest:
 		return &placement.Yield{Endpoints: k.YieldRequest.GetEndpoints()}, nil
 	case *wire.Message_Yielded:
--- a/service/peer/placement_test.go
+++ b/service/peer/placement_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"crocusseam/pkg/placement"
+	"crocusseam/pkg/table"
 	"crocusseam/pkg/workload"
 	"crocusseam/service/peer/wire"
 )
@@ -33,13 +34,13 @@
 		&placement.Inquire{Sequence: 4, Jobs: []placement.JobRound{{Job: "j", Round: 2}}},
 		&placement.Found{Sequence: 4, Live: []workload.Run{run}, Covered: []string{"e"}},
 		&placement.Waiting{Run: run, For: time.Second},
-		&placement.Advert{Seen: 4, Rooms: []placement.Room{{Endpoint: "e", Free: need, Speed: 1.5}}, Waits: placement.Waits{{Priority: 1, Wait: time.Second}}, Total: need},
+		&placement.Advert{Seen: 4, Rooms: table.Difference[string, placement.Room]{Base: 2, Sequence: 3, Rows: []placement.Room{{Endpoint: "e", Free: need, Speed: 1.5}}, Gone: []string{"f"}}, Waits: placement.Waits{{Priority: 1, Wait: time.Second}}, Total: need},
 		&placement.Beat{Leaving: true, Configuration: 9, Uptime: time.Minute, Waiting: map[string]int{"r": 3}, Unheard: true},
 		&placement.Settings{Version: 9, Raw: []byte("{}")},
-		&placement.Listing{Sequence: 7, Base: 6, Gone: []string{"g"}, Endpoints: []workload.Endpoint{{
+		&placement.Listing{Difference: table.Difference[string, workload.Endpoint]{Sequence: 7, Base: 6, Gone: []string{"g"}, Rows: []workload.Endpoint{{
 			ID: workload.EndpointID{Name: "e", Born: 7}, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Domain: "d",
 			Labels: []string{"a", "r"}, Capacity: need, Draining: true,
-		}}},
+		}}}},
 		&placement.Yield{Endpoints: []string{"e"}},
 		&placement.Yielded{Endpoint: "e", Version: 5},
 		&placement.CancelJob{ID: "j"},
