Instances of other domains that do not work for each other beat less often

Cause: with 147 instances some 7,700 pairs exchanged beats each 150 ms; most of them never place anything with each other.

Change: among many members those of other domains are watched closely only while runs are between them and for 2 s after; otherwise beats are 0.45 s apart and three times as long a silence is borne. A session's write buffer is 4 KB instead of 64.

--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -614,6 +614,7 @@
 // here have ended.
 func (c *Control) orphanSilent() {
 	for _, r := range c.holder.runs.All() {
+		c.use(r.home)
 		if cause, silent := c.silentHome(r.home); silent {
 			c.orphanRun(r, cause)
 		}
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -327,6 +327,7 @@
 	c.decide("tasks placed", jobField(p.Job), zap.Int("Step", p.Step), zap.Int("Tasks", len(p.Tasks)), zap.Int("Run", p.Tasks[0].Number),
 		zap.String("Holder", holder.Instance), zap.Duration("AdvertAge", c.advertAge(holder)), zap.Duration("Left", p.Left))
 	c.send(holder, p)
+	c.use(holder)
 }
 
 // resendTo repeats what was placed with a holder after a new session with it:
@@ -523,6 +524,9 @@
 	for s := range j.steps {
 		for i := range j.steps[s] {
 			t := &j.steps[s][i]
+			if t.phase == placed {
+				c.use(t.holder)
+			}
 			if t.phase == placed && !c.reachable(t.holder) {
 				if m, ok := c.roster.members.Get(t.holder.Instance); ok && m.id == t.holder && c.now.Sub(later(m.heardAt, t.placed)) > c.config.Timing.lossTerm() {
 					j.lose(t, c.now)
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -58,6 +58,8 @@
 	heardAt     time.Time
 	lastSent    time.Duration // Sent of the last message from it
 	echoedAt    time.Time     // when the last message was sent that it has certainly received
+	usedAt      time.Time     // when a run was last with it, or here for it
+	closeSince  time.Time     // since when it is watched closely
 	suspected   time.Time     // since when it has been silent; zero while it is heard
 	changedAt   time.Time     // when a read last showed a new sequence
 	dead        bool
@@ -116,6 +118,8 @@
 	beatRefresh    = time.Second            // between beats to a peer that other messages reach
 	speedsPeriod   = 5 * time.Second        // between writes of what was learned
 	speedPrecision = 100
+	closeTerm      = 2 * time.Second // after the last run, that a member is watched closely
+	farSlack       = 3               // keeps the age of an echo below its term
 )
 
 func (c *Control) runRoster() {
@@ -141,7 +145,7 @@
 			continue
 		}
 		b := c.beatTo(m, waiting)
-		if c.now.Sub(m.sentAt) < c.config.Timing.Beat && !b.saysMoreThan(&m.told) {
+		if c.now.Sub(m.sentAt) < c.slack(m)*c.config.Timing.Beat && !b.saysMoreThan(&m.told) {
 			continue
 		}
 		m.told = *b
@@ -163,6 +167,35 @@
 	}
 }
 
+// slack is how many times as long as usual the beats of a member may be apart. An
+// instance watches closely those of its domain and those that work for it or for
+// which it works; among many others a beat now and then is enough.
+func (c *Control) slack(m *member) time.Duration {
+	if c.roster.members.Len() <= fewPeers || m.row.Domain == c.config.Domain || c.now.Sub(m.usedAt) < closeTerm || c.storedExist() {
+		return 1
+	}
+	return farSlack
+}
+
+// use notes that a run is with a member, or here for it, and watches it closely
+// from now on. It is told so at once if it may not have heard for a while that it
+// is heard.
+func (c *Control) use(id instance.ID) {
+	m, ok := c.roster.members.Get(id.Instance)
+	if !ok || m.id != id {
+		return
+	}
+	if c.now.Sub(m.usedAt) >= closeTerm {
+		m.closeSince = c.now
+		if m.up && c.now.Sub(m.sentAt) >= c.config.Timing.Beat {
+			m.told = *c.beatTo(m, c.ownWaiting())
+			told := m.told
+			c.send(m.id, &told)
+		}
+	}
+	m.usedAt = c.now
+}
+
 // suspects reports whether some member is silent and not known to be dead.
 func (c *Control) suspects() bool {
 	for _, m := range c.roster.members.All() {
@@ -183,7 +216,7 @@
 	c.roster.nextWatch = c.now.Add(watchPeriod)
 	for _, m := range c.roster.members.All() {
 		silent := c.now.Sub(m.heardAt)
-		if silent < t.Silence {
+		if silent < t.Silence || c.now.Sub(later(m.heardAt, m.closeSince)) < c.slack(m)*t.Silence {
 			continue
 		}
 		if !c.needs(m) {
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -23,6 +23,7 @@
 	for i := range p.Tasks {
 		c.placedTaskHere(from, p, &p.Tasks[i])
 	}
+	c.use(from)
 	c.holder.crowded, c.holder.advertNew = true, true
 	c.startQueued()
 }
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -182,3 +183,53 @@
 	assert.Assert(t, !withheldAt.IsZero() && withheldAt.Sub(began) <= timing.Silence+2*timing.StopRetry, "%v", withheldAt.Sub(began))
 	assert.Equal(t, b.control.Overview().Runs, 0)
 }
+
+// Among many instances those of other domains that do not work for each other
+// beat now and then. Once one has placed a run it is watched as closely as any.
+func TestIdleMembersOfOtherDomainsBeatLessOften(t *testing.T) {
+	b := newBench(t)
+	rows := []MemberRow{{Instance: "b", Incarnation: 1, Domain: "east"}}
+	for i := range fewPeers {
+		rows = append(rows, MemberRow{Instance: fmt.Sprint("far-", i), Incarnation: 1, Domain: "west", Share: 1})
+	}
+	b.meetRows(rows...)
+	home := instance.ID{Instance: "far-3", Incarnation: 1}
+	// The others beat often, but for one that beats as seldom as it may.
+	beat := func() map[string]int {
+		sent := make(map[string]int)
+		for i := range 60 {
+			b.now = b.now.Add(50 * time.Millisecond)
+			var inputs []Input
+			for _, r := range rows {
+				if id := (instance.ID{Instance: r.Instance, Incarnation: 1}); id != home || i%11 == 0 {
+					inputs = append(inputs, b.from(id, &Beat{Configuration: 1}))
+				}
+			}
+			b.step(inputs...)
+			for _, s := range find[Send](b) {
+				if _, ok := s.Message.(*Beat); ok {
+					sent[s.Peer.Instance]++
+				}
+			}
+		}
+		return sent
+	}
+	sent := beat()
+	assert.Assert(t, sent["b"] >= 15, "%v", sent)
+	assert.Assert(t, sent["far-3"] >= 3 && sent["far-3"] <= sent["b"]/2, "%v", sent)
+	assert.Assert(t, !b.control.suspects())
+	b.report(nil, nil)
+	b.step(b.from(home, placeOf(1)))
+	starts := find[Start](b)
+	assert.Equal(t, len(starts), 1)
+	b.answerStart(&starts[0], Accepted)
+	began := b.now
+	stops := 0
+	for stops == 0 && b.now.Sub(began) < time.Second {
+		b.now = b.now.Add(20 * time.Millisecond)
+		b.step(b.from(benchPeer, &Beat{Configuration: 1}))
+		stops = len(find[StopRun](b))
+	}
+	assert.Equal(t, stops, 1)
+	assert.Assert(t, b.now.Sub(began) <= DefaultTiming().Silence+50*time.Millisecond, "%s", b.now.Sub(began))
+}
--- a/service/peer/links.go
+++ b/service/peer/links.go
@@ -45,6 +45,7 @@
 	firstRedial      = 50 * time.Millisecond
 	maxRedial        = time.Second
 	streamWindow     = 4 << 20
+	writeBuffer      = 4 << 10 // a frame beyond it is written as it is
 )
 
 // Codec turns the messages of a control state into those of the wire and back.
@@ -398,7 +399,7 @@
 }
 
 func (l *Links[M]) writeFrames(ctx context.Context, s *session[M]) error {
-	writer := bufio.NewWriterSize(s.stream, 64<<10)
+	writer := bufio.NewWriterSize(s.stream, writeBuffer)
 	for {
 		select {
 		case <-ctx.Done():
