Orders that wait on the instance's own link are not repeated, and late answers are taken

Cause: a start order counted as unanswered 60 ms after it was put to the link, however much was ahead of it there: with starts of 1.5 KB on 250 KB/s, ten of them. The call was broken off, its connection closed, and the copy put behind the rest: in a burst the link carried copies, stops and new connections.

Change: the control state waits for an order from when it has left the link, by the rate that the settings name. The call itself goes on for up to a second, so that its answer is used when it comes and its connection stays.

--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -44,7 +44,8 @@
 	settingsPeriod   = time.Second            // between looks at the settings file
 	leaveShare       = 0.85                   // of the grace, within which a planned stop ends
 	pageTime         = 40 * time.Millisecond  // that one answer of the store may take on the link
-	rowBytes         = 500                    // of a row in an answer, of those that are read in number
+	bytesPerMegabit  = 1e6 / 8
+	rowBytes         = 500 // of a row in an answer, of those that are read in number
 )
 
 // Gate runs an instance on the users' platform until a signal stops it in plan.
@@ -110,7 +111,7 @@
 	})
 	server, err := gate.New(gate.Config{
 		Self:   instance.ID{Instance: s.Instance, Incarnation: nextIncarnation(store, s.Instance, logger)},
-		Domain: s.Domain, Share: holderShare(s.Processor), FarFactor: s.FarFactor, Retention: time.Duration(s.Retention),
+		Domain: s.Domain, Share: holderShare(s.Processor), FarFactor: s.FarFactor, Retention: time.Duration(s.Retention), LinkRate: s.LinkMbps * bytesPerMegabit,
 		Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Advertised: s.Advertised, Metrics: s.Metrics,
 		Store:  store,
 		Timing: timing, Timers: timers, Logger: logger, LinesLeftOut: book.LeftOut,
@@ -140,7 +141,6 @@
 // pageRowsOf is how many rows an answer of the store may have, so that orders do
 // not wait behind it on the link.
 func pageRowsOf(linkMbps float64) int {
-	const bytesPerMegabit = 1e6 / 8
 	return max(1, int(linkMbps*bytesPerMegabit*pageTime.Seconds()/rowBytes))
 }
 
--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -187,8 +187,8 @@
 			delete(n.watches, m.Endpoint.Name)
 		}
 	case placement.Start:
-		n.order(m.Endpoint, m.Patience, func(x *Endpoint) placement.OrderOutcome { return x.Start(&m) }, func(o placement.OrderOutcome) {
-			n.deliver(placement.StartDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Outcome: o})
+		n.order(m.Endpoint, orderTimeout, func(x *Endpoint) placement.OrderOutcome { return x.Start(&m) }, func(o placement.OrderOutcome) {
+			n.deliver(placement.StartDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Copy: m.Copy, Outcome: o})
 		})
 	case placement.StopRun:
 		n.order(m.Endpoint, w.Config.Timing.Order, func(x *Endpoint) placement.OrderOutcome { return x.Stop(&m) }, func(o placement.OrderOutcome) {
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -54,6 +54,7 @@
 	storeTimeout    = time.Second
 	discoveryPeriod = 700 * time.Millisecond
 	stopTime        = 30 * time.Millisecond
+	orderTimeout    = time.Second
 	redial          = 50 * time.Millisecond
 )
 
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -29,6 +29,9 @@
 	Share   int            // relative size of the instance
 	// FarFactor is how many times as long a task takes away from its data.
 	FarFactor float64
+	// LinkRate is the rate of the instance's own link in bytes a second; 0 is without
+	// bound.
+	LinkRate float64
 	// Retention is how long the outcome of a stored job can be asked for.
 	Retention time.Duration
 	Seed      uint64
@@ -115,6 +118,7 @@
 
 	configuration *workload.Configuration
 	raw           []byte
+	link          link
 
 	home     home
 	holder   holder
@@ -141,7 +145,7 @@
 // New returns the control state of an instance that has just started.
 func New(config Config) *Control {
 	c := &Control{
-		config: config, self: config.Self,
+		config: config, self: config.Self, link: link{rate: config.LinkRate},
 		random:  rand.New(rand.NewPCG(config.Seed, config.Self.Incarnation)),
 		commits: make(map[uint64]func(CommitDone)),
 		scans:   make(map[uint64]func(ScanDone)),
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -68,6 +68,7 @@
 	told      bool // the home knows that it waits
 	ordered   time.Time
 	tries     int       // start orders sent
+	answerBy  time.Time // when the last of them counts as not answered
 	confirmed time.Time // when the endpoint was first known to have it
 	stopSent  time.Time
 	stopDone  time.Time // when the endpoint accepted the stop
@@ -308,7 +309,7 @@
 	for _, r := range e.runs.All() {
 		if how == workload.Lapsed && r.confirmed.IsZero() {
 			// A start that was not answered may be carried out by the next life.
-			c.emit(StopRun{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r.id})
+			c.orderStop(e, r.id)
 			r.late = true
 			c.endRun(r, workload.Unknown, cause)
 			continue
@@ -487,7 +488,7 @@
 		c.counted.UnknownRuns += int64(len(unknown))
 		for _, r := range unknown {
 			c.decide("unknown run stopped", jobField(r.Task.Job), zap.Int("Index", r.Task.Index), zap.Int("Run", r.Number), zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)))
-			c.emit(StopRun{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r})
+			c.orderStop(e, r)
 		}
 		return
 	}
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -326,6 +326,9 @@
 	}
 	c.decide("tasks placed", jobField(p.Job), zap.Int("Step", p.Step), zap.Int("Tasks", len(p.Tasks)), zap.Int("Run", p.Tasks[0].Number),
 		zap.String("Holder", holder.Instance), zap.Duration("AdvertAge", c.advertAge(holder)), zap.Duration("Left", p.Left))
+	if holder != c.self {
+		c.link.take(c.now, len(p.Spec)+orderBytes)
+	}
 	c.send(holder, p)
 	c.use(holder)
 }
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -113,11 +113,12 @@
 
 func (o OrderOutcome) String() string { return orderNames[o] }
 
-// StartDone answers a Start.
+// StartDone answers a Start. It may come after the order was given up or repeated.
 type StartDone struct {
 	Endpoint workload.EndpointID
 	Token    workload.Token
 	Run      workload.Run
+	Copy     int
 	Outcome  OrderOutcome
 	Err      error
 }
@@ -219,7 +220,7 @@
 	Run      workload.Run
 	Spec     string
 	Until    time.Duration // end of the lease on the endpoint's clock
-	Patience time.Duration // for the answer
+	Copy     int           // counts the orders of this run
 }
 
 // StopRun orders an endpoint to stop a run.
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -163,13 +163,14 @@
 	if r.tries > 1 {
 		patience = c.config.Timing.Order
 	}
+	r.answerBy = c.now.Add(patience + c.link.take(c.now, len(r.place.Spec)+orderBytes))
 	c.decide("start ordered", jobField(r.id.Task.Job), zap.Int("Step", r.id.Task.Step), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.Int("Copy", r.tries),
 		zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)), zap.Int("FreeMilliCPU", e.free().MilliCPU), zap.Duration("ReportAge", c.now.Sub(e.reportAt)),
 		zap.Duration("Waited", c.now.Sub(r.arrived)), zap.String("Home", r.home.Instance))
 	c.emit(Start{
 		Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r.id, Spec: r.place.Spec,
-		Until:    e.clock + c.now.Sub(e.reportAt) + c.config.Timing.Lease,
-		Patience: patience,
+		Until: e.clock + c.now.Sub(e.reportAt) + c.config.Timing.Lease,
+		Copy:  r.tries,
 	})
 }
 
@@ -203,10 +204,11 @@
 		return
 	}
 	switch {
-	case m.Outcome == Unanswered && r.tries <= c.config.Timing.StartRetry && !e.withheld:
-		c.counted.RepeatedStarts++
-		c.orderStart(r)
-	case m.Outcome == Unanswered || r.tries > 1:
+	case m.Outcome == Unanswered:
+		if m.Copy == r.tries {
+			c.startUnanswered(r)
+		}
+	case r.tries > 1:
 		c.stopRun(r)
 	case m.Outcome == TooOld:
 		c.endRun(r, workload.Outdated, m.Outcome.String())
@@ -218,12 +220,28 @@
 	}
 }
 
+// startUnanswered repeats a start order that was not answered, and stops the run if
+// it was repeated often enough.
+func (c *Control) startUnanswered(r *run) {
+	if r.tries > c.config.Timing.StartRetry || r.endpoint.withheld {
+		c.stopRun(r)
+		return
+	}
+	c.counted.RepeatedStarts++
+	c.orderStart(r)
+}
+
 func (c *Control) stopRun(r *run) {
 	e := r.endpoint
 	r.state, r.stopSent = stopping, c.now
 	c.counted.Stops++
 	c.decide("stop ordered", jobField(r.id.Task.Job), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)))
-	c.emit(StopRun{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r.id})
+	c.orderStop(e, r.id)
+}
+
+func (c *Control) orderStop(e *endpoint, id workload.Run) {
+	c.link.take(c.now, orderBytes)
+	c.emit(StopRun{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: id})
 }
 
 func (c *Control) stopDone(m StopDone) {
@@ -243,10 +261,15 @@
 	}
 }
 
-// watchRun repeats stops that were not accepted and stops runs that do not
+// watchRun repeats orders that were not answered and stops runs that do not
 // progress.
 func (c *Control) watchRun(r *run) {
 	switch r.state {
+	case starting:
+		if !c.now.Before(r.answerBy) {
+			c.decide("start not answered in time", jobField(r.id.Task.Job), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.Int("Copy", r.tries), zap.String("Endpoint", r.endpoint.info.ID.Name))
+			c.startUnanswered(r)
+		}
 	case stopping:
 		if r.stopDone.IsZero() && c.now.Sub(r.stopSent) >= c.config.Timing.StopRetry {
 			c.stopRun(r)
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -63,7 +63,9 @@
 	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: full[0].Run, How: workload.Done}})
 	for b.now.Sub(began) < 1500*time.Millisecond {
 		for _, s := range find[Start](b) {
-			numbers = append(numbers, s.Run.Number)
+			if s.Copy == 1 {
+				numbers = append(numbers, s.Run.Number)
+			}
 		}
 		numbers = append(numbers, b.placedNumbers()...)
 		b.pass(10 * time.Millisecond)
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -31,6 +31,9 @@
 	Share  int // relative size of the instance
 	// FarFactor is how many times as long a task takes away from its data.
 	FarFactor float64
+	// LinkRate is the rate of the instance's own link in bytes a second; 0 is without
+	// bound.
+	LinkRate float64
 	// Retention is how long the outcome of a stored job can be asked for.
 	Retention time.Duration
 	// Callers, Ready, Peers and Metrics are the addresses to listen at.
@@ -84,6 +87,7 @@
 	lastAnswers      = 300 * time.Millisecond // for answers on their way at the end of a planned stop
 	orderConnections = 8                      // to one endpoint: its reports and orders at once
 	overviewPeriod   = 100 * time.Millisecond
+	orderTimeout     = time.Second // the control state repeats an order sooner, and takes a late answer
 )
 
 // New binds the addresses of an instance.
@@ -93,7 +97,7 @@
 		logger: config.Logger, replies: mailbox.NewReplies[placement.Handle, placement.Answer](), watches: make(map[string]*watch),
 	}
 	s.metrics = newMetrics(s)
-	s.endpoints = platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: config.Timing.Order, Traffic: s.metrics.traffic})
+	s.endpoints = platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: orderTimeout, ReportTimeout: config.Timing.Order, Traffic: s.metrics.traffic})
 	config.Store.CountTraffic(s.metrics.traffic)
 	for _, l := range []struct {
 		name    string
@@ -122,7 +126,7 @@
 		advertised = s.links.Address()
 	}
 	s.control = placement.New(placement.Config{
-		Self: config.Self, Domain: config.Domain, Address: advertised, Share: config.Share, FarFactor: config.FarFactor, Retention: config.Retention,
+		Self: config.Self, Domain: config.Domain, Address: advertised, Share: config.Share, FarFactor: config.FarFactor, Retention: config.Retention, LinkRate: config.LinkRate,
 		Seed: config.Self.Incarnation, Timing: config.Timing,
 	})
 	s.http = &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
