Unexpected errors end one input or one job, not the process

A panic in the handling of an input or of a job is logged with its stack, counted, and answered as one that may have run. Rows of stored jobs are validated before they are adopted: one without a job ended the process.

--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -212,6 +213,12 @@
 
 // takeOver makes this instance the home of a job.
 func (c *Control) takeOver(o *orphanJob, submitted *JobRow, version storage.Version) error {
+	if submitted.Job == nil {
+		return fmt.Errorf("row of job %s has no job", o.id)
+	}
+	if err := submitted.Job.Validate(); err != nil {
+		return fmt.Errorf("row of job %s: %w", o.id, err)
+	}
 	j := c.newJob(Submit{Job: submitted.Job, Route: c.presentRoute(submitted.Route)})
 	j.handles = nil
 	j.stored = &storedState{phase: open, digest: o.row.Digest, round: o.row.Round, sequence: o.row.Sequence, version: version, unsure: c.now}
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -177,7 +177,7 @@
 		c.wake(gap)
 	}
 	for _, in := range inputs {
-		c.handle(in)
+		c.handleContained(in)
 	}
 	c.runRoster()
 	c.runListing()
@@ -438,6 +438,7 @@
 	StragglersStopped int64 // runs stopped because they made no progress
 	Looks             int64 // reports asked for beside the watches
 	Adopted           int64 // stored jobs taken over from homes that were gone
+	Unexpected        int64 // unexpected errors that were contained
 }
 
 // taskRuns is a table of runs.
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -467,19 +467,23 @@
 		c.home.moveDue = c.now.Add(movePeriod)
 	}
 	for _, j := range c.home.jobs.All() {
-		if j.stored != nil && j.stored.phase != open {
-			c.expireAccepting(j)
-			continue
-		}
-		if j.stored == nil && (!c.now.Before(j.deadline) || (!c.now.Before(j.useful) && j.incomplete())) {
-			c.timeOut(j)
-			continue
-		}
-		c.findLost(j)
-		c.placeReady(j)
-		if move {
-			c.moveWaiting(j)
-		}
+		c.advanceContained(j, move)
+	}
+}
+
+func (c *Control) advance(j *job, move bool) {
+	if j.stored != nil && j.stored.phase != open {
+		c.expireAccepting(j)
+		return
+	}
+	if j.stored == nil && (!c.now.Before(j.deadline) || (!c.now.Before(j.useful) && j.incomplete())) {
+		c.timeOut(j)
+		return
+	}
+	c.findLost(j)
+	c.placeReady(j)
+	if move {
+		c.moveWaiting(j)
 	}
 }
 
--- a/pkg/placement/listing.go
+++ b/pkg/placement/listing.go
@@ -152,9 +152,9 @@
 }
 
 // greetWithList sends a member that has just met this one the list, if it is on
-// this instance to pass it on.
+// this instance to pass it on. An old list may name endpoints that have left.
 func (c *Control) greetWithList(to *member) {
-	if c.listing.list.Sequence() > 0 && to.row.Domain == c.config.Domain && c.listRank() == 0 {
+	if c.listing.list.Sequence() > 0 && c.now.Sub(c.listing.freshAt) < listTerm && to.row.Domain == c.config.Domain && c.listRank() == 0 {
 		c.sendList(to)
 	}
 }
--- a/pkg/placement/listing_test.go
+++ b/pkg/placement/listing_test.go
@@ -70,6 +70,19 @@
 	assert.DeepEqual(t, changed.Gone, []string{"e-1"})
 }
 
+// A member that has restarted is not greeted with a list that this instance has not
+// heard to be true for a while: it may name endpoints that have left since.
+func TestOldListIsNotPassedToAMemberThatHasRestarted(t *testing.T) {
+	b := newBench(t)
+	b.meetRows(MemberRow{Instance: "b", Incarnation: 1, Domain: "east"})
+	b.step(Listed{Endpoints: []workload.Endpoint{benchEndpoint}})
+	b.meetRows(MemberRow{Instance: "b", Incarnation: 2, Domain: "east"})
+	assert.Equal(t, len(b.listsTo(instance.ID{Instance: "b", Incarnation: 2})), 1)
+	b.pass(listTerm)
+	b.meetRows(MemberRow{Instance: "b", Incarnation: 3, Domain: "east"})
+	assert.Equal(t, len(b.listsTo(instance.ID{Instance: "b", Incarnation: 3})), 0)
+}
+
 // What comes from another domain is passed on within this one, and nobody else
 // reads the list meanwhile. When it stops coming, this instance reads it until it
 // comes again.
