--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -457,3 +457,29 @@
 		b.step(StartDone{Endpoint: last.Endpoint, Token: last.Token, Run: starts[0].Run, Copy: 1, Outcome: Unanswered})
 	}
 }
+
+// An endpoint that another instance has asked for is given up as soon as its last
+// run has ended: until then it is idle.
+func TestAskedEndpointIsYieldedWithItsLastRun(t *testing.T) {
+	b := newBench(t)
+	b.meetRows(MemberRow{Instance: "b", Incarnation: 1, Domain: "east", Share: 1})
+	starts := b.submit(2, 1000)
+	assert.Equal(t, len(starts), 2)
+	for i := range starts {
+		b.answerStart(&starts[i], Accepted)
+	}
+	b.step(Stop{})
+	b.step(b.from(benchPeer, &Yield{Endpoints: []string{"e-1"}}))
+	b.report([]workload.RunningRun{{Run: starts[1].Run, Percent: 50}}, []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Done}})
+	yielded := func() bool {
+		for _, s := range find[Send](b) {
+			if _, ok := s.Message.(*Yielded); ok {
+				return true
+			}
+		}
+		return false
+	}
+	assert.Assert(t, !yielded())
+	b.report(nil, []workload.EndedRun{{Sequence: 2, Run: starts[1].Run, How: workload.Done}})
+	assert.Assert(t, yielded())
+}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -360,6 +360,9 @@
 		}
 		e.runs.Delete(r.id)
 		e.reserved = e.reserved.Sub(r.place.Need)
+		if _, mayStart := c.holder.book.Token(ended.Endpoint); !mayStart && e.runs.Len() == 0 {
+			c.holder.bookDue = c.now // another instance waits for the endpoint
+		}
 	}
 	r.state, r.end, r.endedAt = over, ended, c.now
 	h := &c.holder
