--- a/pkg/placement/listing.go
+++ b/pkg/placement/listing.go
@@ -36,7 +36,7 @@
 	maxStagger  = 5 // instances that are told apart so
 	// smallStart is how long an instance that holds nothing waits for the list of
 	// another when it starts.
-	smallStart = 700 * time.Millisecond
+	smallStart = 300 * time.Millisecond
 	maxGone    = 10_000 // entries that are kept for those that do not know of their end
 )
 
