A walk through hazards; ends at a taken endpoint are kept until it is known whose they are

Found: 'home killed at 120 ms, other killed at 1.4 s' started a task of a stored job again that was done. An instance that took an endpoint before it had read that stored jobs exist acknowledged the ends of the former holder's runs, so nobody recorded them. Now a mark is written with the first stored job, and read after an endpoint was taken; until then ends are kept.

--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -20,6 +20,8 @@
 	// Decisions counts the decisions by event.
 	Decisions map[string]int
 	Control   *placement.Control
+	// Prepare is called with each new control state, if it is set.
+	Prepare func(*placement.Control)
 
 	world    *World
 	inputs   []placement.Input
@@ -66,6 +68,9 @@
 		Self: n.ID, Domain: n.Domain, Address: netip.MustParseAddrPort("127.0.0.1:1"), Share: n.Share,
 		Seed: n.world.Config.Seed, Timing: n.world.Config.Timing, Retention: n.world.Config.Retention,
 	})
+	if n.Prepare != nil {
+		n.Prepare(n.Control)
+	}
 	n.deliver(placement.Configured{Configuration: &workload.Configuration{Version: 1}})
 	n.discover(n.life)
 }
@@ -84,6 +89,17 @@
 	}
 }
 
+// HangUp breaks the connection of the caller of a job.
+func (n *Node) HangUp(o *Outcome) {
+	for h, waiting := range n.callers {
+		if waiting == o {
+			delete(n.callers, h)
+			o.Unanswered = true
+			n.deliver(placement.Abandon{Handle: h})
+		}
+	}
+}
+
 // Freeze stops the instance for a while; its sessions stay.
 func (n *Node) Freeze(span time.Duration) {
 	n.Frozen = true
@@ -212,7 +228,7 @@
 		return
 	}
 	from := n.ID
-	w.After(w.oneWay(n.place(), o.place()), func() {
+	w.After(w.oneWay(n.place(), o.place())+w.heldUp(n, o), func() {
 		if o.ID == m.Peer && o.sessions[from] && w.reaches(n.place(), o.place()) {
 			o.deliver(placement.Received{From: from, Stamped: m.Stamped})
 		}
--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -90,7 +90,7 @@
 
 // storedExist reports whether some instance was ever handed stored jobs.
 func (c *Control) storedExist() bool {
-	if c.ledger.used {
+	if c.ledger.used || c.kept.marked {
 		return true
 	}
 	for _, m := range c.roster.members.All() {
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -118,6 +118,7 @@
 
 	configuration *workload.Configuration
 	raw           []byte
+	checks        checks
 	link          link
 
 	home     home
@@ -134,6 +135,11 @@
 	scans    map[uint64]func(ScanDone)
 }
 
+// checks switches off rules one at a time, to prove that tests notice.
+type checks struct {
+	noOrphans, noKeptRefusals, noStoredMark bool
+}
+
 type stopState int
 
 const (
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -37,6 +37,7 @@
 	withheld       bool                // the lease is not renewed, as the stop of an orphan is not accepted
 	stoppedAt      time.Time           // when unknown runs were last ordered to stop
 	confirmed      bool                // ends are acknowledged one by one
+	unsure         bool                // whether there are stored jobs was not known when it was taken
 	lastEnd        int64               // sequence of the last end that was listed
 	unacknowledged []workload.EndedRun // that the endpoint still keeps
 	speed          speedModel
@@ -280,6 +281,9 @@
 		for _, name := range gained {
 			c.beginHold(name, m.Version)
 		}
+		if !c.storedExist() {
+			c.checkStored(gained)
+		}
 	})
 }
 
@@ -298,7 +302,10 @@
 		e.speed.assume(speed)
 	}
 	c.holder.endpoints.Put(name, e)
-	e.confirmed = c.storedExist()
+	e.confirmed, e.unsure = true, !c.storedExist()
+	if c.checks.noStoredMark {
+		e.confirmed, e.unsure = !e.unsure, false
+	}
 	c.watch(e)
 }
 
@@ -638,7 +645,7 @@
 // A home that is heard may itself not have heard this instance for long enough
 // to take its runs as ended: only the echo of a message tells.
 func (c *Control) silentHome(id instance.ID) (cause string, silent bool) {
-	if id == c.self {
+	if id == c.self || c.checks.noOrphans {
 		return "", false
 	}
 	m, ok := c.roster.members.Get(id.Instance)
--- a/pkg/placement/kept.go
+++ b/pkg/placement/kept.go
@@ -22,8 +22,21 @@
 type kept struct {
 	ends   *table.Table[workload.Run, *keptEnd]
 	rounds *table.Table[workload.JobID, seenRound]
+	// marked says that some instance was handed stored jobs, as the mark in the
+	// store tells.
+	marked bool
+	// unsettled are endpoints for which the mark could not be read.
+	unsettled []string
+	nextCheck time.Time
 }
 
+// storedMark is the row that is written before the first stored job is accepted.
+// It has the part of the members' rows, so that both are written at once.
+const (
+	storedPrefix = "stored/"
+	storedMark   = storedPrefix + "mark"
+)
+
 // seenRound is the highest round in which a home has spoken of a job.
 type seenRound struct {
 	round int
@@ -55,6 +68,7 @@
 // confirmEndpoint has the ends of an endpoint acknowledged one by one from now
 // on.
 func (c *Control) confirmEndpoint(e *endpoint) {
+	e.unsure = false
 	if e.confirmed {
 		return
 	}
@@ -62,6 +76,47 @@
 	c.watch(e)
 }
 
+// checkStored settles whether the ends that were found at endpoints just taken may
+// belong to stored jobs: their mark is read after the endpoints were taken.
+func (c *Control) checkStored(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	c.scan(storedPrefix, func(m ScanDone) {
+		if m.Err != nil {
+			c.kept.unsettled = append(c.kept.unsettled, names...)
+			return
+		}
+		c.kept.marked = c.kept.marked || rowOf(m.Rows, storedMark) != nil
+		for _, name := range names {
+			if e, ok := c.holder.endpoints.Get(name); ok && e.unsure {
+				c.settleEnds(e)
+			}
+		}
+	})
+}
+
+// settleEnds acknowledges the ends that a former holder has left at an endpoint, or
+// looks for the homes of their jobs where there are stored ones.
+func (c *Control) settleEnds(e *endpoint) {
+	e.unsure = false
+	stored := c.storedExist()
+	e.confirmed = stored
+	for id, k := range c.kept.ends.All() {
+		switch {
+		case k.endpoint != e.info.ID.Name:
+		case stored:
+			c.lookUpHome(id)
+		default:
+			c.forgetKept(id)
+		}
+	}
+	if !stored {
+		e.unacknowledged = nil
+		c.watch(e)
+	}
+}
+
 // watch starts the watch of an endpoint, or changes it.
 func (c *Control) watch(e *endpoint) {
 	c.emit(Watch{
@@ -113,7 +168,9 @@
 	}
 	end := &Ended{Run: ended.Run, How: ended.How, Endpoint: e.info.ID.Name, Detail: "found at a take-over"}
 	c.keep(e, end)
-	c.lookUpHome(end.Run)
+	if !e.unsure {
+		c.lookUpHome(end.Run)
+	}
 }
 
 // recordedEnds lets endpoints forget ends.
@@ -137,6 +194,12 @@
 // runKept looks for the homes of ends that have not been recorded for a while,
 // and forgets old rounds.
 func (c *Control) runKept() {
+	if c.kept.unsettled != nil && !c.now.Before(c.kept.nextCheck) {
+		c.kept.nextCheck = c.now.Add(recordRetry)
+		names := c.kept.unsettled
+		c.kept.unsettled = nil
+		c.checkStored(names)
+	}
 	for id, k := range c.kept.ends.All() {
 		if c.now.Sub(k.askedAt) >= keptPeriod {
 			c.lookUpHome(id)
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -409,9 +409,11 @@
 		panic("a member's row cannot be encoded: " + err.Error())
 	}
 	r.writing = true
-	c.commit(Commit{Writes: []storage.Write{{
-		Key: MemberPrefix + c.self.Instance, Value: value, Expect: storage.AnyVersion,
-	}}}, func(m CommitDone) {
+	writes := []storage.Write{{Key: MemberPrefix + c.self.Instance, Value: value, Expect: storage.AnyVersion}}
+	if stored && !r.storedKnown {
+		writes = append(writes, storage.Write{Key: storedMark, Value: encodeStored(c.self), Expect: storage.AnyVersion})
+	}
+	c.commit(Commit{Writes: writes}, func(m CommitDone) {
 		r.writing = false
 		if m.Err != nil {
 			c.counted.FailedCommits++
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -368,7 +368,9 @@
 	h := &c.holder
 	h.runs.Delete(r.id)
 	h.ended.Delete(r.id)
-	h.ended.Put(r.id, r)
+	if r.endpoint != nil || !c.checks.noKeptRefusals {
+		h.ended.Put(r.id, r)
+	}
 	h.roomsOld, h.crowded, h.advertNew = true, true, true
 	c.decide("run ended", jobField(r.id.Task.Job), zap.Int("Step", r.id.Task.Step), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.Stringer("How", how),
 		zap.String("Endpoint", ended.Endpoint), zap.Duration("Elapsed", ended.Elapsed), zap.Duration("Estimate", r.place.Estimate), zap.String("Detail", detail))
