A home that has lost a stored job starts nothing more of it

Change: what a lost job has placed is dropped; a home places tasks only within 1 s of a write that shows it as the home; a holder gives a stored run back that has waited for 1 s; a later home that cannot ask every instance waits for both and the echo term.

--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -43,6 +43,11 @@
 	sweepPeriod   = 20 * time.Second       // between removals of old outcomes
 	maxSweep      = 100                    // rows of one commit
 	inquiryPeriod = 150 * time.Millisecond // between rounds; a stopped run is gone after 50 ms
+	// homeTerm is how long the home of a stored job may place tasks after a write has
+	// shown that it is the home, and storedQueueTerm how long one of them may wait at
+	// its holder. A later home that cannot ask every instance waits for both.
+	homeTerm        = time.Second
+	storedQueueTerm = time.Second
 )
 
 // ownParts are the parts of the tables of stored jobs that this instance looks
@@ -400,6 +405,9 @@
 	if j.stored == nil || j.stored.phase != open {
 		return
 	}
+	if !c.allAnswered(q) && c.now.Sub(j.stored.unsure) < homeTerm+storedQueueTerm+c.config.Timing.Echo {
+		return
+	}
 	for name, e := range c.holder.listed.All() {
 		if e.Service == j.route.Service && !q.covered[name] && !c.lapsed(j, e) {
 			return
@@ -427,6 +435,17 @@
 	c.record(j)
 }
 
+// allAnswered reports whether every instance has heard of this home, so that none
+// starts what an earlier one has placed with it.
+func (c *Control) allAnswered(q *inquiry) bool {
+	for _, m := range c.roster.members.All() {
+		if !m.up {
+			return false
+		}
+	}
+	return len(q.waiting) == 0
+}
+
 // lapsed reports whether everything that ran at an endpoint when a job came into
 // doubt has ended: nobody takes a leaving endpoint over, so its leases run out
 // with its holder, unless a holder lives that is not heard here.
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -266,7 +266,7 @@
 }
 
 func (c *Control) placeStep(j *job, step int) {
-	if j.stored != nil && (j.stored.unverified || j.stored.phase != open) {
+	if j.stored != nil && !(c.anyReady(j, step) && c.verified(j)) {
 		return
 	}
 	places := table.New[instance.ID, *Place]()
@@ -301,6 +301,16 @@
 	}
 }
 
+// anyReady reports whether a task of a step can be placed now.
+func (c *Control) anyReady(j *job, step int) bool {
+	for i := range j.steps[step] {
+		if t := &j.steps[step][i]; t.phase == ready && !c.now.Before(t.retryAt) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Control) newPlace(j *job, step int) *Place {
 	s := &j.Steps[step]
 	return &Place{
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -33,7 +33,8 @@
 	// unverified says that another instance may have become its home: nothing is
 	// placed before the row was written once more.
 	unverified bool
-	final      Status // with which it ends
+	verifiedAt time.Time // when the last write was sent that shows this instance as its home
+	final      Status    // with which it ends
 	reason     string
 	unrecorded []unrecordedEnd // ends that the next record covers
 	cancels    []Handle
@@ -155,7 +156,8 @@
 	job      *job
 	phase    storedPhase
 	sequence uint64
-	verifies bool            // the job was unverified when the commit was sent
+	verifies bool // the job was unverified when the commit was sent
+	sent     time.Time
 	ends     []unrecordedEnd // that this commit records
 }
 
@@ -170,7 +172,7 @@
 		if known, ok := c.home.jobs.Get(id); !ok || known != j {
 			continue
 		}
-		batch = append(batch, entry{job: j, phase: j.stored.phase, verifies: j.stored.unverified, ends: j.stored.unrecorded})
+		batch = append(batch, entry{job: j, sent: c.now, phase: j.stored.phase, verifies: j.stored.unverified, ends: j.stored.unrecorded})
 		j.stored.unrecorded = nil
 		writes = append(writes, c.recordWrites(j)...)
 		batch[len(batch)-1].sequence = j.stored.sequence
@@ -263,6 +265,7 @@
 // recordedOne goes on with a job whose state is stored.
 func (c *Control) recordedOne(e *entry, version storage.Version) {
 	j, s := e.job, e.job.stored
+	s.verifiedAt = later(s.verifiedAt, e.sent)
 	switch e.phase {
 	case accepting:
 		s.version, s.uncertain = version, false
@@ -409,9 +412,25 @@
 	}
 }
 
-// loseStored forgets a stored job that another instance sees to. Its runs are
-// left to the holders, which follow the later home.
+// verified reports whether this instance was the home of a job so lately that it
+// may place tasks. If not, the job's row is written first.
+func (c *Control) verified(j *job) bool {
+	s := j.stored
+	if s.phase != open || s.unverified {
+		return false
+	}
+	if c.now.Sub(s.verifiedAt) <= homeTerm {
+		return true
+	}
+	s.unverified = true
+	c.record(j)
+	return false
+}
+
+// loseStored forgets a stored job that another instance sees to. What was placed of
+// it must not start any more.
 func (c *Control) loseStored(j *job, cause string) {
+	c.dropRuns(j)
 	for _, h := range j.handles {
 		delete(c.home.byHandle, h)
 		c.reply(h, Answer{Status: TimedOut, Reason: "its state is not known here: " + cause})
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -483,3 +483,62 @@
 	b.report(nil, []workload.EndedRun{{Sequence: 2, Run: starts[1].Run, How: workload.Done}})
 	assert.Assert(t, yielded())
 }
+
+// storeJob hands in a stored job of one task beside a run that fills the endpoint,
+// and returns the job, whose task waits.
+func (b *bench) storeJob() (*job, Start) {
+	full := b.submit(1, 64000)
+	assert.Equal(b.t, len(full), 1)
+	b.answerStart(&full[0], Accepted)
+	b.jobs++
+	const id = "00000000000000aa"
+	submitted := &workload.Job{ID: id, Steps: []workload.Step{{Count: 1, Estimate: 100 * time.Millisecond, Need: workload.Resources{MilliCPU: 1000}}}}
+	b.step(Submit{Handle: Handle(b.jobs), Job: submitted, Route: workload.Route{Service: "s", Stretch: 1.6, Slack: time.Second, MaxAttempts: 2}, Left: 5 * time.Second})
+	for range 60 {
+		b.serveStore()
+		b.pass(10 * time.Millisecond)
+	}
+	j, ok := b.control.home.jobs.Get(id)
+	assert.Assert(b.t, ok && j.stored.phase == open && j.steps[0][0].phase == placed)
+	return j, full[0]
+}
+
+// What a home has placed of a stored job that another instance sees to does not
+// start any more, also where it waits at the home itself (soak, seed 303).
+func TestNothingOfALostJobStarts(t *testing.T) {
+	b := newBench(t)
+	j, full := b.storeJob()
+	b.control.loseStored(j, "another instance is its home")
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: full.Run, How: workload.Done}})
+	for range 10 {
+		b.pass(10 * time.Millisecond)
+		assert.Equal(t, len(find[Start](b)), 0)
+	}
+}
+
+// A task of a stored job that has waited at its holder for long is placed anew, and
+// only when a write has shown that its home is still its home.
+func TestStoredRunsThatHaveWaitedAreVerified(t *testing.T) {
+	b := newBench(t)
+	_, full := b.storeJob()
+	running := []workload.RunningRun{{Run: full.Run}}
+	var commits []Commit
+	for i := range 11 {
+		b.now = b.now.Add(100 * time.Millisecond)
+		running[0].Percent = i + 1
+		b.report(running, nil)
+		commits = append(commits, find[Commit](b)...)
+	}
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: full.Run, How: workload.Done}})
+	commits = append(commits, find[Commit](b)...)
+	for range 5 {
+		assert.Equal(t, len(find[Start](b)), 0, "its home has not been verified")
+		b.pass(20 * time.Millisecond)
+		commits = append(commits, find[Commit](b)...)
+	}
+	assert.Assert(t, len(commits) > 0)
+	b.step(CommitDone{ID: commits[0].ID, Version: benchToken + 1})
+	starts := find[Start](b)
+	assert.Equal(t, len(starts), 1)
+	assert.Assert(t, starts[0].Run.Number > 1)
+}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -95,6 +95,10 @@
 		if r.state != queued {
 			continue
 		}
+		if r.place.Stored && c.now.Sub(r.arrived) > storedQueueTerm {
+			hopeless = append(hopeless, r)
+			continue
+		}
 		if e := c.bestEndpoint(r); e != nil {
 			c.startRun(r, e)
 			continue
@@ -108,7 +112,7 @@
 	clear(h.queue[len(kept):])
 	h.queue = kept
 	for _, r := range hopeless {
-		c.endRun(r, workload.NeverRan, "no room in time")
+		c.endRun(r, workload.NeverRan, "it has waited for too long")
 	}
 	for _, r := range kept {
 		if !r.told {
