--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -511,8 +511,8 @@
 	b.control.loseStored(j, "another instance is its home")
 	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: full.Run, How: workload.Done}})
 	for range 10 {
-		b.pass(10 * time.Millisecond)
 		assert.Equal(t, len(find[Start](b)), 0)
+		b.pass(10 * time.Millisecond)
 	}
 }
 
