A job that is handed in again waits for runs that may not have ended

Change: such runs are remembered until their ends have come, and a job that comes again waits for them. Test: TestJobHandedInAgainWaitsForItsFormerRuns fails before.

--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -36,7 +36,7 @@
 	100, // a start carried out by an endpoint's next life (docs/incidents/soak-100.md)
 	205, // an endpoint's next life filled beyond its capacity (docs/incidents/soak-205.md)
 	303, // a task of a job that had another home (docs/incidents/soak-303.md)
-	336, // open: a job handed in again beside a start that may come late (KNOWN-RED.txt)
+	336, // a job handed in again beside a start that may come late (docs/incidents/soak-336.md)
 }
 
 // Size of a soak, unless SOAK_GATES says otherwise.
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -61,11 +61,23 @@
 	byHandle map[Handle]workload.JobID
 	moveDue  time.Time
 	cancels  []dueLookup
-	own      member // this instance as a holder, seen like the others
+	// takenBack holds the runs of ephemeral jobs that were answered before their
+	// holders have told that they have ended.
+	takenBack *table.Table[workload.JobID, takenBack]
+	own       member // this instance as a holder, seen like the others
+}
+
+// takenBack are runs that their holders were asked to stop.
+type takenBack struct {
+	runs *table.Table[workload.Run, instance.ID] // with their holders
+	at   time.Time
 }
 
 func newHome() home {
-	return home{jobs: table.New[workload.JobID, *job](), byHandle: make(map[Handle]workload.JobID)}
+	return home{
+		jobs: table.New[workload.JobID, *job](), byHandle: make(map[Handle]workload.JobID),
+		takenBack: table.New[workload.JobID, takenBack](),
+	}
 }
 
 // Bounds of the home's systems.
@@ -102,6 +114,9 @@
 	}
 	c.home.jobs.Put(j.ID, j)
 	c.home.byHandle[m.Handle] = j.ID
+	if j.Ephemeral {
+		c.resume(j)
+	}
 	c.decide("job accepted", jobField(j.ID), zap.String("Route", j.route.Name), zap.Int("Tasks", j.left), zap.Duration("LongestChain", j.LongestChain()),
 		zap.Duration("Objective", j.objective.Sub(j.arrived)), zap.Duration("Patience", m.Left), zap.Uint64("Configuration", c.version()))
 	if !j.Ephemeral {
@@ -141,6 +156,34 @@
 	return j
 }
 
+// resume gives a job that is handed in again the runs of its former time here that
+// may not have ended: their tasks wait for the ends.
+func (c *Control) resume(j *job) {
+	former, ok := c.home.takenBack.Get(j.ID)
+	if !ok {
+		return
+	}
+	c.home.takenBack.Delete(j.ID)
+	for r, holder := range former.runs.All() {
+		if r.Task.Step >= len(j.steps) || r.Task.Index >= len(j.steps[r.Task.Step]) {
+			continue
+		}
+		t := &j.steps[r.Task.Step][r.Task.Index]
+		t.phase, t.holder, t.number, t.placed = placed, holder, r.Number, c.now
+		c.decide("task waits for the end of a former run", jobField(j.ID), zap.Int("Step", r.Task.Step), zap.Int("Index", r.Task.Index), zap.Int("Run", r.Number), zap.Stringer("Holder", holder))
+	}
+}
+
+// forgetTakenBack forgets runs whose ends have come, or that have ended long ago.
+func (c *Control) forgetTakenBack() {
+	for id, former := range c.home.takenBack.All() {
+		if c.now.Sub(former.at) < lateOrderTerm {
+			return
+		}
+		c.home.takenBack.Delete(id)
+	}
+}
+
 // admissible reports whether a job can be served at all, and if not why.
 func (c *Control) admissible(j *job) (reason string, ok bool) {
 	switch {
@@ -217,6 +260,7 @@
 
 // dropRuns takes back everything of a job that may still run.
 func (c *Control) dropRuns(j *job) {
+	former := takenBack{runs: table.New[workload.Run, instance.ID](), at: c.now}
 	drops := table.New[instance.ID, *Drop]()
 	for s := range j.steps {
 		for i := range j.steps[s] {
@@ -231,8 +275,12 @@
 				drops.Put(t.holder, d)
 			}
 			d.Runs = append(d.Runs, j.run(s, i))
+			former.runs.Put(j.run(s, i), t.holder)
 		}
 	}
+	if j.stored == nil && former.runs.Len() > 0 {
+		c.home.takenBack.Put(j.ID, former)
+	}
 	for holder, d := range drops.All() {
 		c.send(holder, d)
 	}
@@ -383,6 +431,9 @@
 func (c *Control) ended(from instance.ID, m *Ended) {
 	j, t, ok := c.placedTask(from, m.Run)
 	if !ok {
+		if former, known := c.home.takenBack.Get(m.Run.Task.Job); known {
+			former.runs.Delete(m.Run)
+		}
 		c.endedElsewhere(from, m)
 		return
 	}
@@ -479,6 +530,7 @@
 	for _, j := range c.home.jobs.All() {
 		c.advanceContained(j, move)
 	}
+	c.forgetTakenBack()
 }
 
 func (c *Control) advance(j *job, move bool) {
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -542,3 +542,37 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Assert(t, starts[0].Run.Number > 1)
 }
+
+// A job that is handed in again while a start of its former time here may still be
+// carried out waits for the end of that one, and does not go elsewhere (soak, seed
+// 336).
+func TestJobHandedInAgainWaitsForItsFormerRuns(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	assert.Equal(t, len(starts), 1)
+	b.answerStart(&starts[0], Unanswered)
+	again := find[Start](b)
+	b.answerStart(&again[0], Unanswered)
+	stops := find[StopRun](b)
+	assert.Equal(t, len(stops), 1)
+	b.step(Abandon{Handle: Handle(b.jobs)})
+	b.meetPeer()
+	second, leaving := benchEndpoint, benchEndpoint
+	second.ID.Name, leaving.Draining = benchPeerEndpoint, true
+	b.step(Listed{Endpoints: []workload.Endpoint{leaving, second}})
+	b.report(nil, nil)
+	b.jobs--
+	assert.Equal(t, len(b.submit(1, 1000)), 0)
+	assert.Equal(t, len(b.placedNumbers()), 0)
+	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: stops[0].Run, Outcome: Accepted})
+	b.pass(time.Millisecond)
+	b.report(nil, nil)
+	for range 20 {
+		if next := b.placedNumbers(); len(next) > 0 {
+			assert.Assert(t, next[0] > starts[0].Run.Number)
+			return
+		}
+		b.pass(10 * time.Millisecond)
+	}
+	t.Fatal("the job was not placed when its former run had ended")
+}
