--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -235,3 +235,25 @@
 	assert.Equal(t, stops, 1)
 	assert.Assert(t, b.now.Sub(began) <= DefaultTiming().Silence+50*time.Millisecond, "%s", b.now.Sub(began))
 }
+
+// An endpoint that is silent for a while keeps its runs: they are not stopped, and
+// nothing starts elsewhere before their lease has certainly run out.
+func TestEndpointThatIsSilentForAWhileKeepsItsRuns(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	assert.Equal(t, len(starts), 1)
+	b.answerStart(&starts[0], Accepted)
+	b.report([]workload.RunningRun{{Run: starts[0].Run, Percent: 5}}, nil)
+	orders := 0
+	for range 4 {
+		b.now = b.now.Add(200 * time.Millisecond)
+		b.step(Silent{Endpoint: benchEndpoint.ID, Token: benchToken, Outcome: Unanswered})
+		orders += len(find[StopRun](b)) + len(find[Start](b))
+	}
+	assert.Equal(t, orders, 0)
+	b.report([]workload.RunningRun{{Run: starts[0].Run, Percent: 70}}, nil)
+	assert.Equal(t, len(find[StopRun](b))+len(find[Start](b)), 0)
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Done}})
+	replies := find[Reply](b)
+	assert.Assert(t, len(replies) == 1 && replies[0].Answer.Status == Completed)
+}
