An instance that starts reads its configuration from the store first

A peer that is cut off from the store may offer an older one than the instance had before its restart, in which a withdrawn route still stands. For 0.8 s only that of the store is taken. Test: TestRestartedInstanceReadsItsConfigurationFromTheStoreFirst.

--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -277,7 +277,7 @@
 	case *Beat:
 		c.beaten(from, m)
 	case *Settings:
-		c.emit(Adopt{From: from, Version: m.Version, Raw: m.Raw})
+		c.offered(from, m)
 	case *Listing:
 		c.heardList(from, m)
 	case *Yield:
@@ -355,6 +355,19 @@
 	c.decide("configuration in force", zap.Uint64("Version", m.Configuration.Version), zap.Int("Routes", len(m.Configuration.Routes)))
 }
 
+// storeFirst is how long an instance that starts waits for the configuration of the
+// store before it takes a peer's, which may be older than the one it had before.
+const storeFirst = 800 * time.Millisecond
+
+// offered takes a configuration that a peer has passed on. Peers offer it again.
+func (c *Control) offered(from instance.ID, m *Settings) {
+	if c.configuration == nil && c.now.Sub(c.began) < storeFirst {
+		c.decide("configuration of a peer left", zap.Stringer("Peer", from), zap.Uint64("Version", m.Version))
+		return
+	}
+	c.emit(Adopt{From: from, Version: m.Version, Raw: m.Raw})
+}
+
 func (c *Control) version() uint64 {
 	if c.configuration == nil {
 		return 0
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -257,3 +257,18 @@
 	replies := find[Reply](b)
 	assert.Assert(t, len(replies) == 1 && replies[0].Answer.Status == Completed)
 }
+
+// An instance that has restarted reads the configuration from the store: a peer that
+// is cut off from it may offer one in which a route still stands that was withdrawn.
+func TestRestartedInstanceReadsItsConfigurationFromTheStoreFirst(t *testing.T) {
+	b := &bench{t: t, now: time.Unix(1000, 0)}
+	b.control = New(Config{Self: instance.ID{Instance: "a", Incarnation: 2}, Domain: "east", Share: 1, Timing: DefaultTiming()})
+	b.step(PeerUp{Peer: benchPeer})
+	offer := func() int {
+		b.step(b.from(benchPeer, &Settings{Version: 11, Raw: []byte("{}")}))
+		return len(find[Adopt](b))
+	}
+	assert.Equal(t, offer(), 0)
+	b.pass(storeFirst)
+	assert.Equal(t, offer(), 1, "the store could not be read")
+}
