Only the list that was passed on lately greets a member

The first instance of a domain may hear the list from another one of it without passing it on: its own copy is then older than what it has heard.

--- a/pkg/placement/listing.go
+++ b/pkg/placement/listing.go
@@ -18,11 +18,12 @@
 // heard it for a while reads it until it hears it again from one that goes before
 // it.
 type listing struct {
-	list    *table.Changes[string, workload.Endpoint] // as last passed on
-	freshAt time.Time
-	from    instance.ID                                            // who has read or passed on the list that was last taken
-	reading bool                                                   // no list was heard from one that goes before
-	heard   map[instance.ID]*table.Copy[string, workload.Endpoint] // as last passed on by others
+	list     *table.Changes[string, workload.Endpoint] // as last passed on
+	passedAt time.Time
+	freshAt  time.Time                                              // when a list was last read or heard
+	from     instance.ID                                            // who has read or passed on the list that was last taken
+	reading  bool                                                   // no list was heard from one that goes before
+	heard    map[instance.ID]*table.Copy[string, workload.Endpoint] // as last passed on by others
 }
 
 // Bounds of the list.
@@ -71,6 +72,7 @@
 // passOn sends the list to the members of this failure domain, and one that was
 // read here to the first of each other domain.
 func (c *Control) passOn(read bool) {
+	c.listing.passedAt = c.now
 	relays := make(map[string]*member)
 	for _, m := range c.roster.members.All() {
 		switch {
@@ -154,7 +156,7 @@
 // greetWithList sends a member that has just met this one the list, if it is on
 // this instance to pass it on. An old list may name endpoints that have left.
 func (c *Control) greetWithList(to *member) {
-	if c.listing.list.Sequence() > 0 && c.now.Sub(c.listing.freshAt) < listTerm && to.row.Domain == c.config.Domain && c.listRank() == 0 {
+	if c.now.Sub(c.listing.passedAt) < listTerm && to.row.Domain == c.config.Domain && c.listRank() == 0 {
 		c.sendList(to)
 	}
 }
--- a/pkg/placement/listing_test.go
+++ b/pkg/placement/listing_test.go
@@ -81,6 +81,10 @@
 	b.pass(listTerm)
 	b.meetRows(MemberRow{Instance: "b", Incarnation: 3, Domain: "east"})
 	assert.Equal(t, len(b.listsTo(instance.ID{Instance: "b", Incarnation: 3})), 0)
+	// A list that is heard from another one of the domain is not passed on here.
+	b.step(b.from(instance.ID{Instance: "b", Incarnation: 3}, &Listing{table.Difference[string, workload.Endpoint]{Sequence: 1, Rows: []workload.Endpoint{benchEndpoint}}}))
+	b.meetRows(MemberRow{Instance: "b", Incarnation: 4, Domain: "east"})
+	assert.Equal(t, len(b.listsTo(instance.ID{Instance: "b", Incarnation: 4})), 0)
 }
 
 // What comes from another domain is passed on within this one, and nobody else
