Commits keep to the hundred entries that the store takes

A commit of holds had up to 100 rows, each with a condition and a write; so had the removal of old outcomes, and 25 stored jobs 125. After the loss of the others one instance takes more than 50 endpoints of its domain, is refused, and asks for the same again.

Change: entries are counted, conditions too. The model's store refuses more and calls it a breach. Test: TestOneInstanceTakesManyEndpoints fails before.

--- a/pkg/hold/plan.go
+++ b/pkg/hold/plan.go
@@ -9,8 +9,8 @@
 	"crocusseam/pkg/workload"
 )
 
-// maxTakes bounds the rows of one commit.
-const maxTakes = 100
+// maxTakes bounds the rows of one commit. Each is a condition and a write.
+const maxTakes = storage.MaxEntries / 2
 
 // Plan is what a book wants done.
 type Plan struct {
--- a/pkg/model/store.go
+++ b/pkg/model/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"crocusseam/pkg/placement"
@@ -25,7 +26,10 @@
 
 const scanLimit = 5000
 
-var errAway = errors.New("the store is away")
+var (
+	errAway    = errors.New("the store is away")
+	errTooMany = errors.New("a commit has too many entries")
+)
 
 func (s *Store) serves(n *Node) bool {
 	return !s.Away && !s.Refuses[n.ID.Instance] && s.world.reaches(n.place(), place{"store", "store"})
@@ -33,6 +37,13 @@
 
 func (s *Store) commit(n *Node, m placement.Commit) {
 	way := s.world.Config.ToStore
+	if entries := storage.Entries(m.Writes); entries > storage.MaxEntries {
+		s.world.breach(fmt.Sprintf("a commit of %s has %d entries", n.ID, entries))
+		n.later(2*way, func() {
+			n.deliver(placement.CommitDone{ID: m.ID, Err: &storage.ErrUncertain{Step: "commit", Peer: "store", Cause: errTooMany}})
+		})
+		return
+	}
 	if !s.serves(n) {
 		n.later(storeTimeout, func() {
 			n.deliver(placement.CommitDone{ID: m.ID, Err: &storage.ErrUncertain{Step: "commit", Peer: "store", Cause: errAway}})
--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -41,7 +41,7 @@
 	adoptPeriod   = 3 * time.Second        // between looks for jobs without a home, where there are stored jobs
 	adoptDelay    = 20 * time.Millisecond  // after an instance was found gone
 	sweepPeriod   = 20 * time.Second       // between removals of old outcomes
-	maxSweep      = 100                    // rows of one commit
+	maxSweep      = storage.MaxEntries / 2 // rows of one commit, each a condition and a removal
 	inquiryPeriod = 150 * time.Millisecond // between rounds; a stopped run is gone after 50 ms
 	// homeTerm is how long the home of a stored job may place tasks after a write has
 	// shown that it is the home, and storedQueueTerm how long one of them may wait at
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -65,7 +65,7 @@
 
 // Figures of the ledger.
 const (
-	maxRecords       = 25                     // jobs of one commit: each has up to three rows of the hundred
+	maxRecords       = storage.MaxEntries / 5 // jobs of one commit: each has up to three rows, two of them with a condition
 	recordRetry      = 150 * time.Millisecond // after a commit that failed
 	failuresToRefuse = 2                      // commits in a row, as single answers are lost
 	refuseTerm       = 500 * time.Millisecond // after a failed commit, when a job may show whether the store is back
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -362,3 +362,18 @@
 	w.Run(2 * time.Second)
 	settle(t, w)
 }
+
+// One instance takes all endpoints of a large domain, as when the others of it are
+// killed: in commits that the store accepts.
+func TestOneInstanceTakesManyEndpoints(t *testing.T) {
+	config := deployment(1)
+	d := model.Domain{Name: "domain-a", Instances: 1}
+	for range 130 {
+		d.Endpoints = append(d.Endpoints, model.EndpointConfig{Capacity: workload.Resources{MilliCPU: 64000, MemoryMB: 262144}, Speed: 1})
+	}
+	config.Domains = []model.Domain{d}
+	w := model.New(config)
+	w.Run(5 * time.Second)
+	assert.Equal(t, w.Nodes[0].Control.Overview().Held, 130)
+	settle(t, w)
+}
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -35,6 +35,24 @@
 	Check bool
 }
 
+// MaxEntries is the most that one commit may hold. A write counts twice if it has a
+// condition.
+const MaxEntries = 100
+
+// Entries counts what a commit of these writes holds.
+func Entries(writes []Write) int {
+	n := 0
+	for i := range writes {
+		if writes[i].Expect != AnyVersion {
+			n++
+		}
+		if !writes[i].Check {
+			n++
+		}
+	}
+	return n
+}
+
 // Table is the transactional table service.
 //
 // Commit is atomic: all writes take effect or none. It returns the version that
