One test of who hears, one way to send a beat, rooms compared once

offers asks hears instead of repeating it; beats are sent by one function, also at the first use of a member; an advert that is due and new compares the rooms once. No change of behaviour; tests unchanged.

--- a/pkg/placement/choice.go
+++ b/pkg/placement/choice.go
@@ -183,7 +183,7 @@
 // offers reports whether a member's advert can be relied on: it is the last one
 // of a session on which the member is heard.
 func (c *Control) offers(m *member) bool {
-	return m.up && m.suspected.IsZero() && !m.beat.Leaving && m.advert != nil
+	return c.hears(m) && m.advert != nil
 }
 
 func (c *Control) anyRoom() bool {
--- a/pkg/placement/roster.go
+++ b/pkg/placement/roster.go
@@ -148,11 +148,15 @@
 		if c.now.Sub(m.sentAt) < c.slack(m)*c.config.Timing.Beat && !b.saysMoreThan(&m.told) {
 			continue
 		}
-		m.told = *b
-		c.send(m.id, b)
+		c.sendBeat(m, b)
 	}
 }
 
+func (c *Control) sendBeat(m *member, b *Beat) {
+	m.told = *b
+	c.send(m.id, b)
+}
+
 // saysMoreThan reports whether a beat tells a peer more than that the sender
 // lives, which any message tells, and how long it has been up.
 func (b *Beat) saysMoreThan(told *Beat) bool {
@@ -188,9 +192,7 @@
 	if c.now.Sub(m.usedAt) >= closeTerm {
 		m.closeSince = c.now
 		if m.up && c.now.Sub(m.sentAt) >= c.config.Timing.Beat {
-			m.told = *c.beatTo(m, c.ownWaiting())
-			told := m.told
-			c.send(m.id, &told)
+			c.sendBeat(m, c.beatTo(m, c.ownWaiting()))
 		}
 	}
 	m.usedAt = c.now
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -472,14 +472,13 @@
 	if c.now.Before(h.advertDue) {
 		return
 	}
-	if c.now.Sub(h.checkedAt) >= advertPeriod {
+	look := c.now.Sub(h.checkedAt) >= advertPeriod
+	if look {
 		h.checkedAt, h.roomsOld = c.now, true
-		h.advertNew = h.told.Replace(c.offeredRooms()) || h.advertNew
 	}
-	if h.advertNew {
+	if (look || h.advertNew) && (h.told.Replace(c.offeredRooms()) || h.advertNew) {
 		h.advertNew = false
 		h.version++
-		h.told.Replace(c.offeredRooms())
 	}
 	many := c.roster.members.Len() > fewPeers
 	pause := c.config.Timing.AdvertPause + time.Duration(max(0, c.roster.members.Len()-fewPeers))*advertPausePerPeer
