Record the outcomes of adopted jobs at an instance that never accepted one

Cause: the recorder writes nothing before the instance has announced stored jobs, and only accepting a job led to that announcement. Change: becoming the home of an adopted job announces stored jobs, too.

--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -241,6 +241,7 @@
 		return err
 	}
 	c.home.jobs.Put(j.ID, j)
+	c.recorder.hadStoredJobs = true
 	c.counters.Adopted++
 	c.logEvent("job adopted", jobField(j.ID), zap.Int("Round", j.stored.round), zap.Int("TasksLeft", j.remaining), zap.Uint64("RowVersion", uint64(version)))
 	if j.remaining == 0 {
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -33,8 +33,8 @@
 	// Speeds are the speeds learned for the endpoints held by the instance, by name.
 	// They are stored so that later holders of these endpoints know them.
 	Speeds map[string]float64 `json:",omitempty"`
-	// Stored says that this or an earlier incarnation of the instance has accepted
-	// stored jobs.
+	// Stored says that this or an earlier incarnation of the instance has been the home
+	// of stored jobs.
 	Stored bool `json:",omitempty"`
 }
 
@@ -401,7 +401,8 @@
 }
 
 // writeOwnRow writes the instance's row at its start, when learned speeds are due and
-// when it has accepted its first stored job, and renews it while a member is suspected.
+// when it has become the home of its first stored job, and renews it while a member is
+// suspected.
 func (c *Control) writeOwnRow() {
 	r := &c.membership
 	if r.writingRow || c.now.Before(r.nextWrite) || (r.rowWritten && !c.anySuspected() && c.now.Before(r.speedsDue) && r.storedAnnounced == c.recorder.hadStoredJobs) {
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -50,7 +50,7 @@
 // recorder writes the rows of this home's stored jobs. For each partition one commit is
 // in progress at a time; the jobs that change in the meantime go into the next one.
 type recorder struct {
-	hadStoredJobs bool // this or an earlier incarnation has accepted stored jobs
+	hadStoredJobs bool // this or an earlier incarnation has been the home of stored jobs
 	// failures counts the commits in a row that have failed; failedAt is when the last
 	// one did.
 	failures   int
--- a/pkg/placement/stored_test.go
+++ b/pkg/placement/stored_test.go
@@ -341,3 +341,23 @@
 		w.Run(3 * time.Second)
 	})
 }
+
+// An instance that adopts a stored job records its outcome, even if it has never accepted
+// a stored job itself.
+func TestFirstStoredJobOfAnInstanceIsAdopted(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Run(4 * time.Second)
+		l := load([]model.Kind{{Name: "job", Tasks: 3, Work: 300 * time.Millisecond, MilliCPU: 27000, Stored: true}}, 0)
+		o := w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+		w.Run(100 * time.Millisecond)
+		assert.Equal(t, o.Answer.Status, placement.Queued)
+		w.Nodes[0].Kill()
+		w.Run(10 * time.Second)
+		var status placement.Status
+		w.State(w.Nodes[1], o.Job.ID, func(a placement.Answer) { status = a.Status })
+		w.Run(time.Second)
+		assert.Equal(t, status, placement.Completed)
+		assert.Check(t, o.AllDone())
+	})
+}
