Refuse requests that arrive after a planned stop has ended

Cause: a planned stop ends once nothing is open, from MinLeaveTime on; the process then gives the last answers 300 ms. Change: a stopped control state refuses jobs at once. Refusals during a planned stop ask callers to return after its end, as they keep their connections until then.

--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -198,7 +198,7 @@
 		return fmt.Sprintf("it asks for %v, which is not offered here", j.Unsupported), false
 	case len(j.route.Unsupported) > 0:
 		return fmt.Sprintf("its route asks for %v, which is not offered here", j.route.Unsupported), false
-	case !j.Ephemeral && c.stop != serving:
+	case c.stop == stopped || (!j.Ephemeral && c.stop != serving):
 		return "this instance is leaving", false
 	case !j.Ephemeral && !c.recorder.acceptsJobs(c.now):
 		return storeUnavailable, false
@@ -236,12 +236,20 @@
 }
 
 // refuse answers a job's callers that it does not run here, and when to retry.
-// The retry times are randomized so that callers that were refused together do
-// not return together.
 func (c *Control) refuse(j *job, reason string) {
 	c.counters.Refused++
-	span := time.Duration(c.random.Int64N(int64(maxRetryAfterFactor-1)*int64(c.config.Timing.RetryAfter) + 1))
-	c.close(j, Answer{Status: Refused, Reason: reason, RetryAfter: c.config.Timing.RetryAfter + span})
+	c.close(j, Answer{Status: Refused, Reason: reason, RetryAfter: c.retryAfter()})
+}
+
+// retryAfter returns when a refused caller should return. It is randomized so that
+// callers that were refused together do not return together. During a planned stop it
+// is not before the end of the stop, as callers keep their connections until then.
+func (c *Control) retryAfter() time.Duration {
+	earliest := c.config.Timing.RetryAfter
+	if c.stop != serving {
+		earliest = max(earliest, c.stopStartedAt.Add(c.config.Timing.MaxLeaveTime).Sub(c.now))
+	}
+	return earliest + time.Duration(c.random.Int64N(int64(maxRetryAfterFactor-1)*int64(c.config.Timing.RetryAfter)+1))
 }
 
 // close answers a job's callers and forgets the job. The outcome of an open stored job
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -293,6 +293,57 @@
 	checkSettled(t, w)
 }
 
+// A request that arrives on an open connection after a planned stop has ended, while the
+// process shuts down, is refused: no instance would be left to answer it. The caller is
+// asked to return when the process, and with it the connection, is gone.
+func TestStoppedInstanceRefusesRequests(t *testing.T) {
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	n := w.Nodes[0]
+	l := load([]model.Kind{{Name: "job", Tasks: 2, Work: 100 * time.Millisecond, MilliCPU: 27000}}, 0)
+	n.BeginPlannedStop()
+	w.Run(placement.DefaultTiming().MinLeaveTime + 50*time.Millisecond)
+	assert.Equal(t, n.LogEvents["planned stop ends"], 1)
+	o := w.SubmitTo(n, &l, &l.Kinds[0])
+	w.Run(10 * time.Millisecond)
+	assert.Equal(t, o.Answer.Status, placement.Refused)
+	assert.Check(t, o.Answer.RetryAfter > 0)
+	checkSettled(t, w)
+	assert.Check(t, !o.Started)
+}
+
+// At the end of a planned stop the callers of jobs that still run are told that the jobs
+// may have run, and a caller that was refused during the stop is asked to return after it.
+func TestPlannedStopAnswersWhatStillRuns(t *testing.T) {
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	n := w.Nodes[0]
+	for _, e := range w.Endpoints {
+		e.Hangs = true
+	}
+	submit := func(length time.Duration) *model.Outcome {
+		l := load([]model.Kind{{Name: "job", Tasks: 2, Work: length, MilliCPU: 27000}}, 0)
+		l.EstimateError = 0
+		return w.SubmitTo(n, &l, &l.Kinds[0])
+	}
+	submit(4 * time.Second)
+	n.BeginPlannedStop()
+	stopEnd := w.Now.Add(placement.DefaultTiming().MaxLeaveTime)
+	w.Run(2500 * time.Millisecond)
+	for range 10 {
+		refused := submit(1500 * time.Millisecond)
+		w.Run(10 * time.Millisecond)
+		assert.Equal(t, refused.Answer.Status, placement.Refused)
+		assert.Check(t, !refused.Submitted.Add(refused.Answer.RetryAfter).Before(stopEnd), "asked to return after %s", refused.Answer.RetryAfter)
+	}
+	w.Run(900 * time.Millisecond)
+	accepted := submit(400 * time.Millisecond)
+	w.Run(2 * time.Second)
+	assert.Equal(t, accepted.Answer.Status, placement.TimedOut)
+	assert.Check(t, !accepted.Answered.After(stopEnd.Add(50*time.Millisecond)))
+	checkSettled(t, w)
+}
+
 // unequalDeployment returns a deployment of many instances, few of which are large
 // enough to hold endpoints.
 func unequalDeployment(seed uint64) model.Config {
