--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -34,7 +34,7 @@
 	memoryShare        = 0.75 // of the memory setting: the soft limit above which the garbage collector runs more often
 	shareUnit          = 0.01 // processors for each unit of an instance's share of endpoints
 	signalBuffer       = 4    // signals that are kept while the process starts
-	gcPercent          = 250  // growth between collections; the live heap is a few MB and the memory limit bounds it
+	gcPercent          = 50   // growth between collections; memory is scarcer than processor time here
 	callersShare       = 0.15 // processors that an instance needs for its own callers, at 90 jobs a second
 	storeReadTimeout   = 700 * time.Millisecond
 	storeWriteTimeout  = time.Second
