--- a/pkg/model/load.go
+++ b/pkg/model/load.go
@@ -35,6 +35,9 @@
 	// job's.
 	EstimateError float64
 	TaskDeviation float64
+	// ResendAfter is how long callers whose connection broke wait until they submit the
+	// job again, while their timeout lasts. With 0 they don't.
+	ResendAfter time.Duration
 }
 
 // Mix returns the kinds of jobs of a seat booking service: many short jobs of
@@ -68,7 +71,10 @@
 	})
 }
 
-func (w *World) submitToRandomNode(l *Load, k *Kind) {
+func (w *World) submitToRandomNode(l *Load, k *Kind) { w.SubmitTo(w.randomNode(), l, k) }
+
+// randomNode returns a random instance of those that are up, or of all if none is.
+func (w *World) randomNode() *Node {
 	var up []*Node
 	for _, n := range w.Nodes {
 		if n.Up {
@@ -76,9 +82,9 @@
 		}
 	}
 	if len(up) == 0 {
-		up = w.Nodes // the job gets no answer
+		up = w.Nodes
 	}
-	w.SubmitTo(up[w.random.IntN(len(up))], l, k)
+	return up[w.random.IntN(len(up))]
 }
 
 // SubmitTo submits a random job of a kind to an instance.
@@ -86,11 +92,26 @@
 	j, lengths := w.Draw(l, k)
 	route := w.route(l, k)
 	objective := time.Duration(float64(slices.Max(lengths))*l.Stretch) + l.Slack
-	o := w.Submit(n, j, route, lateFactor*objective+l.ExtraTimeout)
-	o.Kind, o.Worth, o.Objective, o.Lengths = k.Name, k.Worth, objective, lengths
+	timeout := lateFactor*objective + l.ExtraTimeout
+	o := &Outcome{Job: j, Submitted: w.Now, Kind: k.Name, Worth: k.Worth, Objective: objective, Lengths: lengths}
+	if l.ResendAfter > 0 {
+		o.resend = func() { w.scheduleResend(l, o, route, o.Submitted.Add(timeout)) }
+	}
+	w.Jobs[j.ID] = o
+	w.Resubmit(n, o, route, timeout)
 	return o
 }
 
+// scheduleResend submits a job again after ResendAfter, if its caller still waits then.
+func (w *World) scheduleResend(l *Load, o *Outcome, route workload.Route, deadline time.Time) {
+	w.After(l.ResendAfter, func() {
+		if timeout := deadline.Sub(w.Now); timeout > 0 {
+			o.Answered = time.Time{}
+			w.Resubmit(w.randomNode(), o, route, timeout)
+		}
+	})
+}
+
 func (w *World) route(l *Load, k *Kind) workload.Route {
 	return workload.Route{
 		Name: k.Name, Service: w.Config.Service, Stretch: l.Stretch, Slack: l.Slack,
--- a/pkg/model/reference.go
+++ b/pkg/model/reference.go
@@ -11,7 +11,7 @@
 
 // Reference returns the credit that a central scheduler would earn with the same
 // jobs and endpoints. The scheduler knows every task's true run time and every
-// endpoint's speed, its messages take no time, and nothing fails. The value serves
+// endpoint's speed, its messages take no time, and nothing but the speeds changes. The value serves
 // for comparison; the scheduler is greedy and not proved to be optimal.
 func (w *World) Reference() float64 {
 	r := newReference(w)
@@ -44,8 +44,9 @@
 }
 
 type referenceEndpoint struct {
+	*Endpoint
 	free  workload.Resources
-	speed float64
+	speed float64 // at the present time
 }
 
 type referenceEnd struct {
@@ -80,7 +81,7 @@
 func newReference(w *World) *reference {
 	r := &reference{}
 	for _, x := range w.Endpoints {
-		r.endpoints = append(r.endpoints, &referenceEndpoint{free: x.Info.Capacity, speed: x.Speed})
+		r.endpoints = append(r.endpoints, &referenceEndpoint{Endpoint: x, free: x.Info.Capacity})
 	}
 	for _, o := range w.Jobs {
 		r.arrivals = append(r.arrivals, &referenceJob{Outcome: o, remaining: o.Job.Tasks()})
@@ -118,6 +119,9 @@
 // startTasks starts the waiting tasks that fit an endpoint: first those that can
 // still meet their objective, by latest start.
 func (r *reference) startTasks() {
+	for _, e := range r.endpoints {
+		e.speed = e.speedAt(r.now)
+	}
 	slices.SortStableFunc(r.waiting, func(a, b *referenceTask) int {
 		x, y := a.latestStart(), b.latestStart()
 		if lateX, lateY := x.Before(r.now), y.Before(r.now); lateX != lateY {
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -53,9 +53,12 @@
 	confirmWait     = 25 * time.Millisecond  // before a report request that may acknowledge confirmed ended runs
 	storeTimeout    = time.Second
 	discoveryPeriod = 700 * time.Millisecond
-	stopTime        = 30 * time.Millisecond // from a stop order to the end of the run
-	orderTimeout    = time.Second
-	redialDelay     = 50 * time.Millisecond
+	// readerCheckPeriod is the time between checks whether an instance has to read the
+	// endpoint list.
+	readerCheckPeriod = 10 * time.Millisecond
+	stopTime          = 30 * time.Millisecond // from a stop order to the end of the run
+	orderTimeout      = time.Second
+	redialDelay       = 50 * time.Millisecond
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -95,6 +98,7 @@
 	// that connection may have run tasks even if a later one is refused.
 	CallerDisconnected bool
 
+	resend           func()                   // schedules another submission; nil if the caller makes none
 	finished         map[workload.TaskID]bool // tasks with a run that ended as done
 	acknowledgedDone map[workload.TaskID]bool // tasks of a stored job with an acknowledged run that ended as done
 	lastRun          map[workload.TaskID]int  // highest run number started, for a stored job
@@ -110,6 +114,15 @@
 	o.finished[t] = true
 }
 
+// loseConnection records that the caller's connection broke without an answer.
+func (o *Outcome) loseConnection(now time.Time) {
+	o.Answered = now
+	if o.resend != nil {
+		o.CallerDisconnected = true
+		o.resend()
+	}
+}
+
 // InTime reports whether the job was completed within its objective.
 func (o *Outcome) InTime() bool {
 	return o.Answer.Status == placement.Completed && o.Answered.Sub(o.Submitted) <= o.Objective
@@ -292,7 +305,7 @@
 // Resubmit submits a job again, as a caller does that got no answer.
 func (w *World) Resubmit(n *Node, o *Outcome, route workload.Route, timeout time.Duration) {
 	if !n.Up {
-		o.Answered = w.Now
+		o.loseConnection(w.Now)
 		return
 	}
 	n.lastHandle++
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -24,6 +24,7 @@
 	remaining int          // number of tasks that are not done
 	started   bool         // some run of the job has started
 	stored    *storedState // nil for an ephemeral job
+	deferred  bool         // accepted before this instance knew of any capacity; not examined yet
 }
 
 // phase is the progress of a task as its home knows it.
@@ -125,6 +126,34 @@
 		c.acceptStored(j)
 		return
 	}
+	if j.deferred = c.awaitsCapacity(); j.deferred {
+		return
+	}
+	c.beginPlacement(j)
+}
+
+// awaitsCapacity reports whether this instance has just started and knows no endpoints or
+// no capacity yet. Until it does, or the settle time is over, ephemeral jobs wait here instead of being
+// refused.
+func (c *Control) awaitsCapacity() bool {
+	return c.justStarted() && (c.holder.listed.Len() == 0 || !c.anyCapacity())
+}
+
+// justStarted reports whether endpoints and other instances may still be missing because
+// this instance has just started.
+func (c *Control) justStarted() bool { return c.now.Sub(c.began) < c.config.Timing.Settle }
+
+// admitDeferred examines a job that was accepted before any capacity was known, and begins
+// to place it.
+func (c *Control) admitDeferred(j *job) {
+	if c.awaitsCapacity() {
+		return
+	}
+	j.deferred = false
+	if reason, ok := c.admissible(j); !ok {
+		c.refuse(j, reason)
+		return
+	}
 	c.beginPlacement(j)
 }
 
@@ -204,6 +233,8 @@
 		return storeUnavailable, false
 	case !j.Ephemeral && c.home.jobs.Len() >= maxStoredJobs:
 		return "too many jobs are open here", false
+	case j.Ephemeral && c.awaitsCapacity():
+		return "", true
 	}
 	for i := range j.Steps {
 		if !c.fitsSomeEndpoint(j.route.Service, &j.Steps[i]) {
@@ -216,7 +247,7 @@
 		return "no endpoint of the service is in use here or at a peer", false
 	case !j.Ephemeral:
 		return "", true
-	case c.now.Add(wait).After(j.expiry):
+	case c.now.Add(wait).After(j.expiry) && !c.justStarted():
 		return fmt.Sprintf("it is expected to end in %s, when its answer is of no use any more", wait), false
 	case c.stop != serving && c.now.Add(wait+leavingEstimateFactor*j.LongestChain()).After(c.stopStartedAt.Add(c.config.Timing.MaxLeaveTime)):
 		return "this instance is leaving and could not see it to its end", false
@@ -578,6 +609,10 @@
 		c.timeOut(j)
 		return
 	}
+	if j.deferred {
+		c.admitDeferred(j)
+		return
+	}
 	c.checkLost(j)
 	c.placeReady(j)
 	if move {
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -428,3 +428,31 @@
 	assert.Equal(t, w.Nodes[0].Control.Overview().Held, 130)
 	checkSettled(t, w)
 }
+
+// All instances lose power and return within 1.1 s, while callers submit jobs and send those
+// again whose connection broke. An instance that has just started does not refuse what it can
+// serve as soon as it knows its endpoints.
+func TestStartingInstancesServeWhatArrives(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Run(4 * time.Second)
+		l := load(model.Mix(0.6), 6*time.Second)
+		l.ResendAfter = 1300 * time.Millisecond
+		w.StartLoad(l)
+		w.Run(2 * time.Second)
+		for i, n := range w.Nodes {
+			n.Kill()
+			w.After(1100*time.Millisecond+time.Duration(i)*50*time.Millisecond, n.Start)
+		}
+		w.Run(4 * time.Second)
+		checkSettled(t, w)
+		refused := 0
+		for _, o := range w.Jobs {
+			if o.Answer.Status == placement.Refused {
+				refused++
+			}
+		}
+		t.Logf("credit %.4f of %d jobs, %d refused", w.Credit(), len(w.Jobs), refused)
+		assert.Equal(t, refused, 0)
+	})
+}
--- a/service/gate/callers.go
+++ b/service/gate/callers.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -23,6 +24,10 @@
 // earlyRetryAfter is the Retry-After of a refusal whose cause passes soon.
 const earlyRetryAfter = time.Second
 
+// firstConfigurationWait is how long a request waits for the first configuration, which an
+// instance reads within some 10 ms of its start unless the store is slow.
+const firstConfigurationWait = 300 * time.Millisecond
+
 // routeTable finds the route of a request.
 type routeTable struct {
 	configuration *workload.Configuration
@@ -77,11 +82,11 @@
 }
 
 func (s *Server) serveCaller(c echo.Context) error {
-	routes := s.routes.Load()
+	request := c.Request()
+	routes := s.firstRoutes(request.Context())
 	if routes == nil {
 		return s.refuseEarly(c, http.StatusServiceUnavailable, "this instance has no configuration yet", earlyRetryAfter)
 	}
-	request := c.Request()
 	route, rest, ok := routes.find(request.Host, request.URL.Path)
 	if !ok {
 		return s.refuseEarly(c, http.StatusNotFound, fmt.Sprintf("no route for host %q and path %q in version %d", request.Host, request.URL.Path, routes.configuration.Version), 0)
@@ -106,6 +111,23 @@
 	return s.refuseEarly(c, http.StatusMethodNotAllowed, "method "+request.Method+" is not allowed", 0)
 }
 
+// firstRoutes returns the routes in force. While an instance that has just started reads its
+// first configuration, it waits briefly, and returns nil if there is still none.
+func (s *Server) firstRoutes(ctx context.Context) *routeTable {
+	if routes := s.routes.Load(); routes != nil {
+		return routes
+	}
+	wait := s.timers.Once()
+	defer wait.Stop()
+	wait.WakeAt(s.timers.Now().Add(firstConfigurationWait))
+	select {
+	case <-s.configured:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	return s.routes.Load()
+}
+
 func (s *Server) submit(c echo.Context, route workload.Route, id workload.JobID) error {
 	j, err := s.readJob(c, id)
 	if err != nil {
--- a/service/gate/follow.go
+++ b/service/gate/follow.go
@@ -91,10 +91,14 @@
 	}
 	s.adoptMutex.Lock()
 	defer s.adoptMutex.Unlock()
-	if current := s.routes.Load(); current != nil && current.configuration.Version >= c.Version {
+	current := s.routes.Load()
+	if current != nil && current.configuration.Version >= c.Version {
 		return
 	}
 	s.routes.Store(newRouteTable(c))
+	if current == nil {
+		close(s.configured)
+	}
 	s.logger.Info("configuration adopted", zap.Uint64("Version", c.Version), zap.String("Source", source), zap.Int("Routes", len(c.Routes)))
 	s.deliver(placement.Configured{Configuration: c, Raw: raw})
 }
@@ -104,6 +108,7 @@
 func (s *Server) followEndpoints(ctx context.Context) error {
 	d := dependency{name: "discovery", logger: s.logger}
 	damaged := ""
+	pause := followRetry // until the list was read once
 	for ctx.Err() == nil {
 		if o := s.overview.Load(); o != nil && !o.ReadsList {
 			s.timers.Sleep(ctx, overviewPeriod)
@@ -124,8 +129,9 @@
 				s.logger.Warn("discovery entries skipped", zap.Int("Count", len(skipped)), zap.String("Causes", text))
 			}
 			s.deliver(placement.Listed{Endpoints: list})
+			pause = discoveryPeriod
 		}
-		s.timers.Sleep(ctx, discoveryPeriod)
+		s.timers.Sleep(ctx, pause)
 	}
 	return nil
 }
--- a/service/gate/gate_test.go
+++ b/service/gate/gate_test.go
@@ -237,6 +237,14 @@
 	e.check()
 }
 
+// A request that reaches a gate before it has read its first configuration waits for it.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	e := newEnvironment(t)
+	s := e.start("east")
+	response, _ := e.request(s, http.MethodGet, "/seats/", nil)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
+
 // A planned stop interrupts no request of callers that keep using their
 // connections, and another gate takes over the endpoints.
 func TestPlannedStopCutsOffNothing(t *testing.T) {
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -75,6 +75,7 @@
 	stopOnce   sync.Once
 	overview   atomic.Pointer[placement.Overview]
 	routes     atomic.Pointer[routeTable]
+	configured chan struct{} // closed when the first configuration is adopted
 	adoptMutex sync.Mutex
 	watches    map[string]*watch // owned by the control goroutine
 	replies    *mailbox.PendingRequests[placement.Handle, placement.Answer]
@@ -93,7 +94,7 @@
 // New creates an instance and binds its addresses.
 func New(config Config) (*Server, error) {
 	s := &Server{
-		config: config, mailbox: mailbox.New[placement.Input](), timers: config.Timers, stopped: make(chan struct{}),
+		config: config, mailbox: mailbox.New[placement.Input](), timers: config.Timers, stopped: make(chan struct{}), configured: make(chan struct{}),
 		logger: config.Logger, replies: mailbox.NewPendingRequests[placement.Handle, placement.Answer](), watches: make(map[string]*watch),
 	}
 	s.metrics = newMetrics(s)
