--- a/pkg/model/load.go
+++ b/pkg/model/load.go
@@ -114,7 +114,7 @@
 
 func (w *World) route(l *Load, k *Kind) workload.Route {
 	return workload.Route{
-		Name: k.Name, Service: w.Config.Service, Stretch: l.Stretch, Slack: l.Slack,
+		Name: k.Name, Service: w.Config.Service, Stretch: l.Stretch, Slack: l.Slack, Timeout: l.ExtraTimeout,
 		Priority: k.Priority, MaxAttempts: w.Config.MaxAttempts,
 	}
 }
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -178,7 +178,7 @@
 	objective := m.Route.Objective(m.Job)
 	j := &job{
 		Job: m.Job, route: m.Route, handles: []Handle{m.Handle}, arrived: c.now,
-		objective: c.now.Add(objective), deadline: c.now.Add(remaining - answerMargin), expiry: c.now.Add(min(expiryFactor*objective, remaining-answerMargin)),
+		objective: c.now.Add(objective - m.alreadyWaited()), deadline: c.now.Add(remaining - answerMargin), expiry: c.now.Add(min(expiryFactor*objective, remaining-answerMargin)),
 		steps: make([][]task, len(m.Job.Steps)), remaining: m.Job.Tasks(),
 	}
 	if !m.Job.Ephemeral {
@@ -190,6 +190,16 @@
 	return j
 }
 
+// alreadyWaited returns the time that the caller has waited at least before this submission.
+// Callers wait for their route's timeout or longer from their first submission on, so one
+// that waits for less now has submitted the job before, to an instance that is gone.
+func (m *Submit) alreadyWaited() time.Duration {
+	if m.CallerTimeout == 0 {
+		return 0
+	}
+	return max(0, m.Route.Timeout-m.CallerTimeout)
+}
+
 // resumeFormerRuns restores the runs of a resubmitted ephemeral job that were dropped
 // when the job was answered and may not have ended. Their tasks count as placed, so
 // that no second run starts beside them.
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -456,3 +456,32 @@
 		assert.Equal(t, refused, 0)
 	})
 }
+
+// After a loss of instances, callers whose connections broke come back on top of the usual
+// load. A caller that says that it waits for less than its route's timeout has waited before
+// and has missed its objective: a job that arrives later and can meet its own starts first.
+func TestReturningCallerWaitsBehindNewOnes(t *testing.T) {
+	config := deployment(1)
+	config.Domains = []model.Domain{{Name: "domain-a", Instances: 1, Endpoints: []model.EndpointConfig{
+		{Capacity: workload.Resources{MilliCPU: 27000, MemoryMB: 262144}, Speed: 1},
+	}}}
+	w := model.New(config)
+	w.Run(4 * time.Second)
+	l := load([]model.Kind{{Name: "job", Tasks: 0, Work: 100 * time.Millisecond, MilliCPU: 20000}}, 0)
+	l.EstimateError = 0
+	route := workload.Route{Name: "job", Service: config.Service, Stretch: 3, Slack: 200 * time.Millisecond, Timeout: 1500 * time.Millisecond, MaxAttempts: 3}
+	submit := func(timeout time.Duration) *model.Outcome {
+		j, _ := w.Draw(&l, &l.Kinds[0])
+		o := w.Submit(w.Nodes[0], j, route, timeout)
+		w.Run(10 * time.Millisecond)
+		return o
+	}
+	submit(2 * time.Second)
+	returning := submit(900 * time.Millisecond)
+	fresh := submit(2 * time.Second)
+	w.Run(2 * time.Second)
+	assert.Equal(t, returning.Answer.Status, placement.Completed)
+	assert.Equal(t, fresh.Answer.Status, placement.Completed)
+	assert.Check(t, fresh.Answered.Before(returning.Answered))
+	checkSettled(t, w)
+}
