Shift objectives of returning callers only on routes where a short wait is unusual

A route whose callers all wait for less than its timeout would have all its jobs behind those of other routes. Change: each instance counts by route how many callers wait for less than the timeout, newer ones weigh more; the objective is shifted only while they are the fewer. Result: TestShortTimeoutsOfARouteAreNotReturns fails without the count.

--- a/pkg/experiment/experiment.go
+++ b/pkg/experiment/experiment.go
@@ -91,6 +91,8 @@
 	warmUp       = 4 * time.Second  // until all endpoints have holders
 	loadDuration = 10 * time.Second // how long jobs are submitted
 	settleTime   = 20 * time.Second // until all jobs have ended
+
+	usualEndpoints = 48 // of the deployments that the rates of the patterns are made for
 )
 
 // Patterns lists the patterns of an experiment.
@@ -195,7 +197,7 @@
 // times slower.
 func longJobsOnSlowEndpoints(w *model.World) {
 	w.Run(2 * time.Second)
-	long := model.Mix(2 * float64(len(w.Endpoints)) / 48)[1:2]
+	long := model.Mix(2 * float64(len(w.Endpoints)) / usualEndpoints)[1:2]
 	w.StartLoad(Load(long, 4*time.Second))
 	w.Run(2 * time.Second)
 	slow := func(factor float64) {
--- a/pkg/model/reference.go
+++ b/pkg/model/reference.go
@@ -11,8 +11,8 @@
 
 // Reference returns the credit that a central scheduler would earn with the same
 // jobs and endpoints. The scheduler knows every task's true run time and every
-// endpoint's speed, its messages take no time, and nothing but the speeds changes. The value serves
-// for comparison; the scheduler is greedy and not proved to be optimal.
+// endpoint's present speed, its messages take no time, and nothing fails. The value
+// serves for comparison; the scheduler is greedy and not proved to be optimal.
 func (w *World) Reference() float64 {
 	r := newReference(w)
 	for len(r.arrivals) > 0 || len(r.ends) > 0 {
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -98,6 +98,7 @@
 	active             int                // endpoints whose lease is renewed
 	totalCapacity      workload.Resources // of these active endpoints
 	fastSpeeds         map[string]float64 // service -> mean speed of the fastest third of its active endpoints
+	fastSpeedsAt       time.Time          // when they were last computed
 	freeCapacity       []FreeCapacity
 	capacityStale      bool
 	advertDue          time.Time
@@ -626,7 +627,6 @@
 	h := &c.holder
 	c.stopOrphans()
 	h.held, h.active, h.totalCapacity = 0, 0, workload.Resources{}
-	speeds := make(map[string][]float64)
 	for _, e := range h.endpoints.All() {
 		h.held++
 		c.updateWithheldLease(e)
@@ -635,6 +635,25 @@
 		if e.renewsLease() {
 			h.active++
 			h.totalCapacity = h.totalCapacity.Add(e.info.Capacity)
+		}
+	}
+	c.updateFastSpeeds()
+	for _, r := range h.runs.All() {
+		c.checkRun(r)
+	}
+}
+
+// updateFastSpeeds computes the speeds of the fast endpoints of each service anew, unless it
+// has done so lately.
+func (c *Control) updateFastSpeeds() {
+	h := &c.holder
+	if c.now.Sub(h.fastSpeedsAt) < capacityCheckInterval {
+		return
+	}
+	h.fastSpeedsAt = c.now
+	speeds := make(map[string][]float64)
+	for _, e := range h.endpoints.All() {
+		if e.renewsLease() {
 			speeds[e.info.Service] = append(speeds[e.info.Service], e.speed.value())
 		}
 	}
@@ -642,9 +661,6 @@
 	for service, list := range speeds {
 		h.fastSpeeds[service] = meanOfFastest(list)
 	}
-	for _, r := range h.runs.All() {
-		c.checkRun(r)
-	}
 }
 
 // meanOfFastest returns the mean of the highest third of speeds. A maximum would rest on one
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -64,6 +64,7 @@
 	byHandle       map[Handle]workload.JobID
 	moveDue        time.Time // when waiting tasks are next considered for a move
 	pendingCancels []delayedLookup
+	timeouts       map[string]*timeoutCounts // by route
 	// droppedRuns holds the runs of ephemeral jobs that were answered before the
 	// holders reported the ends of these runs.
 	droppedRuns *table.Table[workload.JobID, droppedRuns]
@@ -79,7 +80,7 @@
 func newHome() home {
 	return home{
 		jobs: table.New[workload.JobID, *job](), byHandle: make(map[Handle]workload.JobID),
-		droppedRuns: table.New[workload.JobID, droppedRuns](),
+		droppedRuns: table.New[workload.JobID, droppedRuns](), timeouts: make(map[string]*timeoutCounts),
 	}
 }
 
@@ -133,8 +134,8 @@
 }
 
 // awaitsCapacity reports whether this instance has just started and knows no endpoints or
-// no capacity yet. Until it does, or the settle time is over, ephemeral jobs wait here instead of being
-// refused.
+// no capacity yet. Until it does, or the settle time is over, ephemeral jobs wait here
+// instead of being refused.
 func (c *Control) awaitsCapacity() bool {
 	return c.justStarted() && (c.holder.listed.Len() == 0 || !c.anyCapacity())
 }
@@ -178,7 +179,7 @@
 	objective := m.Route.Objective(m.Job)
 	j := &job{
 		Job: m.Job, route: m.Route, handles: []Handle{m.Handle}, arrived: c.now,
-		objective: c.now.Add(objective - m.alreadyWaited()), deadline: c.now.Add(remaining - answerMargin), expiry: c.now.Add(min(expiryFactor*objective, remaining-answerMargin)),
+		objective: c.now.Add(objective - c.alreadyWaited(&m)), deadline: c.now.Add(remaining - answerMargin), expiry: c.now.Add(min(expiryFactor*objective, remaining-answerMargin)),
 		steps: make([][]task, len(m.Job.Steps)), remaining: m.Job.Tasks(),
 	}
 	if !m.Job.Ephemeral {
@@ -190,14 +191,44 @@
 	return j
 }
 
-// alreadyWaited returns the time that the caller has waited at least before this submission.
-// Callers wait for their route's timeout or longer from their first submission on, so one
-// that waits for less now has submitted the job before, to an instance that is gone.
-func (m *Submit) alreadyWaited() time.Duration {
+// alreadyWaited returns the time that a caller has waited at least before this submission.
+// Callers of a route usually wait for its timeout or longer, so one that waits for less has
+// submitted the job before, to an instance that is gone. On a route where most callers wait
+// for less, that means nothing.
+func (c *Control) alreadyWaited(m *Submit) time.Duration {
 	if m.CallerTimeout == 0 {
 		return 0
 	}
-	return max(0, m.Route.Timeout-m.CallerTimeout)
+	waited := max(0, m.Route.Timeout-m.CallerTimeout)
+	counts, ok := c.home.timeouts[m.Route.Name]
+	if !ok {
+		counts = &timeoutCounts{usual: timeoutPrior}
+		c.home.timeouts[m.Route.Name] = counts
+	}
+	counts.add(waited > 0)
+	if counts.shorter > counts.usual {
+		return 0
+	}
+	return waited
+}
+
+// timeoutCounts counts the callers of a route that wait for less than its timeout and the
+// others. Older ones count less.
+type timeoutCounts struct{ shorter, usual float64 }
+
+const (
+	timeoutPrior = 10   // usual callers assumed at first
+	timeoutDecay = 0.98 // weight that a caller keeps with each later one
+)
+
+func (t *timeoutCounts) add(shorter bool) {
+	t.shorter *= timeoutDecay
+	t.usual *= timeoutDecay
+	if shorter {
+		t.shorter++
+	} else {
+		t.usual++
+	}
 }
 
 // resumeFormerRuns restores the runs of a resubmitted ephemeral job that were dropped
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -461,29 +461,64 @@
 // load. A caller that says that it waits for less than its route's timeout has waited before
 // and has missed its objective: a job that arrives later and can meet its own starts first.
 func TestReturningCallerWaitsBehindNewOnes(t *testing.T) {
+	w := newReturnWorld(t)
+	w.submit(2 * time.Second)
+	returning := w.submit(900 * time.Millisecond)
+	fresh := w.submit(2 * time.Second)
+	w.Run(2 * time.Second)
+	assert.Equal(t, returning.Answer.Status, placement.Completed)
+	assert.Equal(t, fresh.Answer.Status, placement.Completed)
+	assert.Check(t, fresh.Answered.Before(returning.Answered))
+	checkSettled(t, w.World)
+}
+
+// On a route whose callers all wait for less than its timeout, a short wait does not show that
+// a caller has submitted its job before.
+func TestShortTimeoutsOfARouteAreNotReturns(t *testing.T) {
+	w := newReturnWorld(t)
+	for range 40 {
+		w.submit(900 * time.Millisecond)
+		w.Run(200 * time.Millisecond)
+	}
+	w.submit(900 * time.Millisecond)
+	first := w.submit(900 * time.Millisecond)
+	second := w.submit(2 * time.Second)
+	w.Run(2 * time.Second)
+	assert.Equal(t, first.Answer.Status, placement.Completed)
+	assert.Equal(t, second.Answer.Status, placement.Completed)
+	assert.Check(t, first.Answered.Before(second.Answered))
+	checkSettled(t, w.World)
+}
+
+// returnWorld is one endpoint that runs one task at a time, and a route with a timeout of 1.5 s.
+type returnWorld struct {
+	*model.World
+	load  model.Load
+	route workload.Route
+}
+
+func newReturnWorld(t *testing.T) *returnWorld {
+	t.Helper()
 	config := deployment(1)
 	config.Domains = []model.Domain{{Name: "domain-a", Instances: 1, Endpoints: []model.EndpointConfig{
 		{Capacity: workload.Resources{MilliCPU: 27000, MemoryMB: 262144}, Speed: 1},
 	}}}
-	w := model.New(config)
-	w.Run(4 * time.Second)
-	l := load([]model.Kind{{Name: "job", Tasks: 0, Work: 100 * time.Millisecond, MilliCPU: 20000}}, 0)
-	l.EstimateError = 0
-	route := workload.Route{Name: "job", Service: config.Service, Stretch: 3, Slack: 200 * time.Millisecond, Timeout: 1500 * time.Millisecond, MaxAttempts: 3}
-	submit := func(timeout time.Duration) *model.Outcome {
-		j, _ := w.Draw(&l, &l.Kinds[0])
-		o := w.Submit(w.Nodes[0], j, route, timeout)
-		w.Run(10 * time.Millisecond)
-		return o
+	w := &returnWorld{
+		World: model.New(config),
+		load:  load([]model.Kind{{Name: "job", Work: 100 * time.Millisecond, MilliCPU: 20000}}, 0),
+		route: workload.Route{Name: "job", Service: config.Service, Stretch: 3, Slack: 200 * time.Millisecond, Timeout: 1500 * time.Millisecond, MaxAttempts: 3},
 	}
-	submit(2 * time.Second)
-	returning := submit(900 * time.Millisecond)
-	fresh := submit(2 * time.Second)
-	w.Run(2 * time.Second)
-	assert.Equal(t, returning.Answer.Status, placement.Completed)
-	assert.Equal(t, fresh.Answer.Status, placement.Completed)
-	assert.Check(t, fresh.Answered.Before(returning.Answered))
-	checkSettled(t, w)
+	w.load.EstimateError = 0
+	w.Run(4 * time.Second)
+	return w
+}
+
+// submit submits a job whose caller waits for a time, and runs the world for a moment.
+func (w *returnWorld) submit(timeout time.Duration) *model.Outcome {
+	j, _ := w.Draw(&w.load, &w.load.Kinds[0])
+	o := w.Submit(w.Nodes[0], j, w.route, timeout)
+	w.Run(10 * time.Millisecond)
+	return o
 }
 
 // On endpoints of which a third runs tasks at less than half the speed of the others, the
