--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -15,6 +13,8 @@
 	cancelTime = 3 * time.Second         // cancel_ms
 	stopTime   = 50 * time.Millisecond   // stopMs
 	idleTime   = 3 * time.Second         // with nothing running, until an open job counts as lost
+
+	visibleTime = 5 * time.Second // visible_ms and 2 s
 )
 
 var fourZones = []gatePlan{{"a", 0.4}, {"b", 0.4}, {"c", 0.4}, {"d", 0.4}}
@@ -51,45 +51,42 @@
 	})
 }
 
-// orphanCase: twice, two of the gates are killed at the same moment and start again, while
-// answers of the store are lost.
+// orphanCase: a gate is killed and starts again a second later, while answers of the store
+// are lost. This is done up to four times, until the rule is broken.
 func orphanCase(trouble bool) (*environment, []string, error) {
-	gates := []gatePlan{{"a", 0.8}, {"b", 0.8}, {"c", 0.3}, {"d", 0.3}}
+	gates := []gatePlan{{"a", 0.8}, {"b", 0.3}, {"c", 0.3}}
 	e, err := newEnvironment(plan{gates: gates, workers: 3, cores: 32, maxAttempts: 4, seed: uint64(time.Now().UnixNano())})
 	if err != nil {
 		return e, nil, err
 	}
 	time.Sleep(3 * time.Second)
-	var ids []string
-	for range 2 {
+	var ids, breaches []string
+	for round := 0; round < 4 && len(breaches) == 0; round++ {
 		ids = append(ids, e.submitMany(64, job("ms=2500", 2, 2000, 2500))...)
 		time.Sleep(500 * time.Millisecond)
 		if trouble {
-			if err := e.killTwo(); err != nil {
+			if err := e.killWhileAnswersAreLost(); err != nil {
 				return e, nil, err
 			}
 		}
-		time.Sleep(outage + 8*time.Second)
+		time.Sleep(outage + finish)
+		breaches = e.unfinished(ids)
 	}
-	time.Sleep(finish)
-	return e, e.unfinished(ids), nil
+	return e, breaches, nil
 }
 
-// killTwo kills the first two gates and starts them again, while answers of the store are
-// lost.
-func (e *environment) killTwo() error {
+// killWhileAnswersAreLost kills the first gate and starts it again a second later, while
+// answers of the store are lost.
+func (e *environment) killWhileAnswersAreLost() error {
 	e.ledger.write("answers to 0.35 of the writes are lost")
 	e.store.disrupt(func(s *store) { s.lostOf = 0.35 })
 	time.AfterFunc(outage, func() {
 		e.store.disrupt(func(s *store) { s.lostOf = 0 })
 		e.ledger.write("no more answers are lost")
 	})
-	e.signal(e.gates[0], syscall.SIGKILL)
-	e.signal(e.gates[1], syscall.SIGKILL)
-	<-e.gates[0].done
-	<-e.gates[1].done
+	e.kill(e.gates[0])
 	time.Sleep(time.Second)
-	return errors.Join(e.start(e.gates[0]), e.start(e.gates[1]))
+	return e.start(e.gates[0])
 }
 
 // submitMany hands equal jobs in at the first gate and returns the ids of those that were
@@ -249,3 +246,47 @@
 	}
 	return e, breaches, nil
 }
+
+// countCase: a gate is killed that is the home of jobs that wait for room.
+func countCase(trouble bool) (*environment, []string, error) {
+	e, err := newEnvironment(plan{gates: fourZones, workers: 1, cores: 8, maxAttempts: 4, seed: 1})
+	if err != nil {
+		return e, nil, err
+	}
+	time.Sleep(3 * time.Second)
+	ids := e.submitMany(100, job("ms=2000", 1, 8000, 2000))
+	accepted := time.Now()
+	time.Sleep(visibleTime + time.Second)
+	if trouble {
+		e.kill(e.gates[0])
+	}
+	var breaches []string
+	for range 40 {
+		for _, g := range e.gates[1:] {
+			asked := time.Now()
+			r := e.call(g, http.MethodGet, "", nil, 1500*time.Millisecond)
+			waiting := e.notBegun(ids)
+			if got, ok := r.waiting(); ok && asked.Sub(accepted) > visibleTime && 2*got < waiting {
+				breaches = append(breaches, fmt.Sprintf("MIXED: %s gives %d as waiting at %.3f s; %d jobs were accepted over %.1f s before and have not begun",
+					g.name, got, e.ledger.at(asked), waiting, visibleTime.Seconds()))
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return e, breaches, nil
+}
+
+// notBegun counts the jobs of which no task has started.
+func (e *environment) notBegun(ids []string) int {
+	begun := make(map[string]bool)
+	for task := range e.ledger.tasks() {
+		begun[task[:16]] = true
+	}
+	n := 0
+	for _, id := range ids {
+		if !begun[id] {
+			n++
+		}
+	}
+	return n
+}
--- a/review/rig/environment.go
+++ b/review/rig/environment.go
@@ -331,6 +331,17 @@
 	return s.State
 }
 
+// waiting returns the number of waiting jobs that a queue's answer gives.
+func (r reply) waiting() (n int, ok bool) {
+	var s struct {
+		Waiting *int `json:"waiting"`
+	}
+	if r.status != http.StatusOK || json.Unmarshal([]byte(r.body), &s) != nil || s.Waiting == nil {
+		return 0, false
+	}
+	return *s.Waiting, true
+}
+
 // call sends a client's call to a gate.
 func (e *environment) call(g *gate, method, id string, body any, timeout time.Duration) reply {
 	var text []byte
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,7 +22,7 @@
 
 // cases are the scripts by name. Each returns the breaches of its rule.
 var cases = map[string]func(trouble bool) (*environment, []string, error){
-	"ends": endsCase, "orphan": orphanCase, "budget": budgetCase, "failed": failedCase, "cancel": cancelCase,
+	"ends": endsCase, "orphan": orphanCase, "budget": budgetCase, "failed": failedCase, "count": countCase, "cancel": cancelCase,
 }
 
 // longest is how long a case may take.
