--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -41,6 +41,34 @@
 	return e, e.ledger.twice(), nil
 }
 
+// killCase: jobs of many short tasks come all the time, and a small gate is killed, which
+// holds no workers and is the home of a few jobs.
+func killCase(trouble bool) (*environment, []string, error) {
+	gates := []gatePlan{{"a", 0.8}, {"b", 0.8}, {"a", 0.144}}
+	e, err := newEnvironment(plan{gates: gates, workers: 1, cores: 64, maxAttempts: 4, seed: 1})
+	if err != nil {
+		return e, nil, err
+	}
+	var clients sync.WaitGroup
+	for i := range 13 {
+		clients.Go(func() { e.submit(i%2, newID(i), job("ms=50", 1000, 1600, 50)) })
+		if i < 5 {
+			clients.Go(func() { e.submit(2, newID(i), job("ms=300", 20, 800, 300)) })
+		}
+		time.Sleep(300 * time.Millisecond)
+		if trouble && i == 4 {
+			e.kill(e.gates[2])
+		}
+		time.Sleep(700 * time.Millisecond)
+	}
+	clients.Wait()
+	time.Sleep(finish)
+	for _, w := range e.workers {
+		e.ledger.write("worker %s kept %d ended runs at the most", w.id, w.mostEnd)
+	}
+	return e, e.ledger.twice(), nil
+}
+
 // slowStore makes the store slow for the time of a disruption.
 func (e *environment) slowStore() {
 	e.ledger.write("the store is slow")
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -22,7 +23,7 @@
 
 // cases are the scripts by name. Each returns the breaches of its rule.
 var cases = map[string]func(trouble bool) (*environment, []string, error){
-	"ends": endsCase, "orphan": orphanCase, "budget": budgetCase, "failed": failedCase, "count": countCase, "cancel": cancelCase,
+	"ends": endsCase, "kill": killCase, "orphan": orphanCase, "budget": budgetCase, "failed": failedCase, "count": countCase, "cancel": cancelCase,
 }
 
 // longest is how long a case may take.
@@ -35,7 +36,8 @@
 func guard() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
-	go func() {
+	var group sync.WaitGroup
+	group.Go(func() {
 		select {
 		case <-signals:
 		case <-time.After(longest):
@@ -43,7 +45,7 @@
 		killStarted()
 		fmt.Println("the case was ended before it had finished")
 		os.Exit(couldNotRun)
-	}()
+	})
 }
 
 func run() int {
