--- a/pkg/model/load.go
+++ b/pkg/model/load.go
@@ -130,7 +130,7 @@
 	}
 	cpu := int(float64(k.MilliCPU) * (0.8 + 0.4*w.random.Float64()))
 	return &workload.Job{
-		ID: workload.JobID(fmt.Sprintf("%016x", w.jobs)), Ephemeral: !k.Stored,
+		ID: workload.JobID(fmt.Sprintf("%x%015x", w.jobs%16, w.jobs)), Ephemeral: !k.Stored,
 		Steps: []workload.Step{{
 			Count: len(lengths), Estimate: time.Duration(work * math.Exp(w.random.NormFloat64()*l.EstimateError)),
 			Need: workload.Resources{MilliCPU: cpu, MemoryMB: 64},
--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -19,6 +19,7 @@
 type adoption struct {
 	unknownHomes map[instance.ID]time.Time // homes that are not members -> when first seen
 	marks        map[string][]mark         // partition -> marks of its outcomes, oldest first
+	unsettled    map[string]time.Time      // partition -> time from which a scan of it settles it, see unsettle
 	nextScan     time.Time
 	nextSweep    time.Time
 	inquiry      *inquiry
@@ -48,6 +49,8 @@
 	// sum of both.
 	homeValidity       = time.Second
 	maxStoredQueueTime = time.Second
+	// lateCommitWindow is how long a commit without an answer may still take effect.
+	lateCommitWindow = 15 * time.Second
 )
 
 // ownPartitions returns the partitions of the tables of stored jobs that this instance
@@ -83,9 +86,7 @@
 	}
 	if !c.now.Before(a.nextScan) {
 		a.nextScan = c.now.Add(adoptPeriod)
-		for _, part := range c.ownPartitions() {
-			c.scanPartition(part)
-		}
+		c.scanOpenJobs()
 	}
 	if !c.now.Before(a.nextSweep) {
 		a.nextSweep = c.now.Add(sweepPeriod)
@@ -116,14 +117,40 @@
 	}
 }
 
-// scanPartition adopts the open jobs of a partition whose home is gone, and those that
-// name this instance as their home although they are not open here.
-func (c *Control) scanPartition(part string) {
+// unsettle notes that rows of a partition may name this instance as the home of jobs
+// that are not open here, now or once a commit without an answer takes effect. To all
+// other instances these jobs have a live home, so nobody else adopts them.
+//
+// This keeps an invariant: a job whose row names a live instance is open at that instance,
+// or the instance scans the job's partition until it is, whoever else scans it.
+func (c *Control) unsettle(part string) {
+	c.adoption.unsettled[part] = c.now.Add(lateCommitWindow)
+}
+
+// scanOpenJobs scans the own partitions and the unsettled ones.
+func (c *Control) scanOpenJobs() {
+	own := c.ownPartitions()
+	for i := range storedPartitions {
+		part := storedPartitions[i : i+1]
+		isOwn := slices.Contains(own, part)
+		if _, unsettled := c.adoption.unsettled[part]; isOwn || unsettled {
+			c.scanPartition(part, isOwn)
+		}
+	}
+}
+
+// scanPartition adopts the open jobs of a partition that name this instance as their home
+// although they are not open here and, in an own partition, those whose home is gone.
+func (c *Control) scanPartition(part string, isOwn bool) {
+	scanStart := c.now
 	c.scan(partitionPrefix(openTable, part), func(m ScanDone) {
 		if m.Err != nil {
 			c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(recordRetryPause))
 			return
 		}
+		if from, ok := c.adoption.unsettled[part]; ok && !scanStart.Before(from) {
+			delete(c.adoption.unsettled, part) // the adoptions below unsettle it again
+		}
 		var orphans []orphanJob
 		for i := range m.Rows {
 			row, err := decodeStored[OpenRow](&m.Rows[i])
@@ -132,7 +159,7 @@
 				continue
 			}
 			id := jobOfKey(m.Rows[i].Key)
-			if !c.home.jobs.Has(id) && (row.Home == c.self || c.homeGone(row.Home)) {
+			if !c.home.jobs.Has(id) && (row.Home == c.self || (isOwn && c.homeGone(row.Home))) {
 				orphans = append(orphans, orphanJob{id: id, row: row, version: m.Rows[i].Version})
 			}
 		}
@@ -180,6 +207,8 @@
 // adopt writes this instance as the home into the rows of jobs, with a round higher by
 // one, and then reads the jobs. The write fails if any of the rows has changed.
 func (c *Control) adopt(part string, orphans []orphanJob) {
+	c.recorder.hadStoredJobs = true
+	c.unsettle(part)
 	writes := make([]storage.Write, len(orphans))
 	for i := range orphans {
 		o := &orphans[i]
@@ -203,15 +232,18 @@
 func (c *Control) readAdopted(part string, orphans []orphanJob, version storage.Version) {
 	c.scan(partitionPrefix(jobsTable, part), func(m ScanDone) {
 		if m.Err != nil {
-			// The next scan finds rows with this instance as the home of jobs that are not
-			// open here, and adopts them again.
 			c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(recordRetryPause))
+			c.logEvent("adopted jobs not read", zap.String("Part", part), zap.Int("Jobs", len(orphans)), zap.Error(m.Err))
 			return
 		}
 		for i := range orphans {
 			o := &orphans[i]
+			if c.home.jobs.Has(o.id) {
+				continue
+			}
 			row := rowOf(m.Rows, storedKey(jobsTable, o.id))
-			if row == nil || c.home.jobs.Has(o.id) {
+			if row == nil {
+				c.logEvent("adopted job has no row", jobField(o.id), zap.Int("Rows", len(m.Rows)))
 				continue
 			}
 			submitted, err := decodeStored[JobRow](row)
@@ -241,7 +273,6 @@
 		return err
 	}
 	c.home.jobs.Put(j.ID, j)
-	c.recorder.hadStoredJobs = true
 	c.counters.Adopted++
 	c.logEvent("job adopted", jobField(j.ID), zap.Int("Round", j.stored.round), zap.Int("TasksLeft", j.remaining), zap.Uint64("RowVersion", uint64(version)))
 	if j.remaining == 0 {
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -170,7 +170,7 @@
 	c.recorder = newRecorder()
 	c.keptOutcomes = newKeptOutcomes()
 	c.endpointList = newEndpointList()
-	c.adoption.unknownHomes, c.adoption.marks = make(map[instance.ID]time.Time), make(map[string][]mark)
+	c.adoption.unknownHomes, c.adoption.marks, c.adoption.unsettled = make(map[instance.ID]time.Time), make(map[string][]mark), make(map[string]time.Time)
 	return c
 }
 
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -459,6 +459,7 @@
 		c.lookup(lookup{handle: h, id: j.ID, cancel: true})
 	}
 	c.home.jobs.Delete(j.ID)
+	c.unsettle(partitionOf(j.ID)) // a later adoption by this instance may have replaced this one
 	c.logEvent("job lost", jobField(j.ID), zap.String("Cause", cause), zap.Int("Round", j.stored.round))
 }
 
--- a/pkg/placement/recovery.go
+++ b/pkg/placement/recovery.go
@@ -39,7 +39,7 @@
 }
 
 // advanceWithRecovery advances a job. If that panics, it answers the job's callers
-// and removes the job.
+// and removes the job. A stored job is adopted anew, as its row names this instance.
 func (c *Control) advanceWithRecovery(j *job, move bool) {
 	defer c.recoverPanic("job "+string(j.ID), func() {
 		for _, h := range j.handles {
@@ -47,6 +47,9 @@
 			c.reply(h, Answer{Status: TimedOut, Reason: unexpectedReason})
 		}
 		c.home.jobs.Delete(j.ID)
+		if j.stored != nil {
+			c.unsettle(partitionOf(j.ID))
+		}
 	})
 	c.advance(j, move)
 }
--- a/pkg/placement/stored_test.go
+++ b/pkg/placement/stored_test.go
@@ -361,3 +361,38 @@
 		assert.Check(t, o.AllDone())
 	})
 }
+
+// Guards against stored jobs that nobody runs: an instance whose adoption of jobs took
+// effect without its knowledge goes on with them, even though another instance scans
+// their partitions by then.
+func TestAdoptionWithALostAnswerIsNoticed(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Run(4 * time.Second)
+		l := load([]model.Kind{{Name: "job", Tasks: 2, Work: 2500 * time.Millisecond, MilliCPU: 2000, Stored: true}}, 0)
+		for range 64 {
+			w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+		}
+		w.Run(500 * time.Millisecond)
+		w.Nodes[0].Kill()
+		runUntilLogged(w, "job without a home")
+		w.Store.LoseAnswers = 1
+		w.Run(20 * time.Millisecond)
+		w.Store.LoseAnswers = 0
+		w.Nodes[0].Start()
+		runUntilLogged(w, "jobs not adopted")
+		w.Run(14 * time.Second)
+		assert.Check(t, len(w.CheckFinal()) == 0, "%v", w.Breaches)
+		checkStored(t, w)
+	})
+}
+
+// runUntilLogged advances a world until some instance has logged an event.
+func runUntilLogged(w *model.World, event string) {
+	for range 1000 {
+		if slices.ContainsFunc(w.Nodes, func(n *model.Node) bool { return n.LogEvents[event] > 0 }) {
+			return
+		}
+		w.Run(10 * time.Millisecond)
+	}
+}
