Read the rows of holds again when asked for an endpoint of another holder

Adopted jobs were never accounted for.

Cause: a commit of holds without an answer is noticed only by the next commit on the same row, and an instance makes none while it takes another one for the holder.

Change: a request to yield says that its sender has read a row that names the receiver. A receiver that knows another row reads the rows of the domain again.

--- a/pkg/hold/plan.go
+++ b/pkg/hold/plan.go
@@ -216,6 +216,15 @@
 	return true
 }
 
+// RowOutdated reports whether this instance is wrong about the row of an endpoint that a
+// member has requested from it. The member has read a row that names this instance, so a
+// commit without an answer has taken effect if this instance takes another one for the
+// holder. The rows must be read again: each of the two would wait for the other to yield.
+func (r *Registry) RowOutdated(endpoint string) bool {
+	e, ok := r.entries.Get(endpoint)
+	return ok && e.state == notHeld && e.row.Holder != r.config.Self
+}
+
 // Yield gives an endpoint up to the member that requested it, and returns that
 // member. The caller must make sure that this instance has no runs there.
 func (r *Registry) Yield(endpoint string, now time.Time) (to instance.ID, ok bool) {
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -377,10 +377,24 @@
 		if c.holder.registry.YieldRequested(from, name) {
 			c.holder.capacityStale, c.holder.advertChanged = true, true
 			c.yieldEndpoint(name)
+		} else if c.holder.registry.RowOutdated(name) {
+			c.rereadHolds(name)
 		}
 	}
 }
 
+// rereadHolds has the rows of holds of an endpoint's failure domain read again.
+func (c *Control) rereadHolds(endpoint string) {
+	e, ok := c.holder.listed.Get(endpoint)
+	if !ok || !c.holder.rowsRead[e.Domain] {
+		return
+	}
+	c.logEvent("rows of holds read again", zap.String("Domain", e.Domain), zap.String("Endpoint", endpoint))
+	delete(c.holder.rowsRead, e.Domain)
+	c.holder.allRowsRead = false
+	c.holder.planDue = c.now
+}
+
 // yieldEndpoint yields an endpoint without runs to the instance that requested it.
 func (c *Control) yieldEndpoint(name string) {
 	e, ok := c.holder.endpoints.Get(name)
--- a/pkg/placement/stored_test.go
+++ b/pkg/placement/stored_test.go
@@ -396,3 +396,27 @@
 		w.Run(10 * time.Millisecond)
 	}
 }
+
+// Guards against stored jobs that nobody runs: two instances that each take the other for
+// the holder of endpoints, after commits of holds without an answer, do not wait for each
+// other for ever.
+func TestHoldsTakenWithLostAnswersAreNoticed(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Run(4 * time.Second)
+		l := load([]model.Kind{{Name: "job", Tasks: 2, Work: 2500 * time.Millisecond, MilliCPU: 2000, Stored: true}}, 0)
+		for range 64 {
+			w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+		}
+		w.Run(500 * time.Millisecond)
+		w.Store.LoseAnswers = 0.6
+		w.Nodes[0].Kill()
+		w.Run(2 * time.Second)
+		w.Nodes[0].Start()
+		w.Run(2500 * time.Millisecond)
+		w.Store.LoseAnswers = 0
+		w.Run(14 * time.Second)
+		assert.Check(t, len(w.CheckFinal()) == 0, "%v", w.Breaches)
+		checkStored(t, w)
+	})
+}
