Count restarted members for endpoints once they have been up for long enough

Seen while tracing the lost commits of holds: in the model an instance that was killed and started again holds no endpoint 30 s later, without load or other faults, and asks for its endpoints every 0.5 s.

Cause: a member becomes established as time passes. The others compared its state before and after a heartbeat, both at the time of the heartbeat, so the two were equal, and looked again only when something else changed the members.

Change: checkMembers compares the state with the one that the registry of holds has.

--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -64,6 +64,7 @@
 	suspectedSince       time.Time     // zero while messages come from it
 	rowChangedAt         time.Time     // when a scan last showed a new Sequence in its row
 	dead                 bool
+	established          bool // as the registry of holds knows it, see isEstablished
 	heartbeat            Heartbeat
 	heartbeatAt          time.Time
 	configurationSent    uint64 // last configuration version sent to it
@@ -214,9 +215,9 @@
 	return false
 }
 
-// checkMembers suspects members that are unresponsive, and declares a suspected member
-// dead if its row was not renewed either. While rows cannot be read no member is
-// declared dead.
+// checkMembers notes members that have become established, suspects those that are
+// unresponsive, and declares a suspected member dead if its row was not renewed either.
+// While rows cannot be read no member is declared dead.
 func (c *Control) checkMembers() {
 	t := c.config.Timing
 	if c.now.Before(c.membership.nextMemberCheck) {
@@ -224,6 +225,9 @@
 	}
 	c.membership.nextMemberCheck = c.now.Add(memberCheckPeriod)
 	for _, m := range c.membership.members.All() {
+		if established := c.isEstablished(m); established != m.established {
+			m.established, c.membership.changed = established, true
+		}
 		silent := c.now.Sub(m.lastSeenAt)
 		if silent < t.SuspectAfter || c.now.Sub(later(m.lastSeenAt, m.fullRateSince)) < c.heartbeatFactor(m)*t.SuspectAfter {
 			continue
@@ -358,14 +362,12 @@
 	if !ok || m.id != from {
 		return
 	}
-	isFirst := m.heartbeatAt.IsZero()
-	wasEstablished := !isFirst && c.established(m)
 	leavingChanged := b.Leaving != m.heartbeat.Leaving
 	m.heartbeat, m.heartbeatAt = *b, c.now
 	if b.ReceiverSuspected {
 		c.holder.checkDue = c.now
 	}
-	if isFirst || leavingChanged || wasEstablished != c.established(m) {
+	if leavingChanged {
 		c.membership.changed = true
 	}
 	if b.Configuration < c.configurationVersion() && (m.configurationSent < c.configurationVersion() || c.now.Sub(m.configurationSentAt) > c.config.Timing.Settle) {
@@ -375,9 +377,10 @@
 	}
 }
 
-// established reports whether a member has been up for long enough to be assigned
-// endpoints: for the established time, or about as long as this instance.
-func (c *Control) established(m *member) bool {
+// isEstablished reports whether a member has been up for long enough to be assigned
+// endpoints: for the established time, or about as long as this instance. A member
+// becomes established as time passes, without any message.
+func (c *Control) isEstablished(m *member) bool {
 	if m.heartbeatAt.IsZero() {
 		return false
 	}
@@ -394,7 +397,7 @@
 		}
 		list = append(list, hold.Member{
 			ID: m.id, Domain: m.row.Domain, Share: m.row.Share, Dead: m.dead,
-			Leaving: m.heartbeat.Leaving, Settled: c.established(m),
+			Leaving: m.heartbeat.Leaving, Settled: m.established,
 		})
 	}
 	return list
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -572,3 +572,20 @@
 	assert.Check(t, o.InTime(), "answered after %s, objective %s", o.Answered.Sub(o.Submitted), o.Objective)
 	checkSettled(t, w)
 }
+
+// Guards against instances that hold no endpoints for good after a restart: the others
+// yield the endpoints that are assigned to it once it is established.
+func TestRestartedInstanceHoldsEndpointsAgain(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Run(10 * time.Second)
+		before := w.Nodes[0].Control.Overview().Held
+		assert.Check(t, before > 0)
+		w.Nodes[0].Kill()
+		w.Run(2 * time.Second)
+		w.Nodes[0].Start()
+		w.Run(8 * time.Second)
+		assert.Equal(t, w.Nodes[0].Control.Overview().Held, before)
+		assert.Check(t, len(w.Breaches) == 0, "%v", w.Breaches)
+	})
+}
