--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -46,7 +47,7 @@
 	placed        time.Time // when its last run was placed
 	waiting       bool      // its holder has no free capacity for it
 	expectedStart time.Time // of a waiting run, as its holder estimates it
-	failedRuns    int       // number of runs that have failed
+	failedRuns    []int     // numbers of the failed runs, see countFailure
 	rejections    int       // runs that holders ended without a start, since the last failed run
 	avoid         []string  // endpoints where a run of it did not succeed
 	retryAt       time.Time // earliest time to place it again
@@ -547,16 +548,11 @@
 		c.taskDone(j, t, m.Run.Task.Step)
 		return
 	case workload.Failed:
-		t.failedRuns++
-		c.logEvent("run failed", jobField(j.ID), zap.Int("Step", m.Run.Task.Step), zap.Int("Index", m.Run.Task.Index), zap.Int("Run", m.Run.Number),
-			zap.String("Endpoint", m.Endpoint), zap.Int("Failures", t.failedRuns), zap.Int("MaxAttempts", j.route.MaxAttempts), zap.Duration("Elapsed", m.Elapsed))
-		if t.failedRuns >= max(j.route.MaxAttempts, 1) {
-			c.counters.Failed++
-			c.close(j, Answer{Status: Failed, Reason: fmt.Sprintf("task %d of step %d failed %d times", m.Run.Task.Index, m.Run.Task.Step, t.failedRuns)})
+		c.countFailure(j, t, m)
+		if j.failed(t) {
 			return
 		}
 		c.counters.Retries++
-		t.avoid = append(t.avoid, m.Endpoint)
 		t.rejections = 0
 	case workload.NeverRan:
 		t.rejections++
@@ -584,6 +580,28 @@
 	c.placeStep(j, m.Run.Task.Step)
 }
 
+// countFailure counts a failed run of a task, and closes the job once too many have failed.
+//
+// This keeps an invariant: each failed run counts once, by its number, however often its
+// outcome arrives and whichever home of the job it reaches. Holders send an outcome again
+// until the home confirms that it is recorded, and the numbers are recorded with the job.
+func (c *Control) countFailure(j *job, t *task, m *RunEnded) {
+	if slices.Contains(t.failedRuns, m.Run.Number) {
+		return
+	}
+	t.failedRuns = append(t.failedRuns, m.Run.Number)
+	t.avoid = append(t.avoid, m.Endpoint)
+	c.logEvent("run failed", jobField(j.ID), zap.Int("Step", m.Run.Task.Step), zap.Int("Index", m.Run.Task.Index), zap.Int("Run", m.Run.Number),
+		zap.String("Endpoint", m.Endpoint), zap.Int("Failures", len(t.failedRuns)), zap.Int("MaxAttempts", j.route.MaxAttempts), zap.Duration("Elapsed", m.Elapsed))
+	if j.failed(t) {
+		c.counters.Failed++
+		c.close(j, Answer{Status: Failed, Reason: fmt.Sprintf("task %d of step %d failed %d times", m.Run.Task.Index, m.Run.Task.Step, len(t.failedRuns))})
+	}
+}
+
+// failed reports whether so many runs of a task have failed that its job has failed.
+func (j *job) failed(t *task) bool { return len(t.failedRuns) >= max(j.route.MaxAttempts, 1) }
+
 // taskDone completes a task. It closes the job after its last task, and otherwise places
 // the tasks of steps that waited for this one.
 func (c *Control) taskDone(j *job, t *task, step int) {
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -483,17 +484,18 @@
 // recordRunOutcome queues the outcome of a run to be recorded, if its holder keeps the
 // outcome until this home confirms that it is recorded.
 func (c *Control) recordRunOutcome(j *job, from instance.ID, m *RunEnded) {
-	if !m.Kept {
+	outcome := unrecordedOutcome{holder: from, run: m.Run}
+	if !m.Kept || slices.Contains(j.stored.unrecorded, outcome) {
 		return
 	}
-	j.stored.unrecorded = append(j.stored.unrecorded, unrecordedOutcome{holder: from, run: m.Run})
+	j.stored.unrecorded = append(j.stored.unrecorded, outcome)
 	c.record(j)
 }
 
-// endedElsewhere handles the outcome of a stored job's run from an instance that this
-// home did not place the run with: the endpoint's next holder, or a holder that an
-// earlier home used. Done applies for any run of the task, Failed only for the latest
-// one; other outcomes are ignored.
+// endedElsewhere handles the outcome of a stored job's run that is not the current one, or
+// that comes from another instance than its holder: the endpoint's next holder, or one that
+// an earlier home used. Done completes the task, and Failed counts; other outcomes are
+// ignored.
 func (c *Control) endedElsewhere(from instance.ID, m *RunEnded) {
 	j, ok := c.home.jobs.Get(m.Run.Task.Job)
 	if !ok || j.stored == nil || m.Run.Task.Step >= len(j.steps) || m.Run.Task.Index >= len(j.steps[m.Run.Task.Step]) {
@@ -501,17 +503,28 @@
 	}
 	t := &j.steps[m.Run.Task.Step][m.Run.Task.Index]
 	c.recordRunOutcome(j, from, m)
-	applies := m.How == workload.Done || (m.How == workload.Failed && m.Run.Number == t.runNumber)
-	if !applies || t.phase == done || j.stored.phase != open {
+	if t.phase == done || j.stored.phase != open {
 		return
 	}
-	if t.phase == placed && t.runNumber != m.Run.Number {
-		c.send(t.holder, &Drop{Runs: []workload.Run{j.run(m.Run.Task.Step, m.Run.Task.Index)}})
+	switch m.How {
+	case workload.Done:
+		if t.phase == placed && t.runNumber != m.Run.Number {
+			c.send(t.holder, &Drop{Runs: []workload.Run{j.run(m.Run.Task.Step, m.Run.Task.Index)}})
+		}
+		j.started = true
+		c.taskDone(j, t, m.Run.Task.Step)
+	case workload.Failed:
+		if m.Run.Number != t.runNumber {
+			return
+		}
+		j.started = true
+		c.countFailure(j, t, m)
+		if !j.failed(t) && (t.phase == placed || t.phase == lost) {
+			c.counters.Retries++
+			t.phase = ready
+			c.placeStep(j, m.Run.Task.Step)
+		}
 	}
-	t.phase, t.holder, t.runNumber = placed, from, max(t.runNumber, m.Run.Number)
-	current := *m
-	current.Run.Number, current.Kept = t.runNumber, false
-	c.handleRunEnded(from, &current)
 }
 
 // refuseAccepting refuses all jobs that are not stored yet, as the first write to the
--- a/pkg/placement/records.go
+++ b/pkg/placement/records.go
@@ -58,11 +58,12 @@
 	Failures []TaskFailures
 }
 
-// TaskFailures counts the failed runs of a task.
+// TaskFailures are the failed runs of a task.
 type TaskFailures struct {
 	Step  int
 	Index int
 	Count int
+	Runs  []int // their numbers; missing in rows of earlier versions
 }
 
 // EndedRow is the outcome of a job.
@@ -109,8 +110,8 @@
 			if t.phase == done {
 				row.Done[i][k/8] |= 1 << (k % 8)
 			}
-			if t.failedRuns > 0 && t.phase != done {
-				row.Failures = append(row.Failures, TaskFailures{Step: i, Index: k, Count: t.failedRuns})
+			if n := len(t.failedRuns); n > 0 && t.phase != done {
+				row.Failures = append(row.Failures, TaskFailures{Step: i, Index: k, Count: n, Runs: t.failedRuns})
 			}
 		}
 	}
@@ -143,7 +144,12 @@
 		if f.Step < 0 || f.Step >= len(j.steps) || f.Index < 0 || f.Index >= len(j.steps[f.Step]) {
 			return fmt.Errorf("row of job %s names task %d of step %d, which the job does not have", j.ID, f.Index, f.Step)
 		}
-		j.steps[f.Step][f.Index].failedRuns = f.Count
+		if n := max(f.Count, len(f.Runs)); n > runsPerRound {
+			return fmt.Errorf("row of job %s: task %d of step %d has %d failed runs", j.ID, f.Index, f.Step, n)
+		}
+		runs := make([]int, max(f.Count, len(f.Runs))) // 0 stands for a run without a known number
+		copy(runs, f.Runs)
+		j.steps[f.Step][f.Index].failedRuns = runs
 	}
 	return nil
 }
--- a/pkg/placement/stored_test.go
+++ b/pkg/placement/stored_test.go
@@ -420,3 +420,31 @@
 		checkStored(t, w)
 	})
 }
+
+// Guards against jobs shown as failed without cause: the outcome of a failed run counts
+// once, although its holder sends it again and again while the store is away.
+func TestFailedRunCountsOnce(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Run(4 * time.Second)
+		l := load([]model.Kind{{Name: "job", Tasks: 40, Work: 4 * time.Second, MilliCPU: 20000, Stored: true}}, 0)
+		failing := w.Endpoints[12:18] // a half of those of the home's domain
+		for _, x := range failing {
+			x.FailsAll = true
+		}
+		o := w.SubmitTo(w.Nodes[2], &l, &l.Kinds[0])
+		w.Run(500 * time.Millisecond)
+		for _, x := range failing {
+			x.FailsAll = false
+		}
+		w.Store.Unavailable = true
+		w.Nodes[3].Kill()
+		w.Run(4500 * time.Millisecond)
+		w.Store.Unavailable = false
+		w.Nodes[3].Start()
+		w.Run(30 * time.Second)
+		assert.Check(t, o.AllDone())
+		assert.Check(t, len(w.CheckFinal()) == 0, "%v", w.Breaches)
+		checkStored(t, w)
+	})
+}
