--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -257,8 +257,13 @@
 	x.sequence++
 	x.ended = append(x.ended, workload.EndedRun{Sequence: x.sequence, Run: id, How: how})
 	x.endedAt[x.sequence] = x.world.Now
-	if o, ok := x.world.Jobs[id.Task.Job]; ok && how == workload.Done {
-		o.finish(id.Task)
+	if o, ok := x.world.Jobs[id.Task.Job]; ok {
+		switch {
+		case how == workload.Done:
+			o.finish(id.Task)
+		case how == workload.Failed && !o.Job.Ephemeral:
+			o.fail(id)
+		}
 	}
 	waiters := x.waiters
 	x.waiters = nil
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -102,6 +102,55 @@
 	finished         map[workload.TaskID]bool // tasks with a run that ended as done
 	acknowledgedDone map[workload.TaskID]bool // tasks of a stored job with an acknowledged run that ended as done
 	lastRun          map[workload.TaskID]int  // highest run number started, for a stored job
+	failures         map[workload.TaskID]*failures
+}
+
+// failures are the failed runs of a stored job's task.
+type failures struct {
+	ended        int           // runs that have ended as failed
+	order        map[int]int   // run -> how many had ended as failed before it
+	acknowledged map[int]bool  // runs whose failure was acknowledged
+	startedAfter []startedTask // in the order of the starts
+}
+
+// startedTask is a start of a task.
+type startedTask struct {
+	run    int
+	failed int // runs that had ended as failed before
+}
+
+func (o *Outcome) failuresOf(t workload.TaskID) *failures {
+	if o.failures == nil {
+		o.failures = make(map[workload.TaskID]*failures)
+	}
+	if o.failures[t] == nil {
+		o.failures[t] = &failures{order: make(map[int]int), acknowledged: make(map[int]bool)}
+	}
+	return o.failures[t]
+}
+
+// fail records that a run has ended as failed.
+func (o *Outcome) fail(r workload.Run) {
+	f := o.failuresOf(r.Task)
+	f.order[r.Number] = f.ended
+	f.ended++
+}
+
+// overBudget returns the first start of a task after limit runs whose failure is
+// acknowledged, or 0 without one.
+func (f *failures) overBudget(limit int) int {
+	for _, s := range f.startedAfter {
+		before := 0
+		for run := range f.acknowledged {
+			if f.order[run] < s.failed {
+				before++
+			}
+		}
+		if before >= limit {
+			return s.run
+		}
+	}
+	return 0
 }
 
 // AllDone reports whether every task of the job has a run that ended as done.
@@ -205,13 +254,33 @@
 	w.Now = end
 }
 
+// checkBudget checks that no run of a stored job's task was started after as many runs
+// had failed as its job allows. A world without MaxAttempts does not know that number.
+func (w *World) checkBudget(t workload.TaskID, f *failures) {
+	if w.Config.MaxAttempts == 0 {
+		return
+	}
+	if run := f.overBudget(w.Config.MaxAttempts); run > 0 {
+		w.breach(fmt.Sprintf("run %d of task %v was started after %d runs had failed", run, t, w.Config.MaxAttempts))
+	}
+}
+
 // recordAcknowledged records that an ended run was acknowledged, and checks that no
 // later run of a stored job's task was started after one that ended as done, not
 // even before the acknowledgement. Runs are exempt if the endpoint's lease lapsed
 // between the two, because its holder couldn't know that they had ended.
 func (w *World) recordAcknowledged(e *workload.EndedRun, lapsed bool) {
 	o, ok := w.Jobs[e.Run.Task.Job]
-	if !ok || o.Job.Ephemeral || e.How != workload.Done || lapsed {
+	if !ok || o.Job.Ephemeral || lapsed {
+		return
+	}
+	if e.How == workload.Failed {
+		f := o.failuresOf(e.Run.Task)
+		f.acknowledged[e.Run.Number] = true
+		w.checkBudget(e.Run.Task, f)
+		return
+	}
+	if e.How != workload.Done {
 		return
 	}
 	if o.acknowledgedDone == nil {
@@ -233,6 +302,9 @@
 		o.lastRun = make(map[workload.TaskID]int)
 	}
 	o.lastRun[r.Task] = max(o.lastRun[r.Task], r.Number)
+	f := o.failuresOf(r.Task)
+	f.startedAfter = append(f.startedAfter, startedTask{run: r.Number, failed: f.ended})
+	w.checkBudget(r.Task, f)
 	if o.acknowledgedDone[r.Task] {
 		w.breach(fmt.Sprintf("run %d of task %v was started, which is done", r.Number, r.Task))
 	}
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -514,12 +514,10 @@
 		j.started = true
 		c.taskDone(j, t, m.Run.Task.Step)
 	case workload.Failed:
-		if m.Run.Number != t.runNumber {
-			return
-		}
 		j.started = true
 		c.countFailure(j, t, m)
-		if !j.failed(t) && (t.phase == placed || t.phase == lost) {
+		isCurrent := m.Run.Number == t.runNumber && (t.phase == placed || t.phase == lost)
+		if !j.failed(t) && isCurrent {
 			c.counters.Retries++
 			t.phase = ready
 			c.placeStep(j, m.Run.Task.Step)
--- a/pkg/placement/stored_test.go
+++ b/pkg/placement/stored_test.go
@@ -448,3 +448,30 @@
 		checkStored(t, w)
 	})
 }
+
+// Guards against starts after too many failed runs: the next home of a job counts the
+// failures that the former one did not record.
+func TestNextHomeCountsFailedRuns(t *testing.T) {
+	for after := 300 * time.Millisecond; after < 1500*time.Millisecond; after += 50 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			t.Parallel()
+			w := model.New(deployment(1))
+			w.Run(4 * time.Second)
+			for _, x := range w.Endpoints {
+				x.FailsAll = true
+			}
+			l := load([]model.Kind{{Name: "job", Tasks: 4, Work: time.Second, MilliCPU: 2000, Stored: true}}, 0)
+			o := w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+			w.Run(after)
+			w.Nodes[0].Kill()
+			w.Run(3 * time.Second)
+			w.Nodes[0].Start()
+			w.Run(15 * time.Second)
+			var status placement.Status
+			w.State(w.Nodes[1], o.Job.ID, func(a placement.Answer) { status = a.Status })
+			w.Run(time.Second)
+			assert.Equal(t, status, placement.Failed)
+			assert.Check(t, len(w.CheckFinal()) == 0, "%v", w.Breaches)
+		})
+	}
+}
