--- a/service/gate/follow.go
+++ b/service/gate/follow.go
@@ -136,11 +136,14 @@
 	return nil
 }
 
+const maxJoinedErrors = 10
+
+// joinErrors returns the texts of errors in order, up to maxJoinedErrors of them.
 func joinErrors(errs []error) string {
 	texts := make([]string, len(errs))
 	for i, err := range errs {
 		texts[i] = err.Error()
 	}
 	sort.Strings(texts)
-	return strings.Join(texts, "; ")
+	return strings.Join(texts[:min(len(texts), maxJoinedErrors)], "; ")
 }
