Validate endpoints before they become keys of rows

An entry with a domain of 300 bytes left all endpoints of all domains without a holder (0 of 48), one with a name of 300 bytes those of its commit (42 of 48 held), and one with a slash in its name those of its domain after a take-over. Nothing was served.

Cause: names and domains of endpoints become keys of rows. One that cannot be a key fails the scan or commit in which others take part, each time anew; and the name was read from the key's last slash on.

Change: each list of endpoints, read or received, passes through validEndpoints, which skips and logs entries that fail Endpoint.Validate. A name begins after the first slash of its key. The model's store keeps the limit for names.

--- a/pkg/hold/row.go
+++ b/pkg/hold/row.go
@@ -23,12 +23,11 @@
 // Key returns the key of the row of an endpoint's hold.
 func Key(domain, endpoint string) string { return DomainPrefix(domain) + endpoint }
 
-// endpointOf returns the endpoint whose row has this key.
+// endpointOf returns the endpoint whose row has this key. Its name may contain a slash, the
+// domain before it may not.
 func endpointOf(key string) string {
-	if i := strings.LastIndexByte(key, '/'); i >= 0 {
-		return key[i+1:]
-	}
-	return key
+	_, name, _ := strings.Cut(key, "/")
+	return name
 }
 
 func encodeRow(r Row) []byte {
--- a/pkg/model/store.go
+++ b/pkg/model/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"crocusseam/pkg/placement"
@@ -18,6 +20,8 @@
 	RefusedInstances map[string]bool
 	// LoseAnswers is the share of commits that take effect and whose answer is lost.
 	LoseAnswers float64
+	// UnreadablePrefix makes scans of keys that begin with it fail.
+	UnreadablePrefix string
 	// AnswerDelay is added to the time of every answer.
 	AnswerDelay time.Duration
 
@@ -30,6 +34,7 @@
 var (
 	errUnavailable = errors.New("the store is unavailable")
 	errTooMany     = errors.New("a commit has too many entries")
+	errName        = errors.New("a name is too long")
 )
 
 // serves reports whether calls of an instance reach the store and are served.
@@ -46,6 +51,12 @@
 		})
 		return
 	}
+	if slices.ContainsFunc(m.Writes, func(w storage.Write) bool { return !storage.NamesFit(w.Key) }) {
+		n.later(2*delay, func() {
+			n.deliver(placement.CommitDone{ID: m.ID, Err: &storage.ErrUncertain{Step: "commit", Peer: "store", Cause: errName}})
+		})
+		return
+	}
 	if !s.serves(n) {
 		n.later(storeTimeout, func() {
 			n.deliver(placement.CommitDone{ID: m.ID, Err: &storage.ErrUncertain{Step: "commit", Peer: "store", Cause: errUnavailable}})
@@ -71,6 +82,12 @@
 		})
 		return
 	}
+	if !storage.NamesFit(m.Prefix) || (s.UnreadablePrefix != "" && strings.HasPrefix(m.Prefix, s.UnreadablePrefix)) {
+		n.later(2*s.world.Config.ToStore, func() {
+			n.deliver(placement.ScanDone{ID: m.ID, Err: &storage.ErrUnavailable{Step: "scan", Peer: "store", Cause: errUnavailable}})
+		})
+		return
+	}
 	rows, err := s.memory.Scan(context.Background(), m.Prefix, scanLimit)
 	n.later(2*s.world.Config.ToStore+s.AnswerDelay, func() { n.deliver(placement.ScanDone{ID: m.ID, Rows: rows, Err: err}) })
 }
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -88,6 +89,7 @@
 type holder struct {
 	registry           *hold.Registry
 	listed             *table.Table[string, *workload.Endpoint]
+	invalid            map[string]bool // names of the invalid endpoints in the last list
 	missingSince       map[string]time.Time
 	endpoints          *table.Table[string, *endpoint]
 	runs               *runTable // that have not ended yet
@@ -146,6 +148,7 @@
 func (c *Control) applyEndpointList(endpoints []workload.Endpoint) {
 	h := &c.holder
 	c.endpointList.refreshedAt = c.now
+	endpoints = c.validEndpoints(endpoints)
 	present := make(map[string]bool, len(endpoints))
 	for i := range endpoints {
 		e := endpoints[i]
@@ -188,6 +191,28 @@
 	h.capacityStale, h.queueChanged = true, true
 }
 
+// validEndpoints returns the valid endpoints of a list. Every list passes through it, read
+// or received, so that an entry of another writer affects no other endpoint.
+func (c *Control) validEndpoints(endpoints []workload.Endpoint) []workload.Endpoint {
+	invalid := make(map[string]bool)
+	for i := range endpoints {
+		name := endpoints[i].ID.Name
+		err := endpoints[i].Validate()
+		if err == nil {
+			continue
+		}
+		invalid[name] = true
+		if !c.holder.invalid[name] {
+			c.logEvent("invalid endpoint skipped", zap.String("Endpoint", fmt.Sprintf("%.100s", name)), zap.Error(err))
+		}
+	}
+	c.holder.invalid = invalid
+	if len(invalid) == 0 {
+		return endpoints
+	}
+	return slices.DeleteFunc(slices.Clone(endpoints), func(e workload.Endpoint) bool { return invalid[e.ID.Name] })
+}
+
 // lostRunsOutcome returns the outcome of the runs at an endpoint whose list entry has
 // changed. An entry with a new incarnation shows that the old one has ended; without
 // an entry the runs may continue.
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 )
 
@@ -39,6 +40,18 @@
 // and each change of a row is an entry, so a conditional write counts twice.
 const MaxEntries = 100
 
+// MaxNameBytes is the platform's limit for the length of a table's, a partition's and a
+// row's name.
+const MaxNameBytes = 200
+
+// NamesFit reports whether the names in a key are within MaxNameBytes. What stands before
+// the first slash of a key is the table, with a partition after a colon if there is one.
+func NamesFit(key string) bool {
+	table, row, _ := strings.Cut(key, "/")
+	table, partition, _ := strings.Cut(table, ":")
+	return max(len(table), len(partition), len(row)) <= MaxNameBytes
+}
+
 // Entries returns the number of entries of a commit of these writes.
 func Entries(writes []Write) int {
 	n := 0
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"crocusseam/pkg/storage"
@@ -195,6 +196,52 @@
 	Draining bool
 }
 
+const (
+	maxLabels   = 100     // of an endpoint
+	maxCapacity = 1 << 40 // of any resource of an endpoint; sums of them do not overflow
+)
+
+// ErrInvalidEndpoint names an invalid field of an endpoint, its value and the reason.
+type ErrInvalidEndpoint struct {
+	Field string
+	Value any
+	Cause string
+}
+
+func (e *ErrInvalidEndpoint) Error() string {
+	return fmt.Sprintf("endpoint: %s is %.100v: %s", e.Field, e.Value, e.Cause)
+}
+
+// Validate checks the endpoint against the limits and returns an *ErrInvalidEndpoint for
+// the first violation. An endpoint may be described by another writer. Its name and domain
+// become keys of rows, so one that cannot be a key would spoil the commits and scans in
+// which others take part.
+func (e *Endpoint) Validate() error {
+	texts := []struct{ field, text string }{{"Name", e.ID.Name}, {"Domain", e.Domain}, {"Service", e.Service}}
+	for _, t := range texts {
+		if t.text == "" || len(t.text) > storage.MaxNameBytes {
+			return &ErrInvalidEndpoint{t.field, t.text, fmt.Sprintf("1 to %d bytes are allowed", storage.MaxNameBytes)}
+		}
+	}
+	c := e.Capacity
+	switch {
+	case strings.Contains(e.Domain, "/"):
+		return &ErrInvalidEndpoint{"Domain", e.Domain, "a slash ends the domain in a key"}
+	case !e.Address.IsValid() || e.Address.Port() == 0:
+		return &ErrInvalidEndpoint{"Address", e.Address, "an address and a port are needed"}
+	case min(c.MilliCPU, c.MemoryMB, c.Accelerators) < 0 || max(c.MilliCPU, c.MemoryMB, c.Accelerators) > maxCapacity:
+		return &ErrInvalidEndpoint{"Capacity", c, fmt.Sprintf("0 to %d are allowed", maxCapacity)}
+	case len(e.Labels) > maxLabels:
+		return &ErrInvalidEndpoint{"the number of labels", len(e.Labels), fmt.Sprintf("the most is %d", maxLabels)}
+	}
+	for _, l := range e.Labels {
+		if len(l) > storage.MaxNameBytes {
+			return &ErrInvalidEndpoint{"a label", l, fmt.Sprintf("the most is %d bytes", storage.MaxNameBytes)}
+		}
+	}
+	return nil
+}
+
 // Equal reports whether both descriptions are the same.
 func (e *Endpoint) Equal(other *Endpoint) bool {
 	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address && e.Domain == other.Domain &&
--- a/service/gate/gate_test.go
+++ b/service/gate/gate_test.go
@@ -108,8 +108,14 @@
 		routes = append(routes, fmt.Sprintf(`{"name":"route-%d","host":"seats.example","prefix":%q,"timeoutMs":1500,"sloMs":60,"service":%q,"maxAttempts":3,"stretch":1.6}`, i, p, testService))
 	}
 	value := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q}],"limits":{}}`, version, strings.Join(routes, ","), testService)
+	e.write(platform.ConfigurationKey, value)
+}
+
+// write writes a row of the store as another writer does.
+func (e *environment) write(key, value string) {
+	e.tb.Helper()
 	store := platform.NewStore(platform.StoreConfig{Address: e.store.Address(), ReadTimeout: time.Second, WriteTimeout: time.Second, Connections: 1})
-	_, err := store.Commit(context.Background(), []storage.Write{{Key: platform.ConfigurationKey, Value: []byte(value), Expect: storage.AnyVersion}})
+	_, err := store.Commit(context.Background(), []storage.Write{{Key: key, Value: []byte(value), Expect: storage.AnyVersion}})
 	assert.NilError(e.tb, err)
 }
 
@@ -346,3 +352,45 @@
 	assert.Equal(t, state(e.gates[1], short), "completed")
 	e.check()
 }
+
+// Guards against gates that end or stop following the list of endpoints or the
+// configuration because another writer left an odd row.
+func TestOddRowsOfOtherWritersAreSkipped(t *testing.T) {
+	e := newEnvironment(t, "east", "west")
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	entry := func(zone, address, cpu string) string {
+		return fmt.Sprintf(`{"service":%q,"address":%s,"zone":%q,"state":"ready","capacity":{"cpu":%s,"memMb":1024,"gpu":0}}`, testService, address, zone, cpu)
+	}
+	for i, value := range []string{
+		"", "null", "\xff\xfe", deep, `{"a":` + deep + `}`, `{"service":` + deep + `}`,
+		entry("east", `"127.0.0.1:70000"`, "64000"), entry("east", `"127.0.0.1:0"`, "64000"), entry("east", "7", "64000"),
+		entry("east", `"127.0.0.1:9"`, "1e999"), entry("east", `"127.0.0.1:9"`, "99999999999999999999"), entry("east", `"127.0.0.1:9"`, "-5"),
+		entry(strings.Repeat("z", 300), `"127.0.0.1:9"`, "64000"), entry("east/west", `"127.0.0.1:9"`, "64000"),
+	} {
+		e.write(fmt.Sprintf("%sodd-%d", platform.EndpointPrefix, i), value)
+	}
+	e.write(platform.EndpointPrefix, entry("east", `"127.0.0.1:9"`, "64000"))
+	e.write(platform.OperatorTable+"/odd", deep)
+	e.ready()
+	e.cancels[0]()
+	e.gates[0] = e.start("east") // reads everything for the first time
+	e.gates = e.gates[:2]
+	e.ready()
+	for version, odd := range []string{deep, `{"version":1e999}`, `{"version":` + deep + `}`, "\xff"} {
+		e.write(platform.ConfigurationKey, odd)
+		added := fmt.Sprintf("/added-%d/", version)
+		e.configure(uint64(20+version), "/seats/", added)
+		for _, s := range e.gates {
+			e.eventually("the new route is served", func() bool {
+				response, _ := e.request(s, http.MethodGet, added, nil)
+				return response.StatusCode == http.StatusOK
+			})
+			response, _ := e.submit(s, 2, 27000, 20*time.Millisecond)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+		}
+	}
+	for _, s := range e.gates {
+		assert.Equal(t, s.Overview().Counters.Unexpected, int64(0))
+	}
+	e.check()
+}
