Read the holds of each domain on their own

While the rows of one domain's holds cannot be read, an instance that starts took no endpoint of any domain: it planned no holds before all rows were read. A store that is down in part was enough, and so was an odd entry with a domain that is no key.

Change: the registry leaves the endpoints of a domain alone until its rows are read, and plans the others.

--- a/pkg/hold/hold.go
+++ b/pkg/hold/hold.go
@@ -78,14 +78,15 @@
 	entries         *table.Table[string, *entry]
 	members         []Member
 	assignment      map[string]string
-	assignmentStale bool // the assignment must be recomputed
+	assignmentStale bool            // the assignment must be recomputed
+	unread          map[string]bool // domains whose rows are being read
 	leaving         bool
 	settled         bool
 }
 
 // New returns an empty registry.
 func New(config Config) *Registry {
-	return &Registry{config: config, entries: table.New[string, *entry](), assignment: make(map[string]string)}
+	return &Registry{config: config, entries: table.New[string, *entry](), assignment: make(map[string]string), unread: make(map[string]bool)}
 }
 
 // AssignmentStale reports whether the assignment must be recomputed.
@@ -98,6 +99,16 @@
 // Leave begins a planned stop: this instance takes no more holds.
 func (r *Registry) Leave() { r.leaving, r.assignmentStale = true, true }
 
+// SetUnread says whether the rows of a domain still have to be read. Until they are, Plan
+// leaves the endpoints of that domain alone.
+func (r *Registry) SetUnread(domain string, unread bool) {
+	if unread {
+		r.unread[domain] = true
+		return
+	}
+	delete(r.unread, domain)
+}
+
 // SetMembers replaces the other members.
 func (r *Registry) SetMembers(members []Member) {
 	r.members = members
--- a/pkg/hold/plan.go
+++ b/pkg/hold/plan.go
@@ -54,7 +54,7 @@
 		if e.state == yielding && r.assignment[name] == r.config.Self.Instance {
 			e.state, e.yieldTo = held, instance.ID{}
 		}
-		if e.state != notHeld || e.incarnationEnded || e.endpoint.Draining || !r.mayTake(name, e) {
+		if e.state != notHeld || e.incarnationEnded || e.endpoint.Draining || r.unread[e.endpoint.Domain] || !r.mayTake(name, e) {
 			continue
 		}
 		if holder, alive := r.liveHolder(e); alive {
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -113,6 +113,7 @@
 	advertisedCapacity *table.TrackedTable[string, FreeCapacity] // free capacity by endpoint in the current advert
 	pendingCommits     int                                       // commits of holds without a result yet
 	rowsRead           map[string]bool                           // domains whose rows of holds were requested; true once they are read
+	rowsRetryAt        time.Time                                 // when rows that could not be read are next requested
 }
 
 const (
@@ -224,17 +225,14 @@
 }
 
 // runHolds asks the registry of holds for a plan and executes it: it requests yields,
-// probes endpoints and takes holds. It waits while a commit of holds is in progress,
-// and until the rows of all listed domains have been read.
+// probes endpoints and takes holds. It waits while a commit of holds is in progress.
 func (c *Control) runHolds() {
 	h := &c.holder
 	if h.pendingCommits > 0 || (c.now.Before(h.planDue) && !h.registry.AssignmentStale()) {
 		return
 	}
 	h.planDue = c.now.Add(planInterval)
-	if !c.readHolds() {
-		return
-	}
+	c.readHolds()
 	c.yieldIdle()
 	plan := h.registry.Plan(c.now)
 	if plan.Empty() {
@@ -262,36 +260,36 @@
 	}
 }
 
-// readHolds reads the rows of holds of each listed domain once and reports whether
-// all have been read.
-func (c *Control) readHolds() bool {
+// readHolds reads the rows of holds of each listed domain once. A domain whose rows cannot
+// be read holds up no other.
+func (c *Control) readHolds() {
 	h := &c.holder
 	if h.allRowsRead {
-		return true
+		return
 	}
-	complete := true
+	h.allRowsRead = true
 	for _, domain := range h.registry.Domains() {
 		read, asked := h.rowsRead[domain]
-		complete = complete && read
-		if asked {
+		h.allRowsRead = h.allRowsRead && read
+		if asked || c.now.Before(h.rowsRetryAt) {
 			continue
 		}
 		h.rowsRead[domain] = false
+		h.registry.SetUnread(domain, true)
 		c.scan(hold.DomainPrefix(domain), func(m ScanDone) {
 			if m.Err != nil {
 				delete(h.rowsRead, domain)
-				h.planDue = c.now.Add(commitRetryDelay)
+				h.rowsRetryAt = c.now.Add(commitRetryDelay)
 				return
 			}
 			h.rowsRead[domain] = true
+			h.registry.SetUnread(domain, false)
 			h.planDue = c.now
 			for _, err := range h.registry.ApplyRows(m.Rows) {
 				c.logEvent("row of a hold skipped", zap.String("Domain", domain), zap.Error(err))
 			}
 		})
 	}
-	h.allRowsRead = complete
-	return complete
 }
 
 // takeHolds commits the rows of endpoints to take and begins the holds once the commit
--- a/pkg/placement/odd_entries_test.go
+++ b/pkg/placement/odd_entries_test.go
@@ -98,3 +98,23 @@
 	w.Run(10 * time.Millisecond)
 	assert.Equal(t, o.Answer.Status, placement.Refused)
 }
+
+// While the rows of one domain cannot be read, instances that start take the endpoints of
+// the others.
+func TestDomainWhoseHoldsCannotBeReadDelaysNoOther(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Store.UnreadablePrefix = "holds:domain-b/"
+		w.Run(5 * time.Second)
+		others := 0
+		for _, x := range w.Endpoints {
+			if x.Info.Domain != "domain-b" {
+				others++
+			}
+		}
+		assert.Equal(t, heldEndpoints(w), others)
+		w.Store.UnreadablePrefix = ""
+		w.Run(3 * time.Second)
+		assert.Equal(t, heldEndpoints(w), len(w.Endpoints))
+	})
+}
