--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -310,9 +310,9 @@
 	x.world.After(wait, once)
 }
 
-// Report returns the current runs and the ended runs that are not acknowledged.
+// Report returns the current runs and the oldest ended runs that are not acknowledged.
 func (x *Endpoint) Report() workload.Report {
-	r := workload.Report{Clock: x.Clock(), Ended: append([]workload.EndedRun(nil), x.ended...)}
+	r := workload.Report{Clock: x.Clock(), Ended: slices.Clone(x.ended[:min(len(x.ended), workload.MaxReportedEnds)])}
 	for _, id := range x.runIDs() {
 		run := x.runs[id]
 		percent := 0
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -31,6 +31,7 @@
 	reserved             workload.Resources
 	reportReceivedAt     time.Time           // when the last report arrived
 	reportRequestedAt    time.Time           // when that report was requested
+	reportTruncated      bool                // that report may not list all ended runs
 	extraRequestAt       time.Time           // when a report was last requested in addition to the watch
 	clock                time.Duration       // the endpoint's clock at reportReceivedAt
 	leaseRenewedAt       time.Time           // when an order or request that renews the lease was last sent
@@ -458,7 +459,7 @@
 		return
 	}
 	if !m.Received.Before(e.reportReceivedAt) {
-		e.reportReceivedAt, e.clock = m.Received, m.Report.Clock
+		e.reportReceivedAt, e.clock, e.reportTruncated = m.Received, m.Report.Clock, m.Report.Truncated()
 	}
 	e.reportRequestedAt = later(e.reportRequestedAt, m.Sent)
 	e.missedReports = 0
@@ -516,8 +517,12 @@
 }
 
 // endVanishedRuns ends the runs that a report lists neither as running nor as ended,
-// although it was requested after the endpoint had confirmed their start or stop.
+// although it was requested after the endpoint had confirmed their start or stop. A
+// truncated report shows no run to be gone: its end may be one that is not listed yet.
 func (c *Control) endVanishedRuns(e *endpoint, m *Reported) {
+	if m.Report.Truncated() {
+		return
+	}
 	for id, r := range e.runs.All() {
 		if slices.ContainsFunc(m.Report.Running, func(rr workload.RunningRun) bool { return rr.Run == id }) {
 			continue
--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -287,10 +287,12 @@
 	c.send(from, answer)
 }
 
-// accountsFor reports whether this holder knows all runs of an endpoint: the endpoint is
-// in use, which needs a report, and is not unresponsive unless all its leases are over.
+// accountsFor reports whether this holder knows all runs of an endpoint and their ends: the
+// endpoint is in use, which needs a report, the last report lists all ends, and the endpoint
+// is not unresponsive unless all its leases are over. The ends that are not listed yet
+// follow as soon as the listed ones are recorded, which waits for no account.
 func (c *Control) accountsFor(e *endpoint) bool {
-	if e.state != active {
+	if e.state != active || e.reportTruncated {
 		return false
 	}
 	return !e.unresponsive || c.now.Sub(e.leaseRenewedAt) >= c.config.Timing.leaseExpiry()
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -316,9 +316,9 @@
 }
 
 // stalled reports whether a run showed no progress in a report that was requested
-// after its progress timeout.
+// after its progress timeout, and that would show if the run had ended.
 func (r *run) stalled() bool {
-	return r.endpoint.reportRequestedAt.Sub(later(r.percentAt, r.orderedAt)) > r.progressTimeout()
+	return !r.endpoint.reportTruncated && r.endpoint.reportRequestedAt.Sub(later(r.percentAt, r.orderedAt)) > r.progressTimeout()
 }
 
 // requestOverdueReport requests a report from an endpoint if a run there should have
--- a/pkg/placement/stored_test.go
+++ b/pkg/placement/stored_test.go
@@ -475,3 +475,37 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice: a run whose end is behind the ends that a report can
+// list has not lapsed.
+func TestEndsBeyondThoseOfAReport(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		config := deployment(seed)
+		config.Domains = config.Domains[:2]
+		for i := range config.Domains {
+			config.Domains[i].Instances, config.Domains[i].Endpoints = 2-i, config.Domains[i].Endpoints[:1]
+		}
+		config.Domains[0].Shares = []int{1, 0}
+		w := model.New(config)
+		w.Run(4 * time.Second)
+		l := load([]model.Kind{
+			{Name: "many", Tasks: 450, Work: 40 * time.Millisecond, MilliCPU: 1500, Stored: true},
+			{Name: "few", Tasks: 20, Work: 300 * time.Millisecond, MilliCPU: 800, Stored: true},
+		}, 0)
+		for i := range 8 {
+			w.SubmitTo(w.Nodes[i%2*2], &l, &l.Kinds[0])
+			if i < 4 {
+				w.SubmitTo(w.Nodes[1], &l, &l.Kinds[1])
+			}
+			w.Run(300 * time.Millisecond)
+			if i == 3 {
+				w.Nodes[1].Kill()
+				w.After(3*time.Second, w.Nodes[1].Start)
+			}
+			w.Run(200 * time.Millisecond)
+		}
+		w.Run(25 * time.Second)
+		assert.Check(t, len(w.CheckFinal()) == 0, "%d breaches: %.300v", len(w.Breaches), w.Breaches)
+		checkStored(t, w)
+	})
+}
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -279,9 +279,16 @@
 type Report struct {
 	Clock   time.Duration // the endpoint's clock, counted from a zero of its own
 	Running []RunningRun
-	Ended   []EndedRun
+	Ended   []EndedRun // the oldest that are not acknowledged, up to MaxReportedEnds
 }
 
+// MaxReportedEnds is the platform's limit for the ended runs in one report.
+const MaxReportedEnds = 500
+
+// Truncated reports whether further runs may have ended that the report does not list. A
+// run that it does not list at all may then be one of them.
+func (r *Report) Truncated() bool { return len(r.Ended) >= MaxReportedEnds }
+
 // Route assigns callers' requests to a service, by host and path prefix, and says
 // how their jobs are run.
 type Route struct {
