--- a/pkg/placement/lookup.go
+++ b/pkg/placement/lookup.go
@@ -186,7 +186,8 @@
 }
 
 // waitingJobs counts the jobs of a route of which no task has started, here and at the
-// members according to their last heartbeats.
+// members according to their last heartbeats. While the jobs of an instance that is gone
+// are being adopted, the count is not below the last one with that instance.
 func (c *Control) waitingJobs(route string) int {
 	n := c.ownWaiting()[route]
 	for _, m := range c.membership.members.All() {
@@ -194,14 +195,34 @@
 			n += m.heartbeat.Waiting[route]
 		}
 	}
+	if h := c.home.heldWaiting[route]; c.now.Before(h.until) {
+		n = max(n, h.count)
+	}
 	return n
 }
 
+// heldCount is a number of waiting jobs that may still be given until a time.
+type heldCount struct {
+	count int
+	until time.Time
+}
+
+// maxWaitingAge is how old a number of waiting jobs may be.
+const maxWaitingAge = 2 * time.Second
+
+// holdWaiting keeps the numbers of waiting jobs with those of a member that will not count
+// any more.
+func (c *Control) holdWaiting(m *member) {
+	for route := range m.heartbeat.Waiting {
+		c.home.heldWaiting[route] = heldCount{count: c.waitingJobs(route), until: c.now.Add(maxWaitingAge)}
+	}
+}
+
 // ownWaiting counts this home's jobs of which no task has started, by route.
 func (c *Control) ownWaiting() map[string]int {
 	var counts map[string]int
 	for _, j := range c.home.jobs.All() {
-		if j.mayHaveStarted() && !j.allWaiting() {
+		if j.mayHaveStarted() && !j.allWaiting() && !j.adoptedWaiting() {
 			continue
 		}
 		if counts == nil {
@@ -229,6 +250,12 @@
 	return true
 }
 
+// adoptedWaiting reports whether an adopted job had not started when its former home last
+// recorded it, and its runs are not accounted for yet.
+func (j *job) adoptedWaiting() bool {
+	return j.stored != nil && !j.started && !j.stored.unknownRunsSince.IsZero()
+}
+
 // noneWaiting reports whether, according to the last heartbeat of a job's home, none of
 // its jobs of this route waits.
 func (c *Control) noneWaiting(row *OpenRow) bool {
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -248,6 +248,7 @@
 		}
 		rowUnchanged := c.membership.scannedAt.Sub(later(m.suspectedSince, m.rowChangedAt))
 		if !m.dead && rowUnchanged >= t.DeadAfter {
+			c.holdWaiting(m)
 			m.dead = true
 			c.membership.changed = true
 			c.scheduleAdoption()
@@ -319,6 +320,9 @@
 		return m, true
 	case ok:
 		c.logEvent("member restarted", zap.Stringer("Peer", id), zap.Uint64("Former", m.id.Incarnation))
+		if !m.dead {
+			c.holdWaiting(m)
+		}
 		c.losePeer(m.id, m.lastSeenAt)
 	}
 	m = &member{id: id, lastSeenAt: c.now, rowChangedAt: c.now, advertisedCapacity: table.NewCopy(func(r FreeCapacity) string { return r.Endpoint })}
--- a/pkg/placement/stored_test.go
+++ b/pkg/placement/stored_test.go
@@ -509,3 +509,34 @@
 		checkStored(t, w)
 	})
 }
+
+// Guards against a number of waiting jobs that leaves out those whose home has just been
+// killed: while they are adopted, no instance gives less than half of them.
+func TestWaitingJobsOfAKilledHomeAreCounted(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Run(4 * time.Second)
+		l := load([]model.Kind{{Name: "job", Tasks: 1, Work: 20 * time.Second, MilliCPU: 60000, Stored: true}}, 0)
+		for range 160 {
+			w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+		}
+		w.Run(6 * time.Second)
+		w.Nodes[0].Kill()
+		w.After(3*time.Second, w.Nodes[0].Start)
+		for range 80 {
+			w.Run(100 * time.Millisecond)
+			waiting := 0
+			for _, o := range w.Jobs {
+				if !o.Started {
+					waiting++
+				}
+			}
+			for _, n := range w.Nodes[1:] {
+				w.Waiting(n, "job", func(a placement.Answer) {
+					assert.Check(t, 2*a.Waiting >= waiting, "%s gives %d of %d at %s", n.ID.Instance, a.Waiting, waiting, w.Elapsed())
+				})
+			}
+		}
+		assert.Check(t, len(w.Breaches) == 0, "%v", w.Breaches)
+	})
+}
