Count a lease from the moment when its renewal stops

Cause: the holder took the time of a renewal from the report that answered it. When it stops renewing, a request without an answer has renewed the lease up to 0.4 s later.

Change: the time counts from the moment when the watch is told not to renew, in watchEndpoint alone.

--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -34,7 +34,8 @@
 	reportTruncated      bool                // that report may not list all ended runs
 	extraRequestAt       time.Time           // when a report was last requested in addition to the watch
 	clock                time.Duration       // the endpoint's clock at reportReceivedAt
-	leaseRenewedAt       time.Time           // when an order or request that renews the lease was last sent
+	renewing             bool                // the watch renews the lease, see watchEndpoint
+	leaseRenewedAt       time.Time           // while the watch does not renew the lease: no later order or request has renewed it
 	missedReports        int                 // in a row
 	unresponsive         bool                // reports are missing, so the lease is not renewed
 	leaseWithheld        bool                // the endpoint accepts no stop of an orphan, so the lease is not renewed
@@ -463,9 +464,6 @@
 	}
 	e.reportRequestedAt = later(e.reportRequestedAt, m.Sent)
 	e.missedReports = 0
-	if e.renewsLease() {
-		e.leaseRenewedAt = later(e.leaseRenewedAt, m.Sent)
-	}
 	for i := range m.Report.Ended {
 		c.applyEndedRun(e, &m.Report.Ended[i])
 	}
@@ -567,7 +565,6 @@
 		}
 		e.state, e.unresponsive = active, false
 		c.holder.checkDue = c.now
-		e.leaseRenewedAt = c.now
 		c.holder.advertChanged = true
 		c.watchEndpoint(e)
 	}
@@ -584,9 +581,6 @@
 	if c.endHoldIfLost(e, m.Outcome) {
 		return
 	}
-	if e.renewsLease() {
-		e.leaseRenewedAt = c.now
-	}
 	e.missedReports++
 	c.holder.capacityStale = true
 	if e.missedReports == unresponsiveAfter {
@@ -618,9 +612,6 @@
 	e.leaseWithheld = leaseWithheld
 	c.holder.capacityStale = true
 	c.logEvent("renewal of the lease changed", zap.String("Endpoint", e.info.ID.Name), zap.Bool("Withheld", leaseWithheld), zap.Int("Runs", e.runs.Len()))
-	if !leaseWithheld && e.renewsLease() {
-		e.leaseRenewedAt = c.now
-	}
 	c.watchEndpoint(e)
 }
 
--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -117,11 +117,18 @@
 	}
 }
 
-// watchEndpoint starts the watch of an endpoint, or changes it.
+// watchEndpoint starts the watch of an endpoint, or changes it. A watch that renews the
+// lease has done so with requests that were not answered, up to the moment when it is told
+// not to: the runs there lapse a term after that.
 func (c *Control) watchEndpoint(e *endpoint) {
+	renew := e.renewsLease()
+	if e.renewing && !renew {
+		e.leaseRenewedAt = c.now
+	}
+	e.renewing = renew
 	c.emit(Watch{
 		Endpoint: e.info.ID, Address: e.info.Address, Token: e.token,
-		Renew: e.renewsLease(), ExplicitAcks: e.explicitAcks,
+		Renew: renew, ExplicitAcks: e.explicitAcks,
 	})
 }
 
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -190,6 +190,44 @@
 	assert.Equal(t, b.control.Overview().Runs, 0)
 }
 
+// Guards against tasks that run twice (soak seed 336): requests for reports renew the lease
+// until the watch is told otherwise, also those that are never answered. A run there has not
+// lapsed before a lease term has passed since then.
+func TestLeaseLapsesATermAfterTheWatchStopsRenewing(t *testing.T) {
+	timing := DefaultTiming()
+	for silent := time.Duration(0); silent < 400*time.Millisecond; silent += 50 * time.Millisecond {
+		b := newBench(t)
+		b.connectPeer()
+		b.step(b.receivedFrom(benchPeer, placeRequest(1)))
+		starts := effectsOf[Start](b)
+		assert.Equal(t, len(starts), 1)
+		b.answerStart(&starts[0], Accepted)
+		began := b.now
+		var renewedUntil time.Time // when the watch was told not to renew the lease
+		observe := func() {
+			for _, w := range effectsOf[Watch](b) {
+				if !w.Renew && renewedUntil.IsZero() {
+					renewedUntil = b.now
+				}
+			}
+		}
+		for b.control.Overview().Runs > 0 && b.now.Sub(began) < 3*time.Second {
+			b.advanceBy(10 * time.Millisecond)
+			observe()
+			for _, stop := range effectsOf[StopRun](b) {
+				b.step(StopDone{Endpoint: stop.Endpoint, Token: stop.Token, Run: stop.Run, Outcome: Unanswered})
+				observe()
+			}
+			if b.now.Sub(began) < timing.SuspectAfter-silent {
+				b.report([]workload.RunningRun{{Run: starts[0].Run, Percent: int(b.now.Sub(began).Milliseconds() / 10)}}, nil)
+				observe()
+			}
+		}
+		assert.Assert(t, !renewedUntil.IsZero())
+		assert.Check(t, b.now.Sub(renewedUntil) >= timing.leaseExpiry(), "last report %s before the stop: the run counts as lapsed after %s", silent, b.now.Sub(renewedUntil))
+	}
+}
+
 // Among many instances, those of different failure domains that run nothing for each
 // other send heartbeats less often. A home that has placed a run here is suspected after
 // the normal time.
