Name the least number of waiting jobs, and tidy restored failures

"Hold" is the word for who may order an endpoint, so the number that is given while jobs are adopted is a waiting floor. No change of behaviour; the tests of waiting jobs, failures and rows pass.

--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -35,7 +35,7 @@
 	extraRequestAt       time.Time           // when a report was last requested in addition to the watch
 	clock                time.Duration       // the endpoint's clock at reportReceivedAt
 	renewing             bool                // the watch renews the lease, see watchEndpoint
-	leaseRenewedAt       time.Time           // while the watch does not renew the lease: no later order or request has renewed it
+	leaseRenewedAt       time.Time           // when the lease was last renewed; kept only while the watch does not renew it
 	missedReports        int                 // in a row
 	unresponsive         bool                // reports are missing, so the lease is not renewed
 	leaseWithheld        bool                // the endpoint accepts no stop of an orphan, so the lease is not renewed
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -66,7 +66,7 @@
 	moveDue        time.Time // when waiting tasks are next considered for a move
 	pendingCancels []delayedLookup
 	timeouts       map[string]*timeoutCounts // by route
-	heldWaiting    map[string]heldCount      // by route
+	waitingFloors  map[string]waitingFloor   // by route
 	// droppedRuns holds the runs of ephemeral jobs that were answered before the
 	// holders reported the ends of these runs.
 	droppedRuns *table.Table[workload.JobID, droppedRuns]
@@ -83,7 +83,7 @@
 	return home{
 		jobs: table.New[workload.JobID, *job](), byHandle: make(map[Handle]workload.JobID),
 		droppedRuns: table.New[workload.JobID, droppedRuns](), timeouts: make(map[string]*timeoutCounts),
-		heldWaiting: make(map[string]heldCount),
+		waitingFloors: make(map[string]waitingFloor),
 	}
 }
 
--- a/pkg/placement/lookup.go
+++ b/pkg/placement/lookup.go
@@ -195,14 +195,14 @@
 			n += m.heartbeat.Waiting[route]
 		}
 	}
-	if h := c.home.heldWaiting[route]; c.now.Before(h.until) {
-		n = max(n, h.count)
+	if f := c.home.waitingFloors[route]; c.now.Before(f.until) {
+		n = max(n, f.count)
 	}
 	return n
 }
 
-// heldCount is a number of waiting jobs that may still be given until a time.
-type heldCount struct {
+// waitingFloor is the least number of waiting jobs to give until a time.
+type waitingFloor struct {
 	count int
 	until time.Time
 }
@@ -210,11 +210,11 @@
 // maxWaitingAge is how old a number of waiting jobs may be.
 const maxWaitingAge = 2 * time.Second
 
-// holdWaiting keeps the numbers of waiting jobs with those of a member that will not count
-// any more.
-func (c *Control) holdWaiting(m *member) {
+// keepWaitingFloor keeps the numbers of waiting jobs as they are with a member that is about
+// to count no more.
+func (c *Control) keepWaitingFloor(m *member) {
 	for route := range m.heartbeat.Waiting {
-		c.home.heldWaiting[route] = heldCount{count: c.waitingJobs(route), until: c.now.Add(maxWaitingAge)}
+		c.home.waitingFloors[route] = waitingFloor{count: c.waitingJobs(route), until: c.now.Add(maxWaitingAge)}
 	}
 }
 
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -248,7 +248,7 @@
 		}
 		rowUnchanged := c.membership.scannedAt.Sub(later(m.suspectedSince, m.rowChangedAt))
 		if !m.dead && rowUnchanged >= t.DeadAfter {
-			c.holdWaiting(m)
+			c.keepWaitingFloor(m)
 			m.dead = true
 			c.membership.changed = true
 			c.scheduleAdoption()
@@ -321,7 +321,7 @@
 	case ok:
 		c.logEvent("member restarted", zap.Stringer("Peer", id), zap.Uint64("Former", m.id.Incarnation))
 		if !m.dead {
-			c.holdWaiting(m)
+			c.keepWaitingFloor(m)
 		}
 		c.losePeer(m.id, m.lastSeenAt)
 	}
--- a/pkg/placement/records.go
+++ b/pkg/placement/records.go
@@ -144,10 +144,11 @@
 		if f.Step < 0 || f.Step >= len(j.steps) || f.Index < 0 || f.Index >= len(j.steps[f.Step]) {
 			return fmt.Errorf("row of job %s names task %d of step %d, which the job does not have", j.ID, f.Index, f.Step)
 		}
-		if n := max(f.Count, len(f.Runs)); n > runsPerRound {
+		n := max(f.Count, len(f.Runs))
+		if n > runsPerRound {
 			return fmt.Errorf("row of job %s: task %d of step %d has %d failed runs", j.ID, f.Index, f.Step, n)
 		}
-		runs := make([]int, max(f.Count, len(f.Runs))) // 0 stands for a run without a known number
+		runs := make([]int, n) // 0 stands for a run without a known number
 		copy(runs, f.Runs)
 		j.steps[f.Step][f.Index].failedRuns = runs
 	}
