--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -36,7 +36,7 @@
 	100, // a start order carried out by an endpoint's next incarnation (docs/incidents/soak-100.md)
 	205, // an endpoint's next incarnation filled beyond its capacity (docs/incidents/soak-205.md)
 	303, // a task started by a former home of its job (docs/incidents/soak-303.md)
-	336, // a job submitted again while a start order could still be carried out late (docs/incidents/soak-336.md)
+	336, // a job submitted again while a start order could still be carried out late (docs/incidents/soak-336.md); a lease renewed without an answer (lease-renewed-unanswered.md)
 	900, // a job accepted after the end of a planned stop (docs/incidents/soak-900.md)
 }
 
