--- a/pkg/placement/stored_test.go
+++ b/pkg/placement/stored_test.go
@@ -367,13 +367,7 @@
 // their partitions by then.
 func TestAdoptionWithALostAnswerIsNoticed(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		w.Run(4 * time.Second)
-		l := load([]model.Kind{{Name: "job", Tasks: 2, Work: 2500 * time.Millisecond, MilliCPU: 2000, Stored: true}}, 0)
-		for range 64 {
-			w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
-		}
-		w.Run(500 * time.Millisecond)
+		w := worldWithStoredJobs(seed)
 		w.Nodes[0].Kill()
 		runUntilLogged(w, "job without a home")
 		w.Store.LoseAnswers = 1
@@ -387,6 +381,19 @@
 	})
 }
 
+// worldWithStoredJobs returns a deployment whose first instance is the home of 64 stored
+// jobs, which have just started.
+func worldWithStoredJobs(seed uint64) *model.World {
+	w := model.New(deployment(seed))
+	w.Run(4 * time.Second)
+	l := load([]model.Kind{{Name: "job", Tasks: 2, Work: 2500 * time.Millisecond, MilliCPU: 2000, Stored: true}}, 0)
+	for range 64 {
+		w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+	}
+	w.Run(500 * time.Millisecond)
+	return w
+}
+
 // runUntilLogged advances a world until some instance has logged an event.
 func runUntilLogged(w *model.World, event string) {
 	for range 1000 {
@@ -402,13 +409,7 @@
 // other for ever.
 func TestHoldsTakenWithLostAnswersAreNoticed(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		w.Run(4 * time.Second)
-		l := load([]model.Kind{{Name: "job", Tasks: 2, Work: 2500 * time.Millisecond, MilliCPU: 2000, Stored: true}}, 0)
-		for range 64 {
-			w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
-		}
-		w.Run(500 * time.Millisecond)
+		w := worldWithStoredJobs(seed)
 		w.Store.LoseAnswers = 0.6
 		w.Nodes[0].Kill()
 		w.Run(2 * time.Second)
