Log why a session ended and how a configuration came

The log could not tell the hypotheses on late configurations apart. 'session down' names its cause, age and queue; 'configuration read' the bytes of the store's answer and the time of the call and of the transfer; 'configuration adopted' the time to decode it, and 'configuration not newer' the same of a copy that was of no use.

No logic changes. Tests of platform, service/peer and service/gate pass.

--- a/service/gate/follow.go
+++ b/service/gate/follow.go
@@ -48,14 +48,14 @@
 	var version storage.Version
 	known := false
 	for ctx.Err() == nil {
-		var rows []storage.Row
-		var next storage.Version
+		var rows platform.Rows
 		var err error
+		asked := s.timers.Now()
 		if known {
-			rows, next, err = s.config.Store.Feed(ctx, platform.OperatorTable, version, feedWait+time.Duration(s.Overview().Members)*feedPerMember)
+			rows, err = s.config.Store.Feed(ctx, platform.OperatorTable, version, feedWait+time.Duration(s.Overview().Members)*feedPerMember)
 			s.metrics.countStoreCall("feed", err)
 		} else {
-			rows, next, err = s.config.Store.ScanAt(ctx, platform.OperatorTable+"/", scanLimit)
+			rows, err = s.config.Store.ScanAt(ctx, platform.OperatorTable+"/", scanLimit)
 			s.metrics.countStoreCall("scan", err)
 		}
 		if ctx.Err() != nil {
@@ -72,9 +72,10 @@
 			s.timers.Sleep(ctx, followRetry)
 			continue
 		}
-		version, known = next, true
-		for _, r := range rows {
+		version, known = rows.Version, true
+		for _, r := range rows.Rows {
 			if r.Key == platform.ConfigurationKey && r.Version > 0 {
+				s.logger.Info("configuration read", zap.Uint64("Row", uint64(r.Version)), zap.Int("Bytes", len(r.Value)), zap.Duration("Elapsed", s.timers.Now().Sub(asked)), zap.Duration("Transfer", rows.Transfer))
 				s.adopt(r.Value, "store")
 			}
 		}
@@ -84,7 +85,9 @@
 
 // adopt activates a configuration unless the same or a later version is active.
 func (s *Server) adopt(raw []byte, source string) {
+	began := s.timers.Now()
 	c, err := platform.DecodeConfiguration(raw)
+	decoding := s.timers.Now().Sub(began)
 	if err != nil {
 		s.logger.Error("configuration not understood", zap.String("Source", source), zap.Error(err))
 		return
@@ -93,13 +96,15 @@
 	defer s.adoptMutex.Unlock()
 	current := s.routes.Load()
 	if current != nil && current.configuration.Version >= c.Version {
+		s.logger.Info("configuration not newer", zap.Uint64("Version", c.Version), zap.String("Source", source), zap.Int("Bytes", len(raw)), zap.Duration("Decoding", decoding))
 		return
 	}
 	s.routes.Store(newRouteTable(c))
 	if current == nil {
 		close(s.configured)
 	}
-	s.logger.Info("configuration adopted", zap.Uint64("Version", c.Version), zap.String("Source", source), zap.Int("Routes", len(c.Routes)))
+	s.logger.Info("configuration adopted", zap.Uint64("Version", c.Version), zap.String("Source", source), zap.Int("Routes", len(c.Routes)),
+		zap.Int("Bytes", len(raw)), zap.Duration("Decoding", decoding), zap.Duration("Total", s.timers.Now().Sub(began)))
 	s.deliver(placement.Configured{Configuration: c, Raw: raw})
 }
 
--- a/service/peer/sessions.go
+++ b/service/peer/sessions.go
@@ -99,11 +99,45 @@
 	peer   instance.ID
 	stream net.Conn
 	closer io.Closer
+	since  time.Time
 	mu     sync.Mutex
 	queue  []M
+	ended  error // why this instance has ended the session, nil if it has not
 	signal chan struct{}
 }
 
+// end closes the session for a cause.
+func (s *session[M]) end(cause error) {
+	s.mu.Lock()
+	if s.ended == nil {
+		s.ended = cause
+	}
+	s.mu.Unlock()
+	_ = s.closer.Close()
+}
+
+// endCause returns why the session has ended, given the first error of its goroutines.
+func (s *session[M]) endCause(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended != nil {
+		return s.ended
+	}
+	return err
+}
+
+func (s *session[M]) queued() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue)
+}
+
+var (
+	errReplaced  = errors.New("another session with the peer has begun")
+	errDropped   = errors.New("the control state has dropped it")
+	errQueueFull = errors.New("too many messages wait for the peer")
+)
+
 // Listen opens the listener for peers. Run serves it.
 func Listen[M any](config Config[M]) (*Sessions[M], error) {
 	listener, err := net.Listen("tcp", config.Listen.String())
@@ -212,7 +246,7 @@
 	s := l.sessions[id]
 	l.mu.Unlock()
 	if s != nil {
-		_ = s.closer.Close()
+		s.end(errDropped)
 	}
 }
 
@@ -289,10 +323,9 @@
 	}
 	s := &session[M]{
 		peer:   instance.ID{Instance: hello.GetInstance(), Incarnation: hello.GetIncarnation()},
-		stream: stream, closer: mux, signal: make(chan struct{}, 1),
+		stream: stream, closer: mux, since: time.Now(), signal: make(chan struct{}, 1),
 	}
 	l.register(s)
-	defer l.unregister(s)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.readFrames(s, reader) })
 	group.Go(func() error { return l.writeFrames(ctx, s) })
@@ -300,7 +333,9 @@
 		<-ctx.Done()
 		return mux.Close()
 	})
-	return group.Wait()
+	err = s.endCause(group.Wait())
+	l.unregister(s, err)
+	return err
 }
 
 func openStream(conn net.Conn, dialed bool) (*yamux.Session, net.Conn, error) {
@@ -350,14 +385,14 @@
 	l.sessions[s.peer] = s
 	l.mu.Unlock()
 	if old != nil {
-		_ = old.closer.Close()
+		old.end(errReplaced)
 		l.config.Down(s.peer)
 	}
 	l.config.Logger.Info("session up", zap.String("Peer", s.peer.String()))
 	l.config.Up(s.peer)
 }
 
-func (l *Sessions[M]) unregister(s *session[M]) {
+func (l *Sessions[M]) unregister(s *session[M], cause error) {
 	l.mu.Lock()
 	current := l.sessions[s.peer] == s
 	if current {
@@ -365,7 +400,7 @@
 	}
 	l.mu.Unlock()
 	if current {
-		l.config.Logger.Info("session down", zap.String("Peer", s.peer.String()))
+		l.config.Logger.Info("session down", zap.String("Peer", s.peer.String()), zap.String("Cause", cause.Error()), zap.Duration("Age", time.Since(s.since)), zap.Int("Queued", s.queued()))
 		l.config.Down(s.peer)
 	}
 }
@@ -384,7 +419,7 @@
 	tooLong := len(s.queue) > maxQueuedMessages
 	s.mu.Unlock()
 	if tooLong {
-		_ = s.closer.Close()
+		s.end(errQueueFull)
 		return
 	}
 	select {
