--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -24,6 +24,14 @@
 	Control   *placement.Control
 	// Prepare, if set, is called with each new control state.
 	Prepare func(*placement.Control)
+	// FeedSilent says that the instance's feed of the configuration brings nothing.
+	FeedSilent bool
+	// ConfiguredAt holds the times at which configurations reached the instance, by version.
+	ConfiguredAt map[uint64]time.Time
+	// SentBytes counts the bytes sent to peers, ReceivedConfigurations the bytes of
+	// configurations received from them.
+	SentBytes              int64
+	ReceivedConfigurations int64
 
 	world      *World
 	inputs     []placement.Input
@@ -34,6 +42,7 @@
 	answers    map[placement.Handle]func(placement.Answer)
 	sessions   map[instance.ID]bool
 	watches    map[string]*watch
+	up, down   link
 	generation int // incremented at each start and kill, so that older timers do nothing
 }
 
@@ -67,14 +76,17 @@
 	n.answers = make(map[placement.Handle]func(placement.Answer))
 	n.sessions = make(map[instance.ID]bool)
 	n.watches = make(map[string]*watch)
+	n.ConfiguredAt = make(map[uint64]time.Time)
 	n.Control = placement.New(placement.Config{
 		Self: n.ID, Domain: n.Domain, Address: netip.MustParseAddrPort("127.0.0.1:1"), Share: n.Share,
 		Seed: n.world.Config.Seed, Timing: n.world.Config.Timing, Retention: n.world.Config.Retention,
+		LinkRate: n.up.rate,
 	})
 	if n.Prepare != nil {
 		n.Prepare(n.Control)
 	}
 	n.deliver(placement.Configured{Configuration: &workload.Configuration{Version: 1}})
+	n.followConfiguration()
 	n.discover(n.generation)
 }
 
@@ -220,6 +232,8 @@
 		x := w.endpoint(m.Endpoint)
 		reachable := x != nil && x.Up && w.reaches(n.location(), x.location())
 		n.later(2*w.Config.BetweenDomains, func() { n.deliver(placement.ProbeDone{Endpoint: m.Endpoint.Name, Reachable: reachable}) })
+	case placement.OfferConfiguration:
+		n.offered(m)
 	case placement.Commit:
 		w.Store.commit(n, m)
 	case placement.Scan:
@@ -234,8 +248,21 @@
 		return
 	}
 	from := n.ID
-	w.After(w.oneWay(n.location(), o.location())+w.messageDelay(n, o), func() {
+	transfer := w.transfer(n, o, m.Envelope)
+	if transfer > writeDeadline {
+		n.later(writeDeadline, func() {
+			if o.ID == m.Peer && n.sessions[m.Peer] {
+				n.loseSession(o)
+				o.loseSession(n)
+			}
+		})
+		return
+	}
+	w.After(w.oneWay(n.location(), o.location())+transfer+w.messageDelay(n, o), func() {
 		if o.ID == m.Peer && o.sessions[from] && w.reaches(n.location(), o.location()) {
+			if part, ok := m.Message.(*placement.PeerConfiguration); ok {
+				o.ReceivedConfigurations += int64(len(part.Raw))
+			}
 			o.deliver(placement.Received{From: from, Envelope: m.Envelope})
 		}
 	})
--- a/pkg/model/store.go
+++ b/pkg/model/store.go
@@ -25,8 +25,9 @@
 	// AnswerDelay is added to the time of every answer.
 	AnswerDelay time.Duration
 
-	world  *World
-	memory *storage.Memory
+	world    *World
+	memory   *storage.Memory
+	operator []operatorRow // configurations, the newest last
 }
 
 const scanLimit = 5000 // rows
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -29,6 +29,9 @@
 	MaxAttempts int
 	// Retention is how long the outcomes of stored jobs are kept.
 	Retention time.Duration
+	// MessageSize returns the bytes of a message between instances. It is needed only
+	// where instances have a LinkRate.
+	MessageSize func(placement.Envelope) int
 }
 
 // Domain is a failure domain with its instances and endpoints.
@@ -39,6 +42,9 @@
 	// Shares are the relative sizes of the instances. Instances without an entry
 	// have size 1.
 	Shares []int
+	// LinkRates are the rates of the instances' links in bytes a second, the same in
+	// both directions. Instances without an entry have an unlimited link.
+	LinkRates []float64
 }
 
 // EndpointConfig describes a simulated endpoint.
@@ -59,6 +65,7 @@
 	stopTime          = 30 * time.Millisecond // from a stop order to the end of the run
 	orderTimeout      = time.Second
 	redialDelay       = 50 * time.Millisecond
+	feedRetry         = 200 * time.Millisecond
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -227,6 +234,11 @@
 			n := w.AddNode(d.Name)
 			if i < len(d.Shares) {
 				n.Share = d.Shares[i]
+			}
+			if i < len(d.LinkRates) {
+				n.up.rate, n.down.rate = d.LinkRates[i], d.LinkRates[i]
+			}
+			if i < len(d.Shares) || i < len(d.LinkRates) {
 				n.Start()
 			}
 		}
