Fetch a configuration from one peer at a time instead of pushing it to all (CONFIG)

Callers were refused with 404 on routes of a large configuration up to 10 s after its acknowledgement, by instances on links of 19 Mbit/s.

Cause: each instance sent the whole document to each peer whose heartbeat showed an older version, over the session that carries heartbeats and orders, and again after a second. Their links were full for seconds, so the store's answer came late, and sessions ended at their write deadline; each new session began with heartbeats that showed the old version, and so with the document again.

Invariant: what an instance receives of a configuration does not depend on the number of its peers. A member that is behind when the store has had its time requests the document itself, from one peer, in parts of 10 ms of the slower link, and keeps what it has when it goes on with another peer. Heartbeats carry the size of the document.

Instances of an earlier release still send whole documents, which are taken; they are not asked for parts.

--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -260,8 +260,8 @@
 	}
 	w.After(w.oneWay(n.location(), o.location())+transfer+w.messageDelay(n, o), func() {
 		if o.ID == m.Peer && o.sessions[from] && w.reaches(n.location(), o.location()) {
-			if part, ok := m.Message.(*placement.PeerConfiguration); ok {
-				o.ReceivedConfigurations += int64(len(part.Raw))
+			if part, ok := m.Message.(*placement.ConfigurationPart); ok {
+				o.ReceivedConfigurations += int64(len(part.Data))
 			}
 			o.deliver(placement.Received{From: from, Envelope: m.Envelope})
 		}
--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -284,12 +284,12 @@
 // currentRoute returns a route as the configuration in force has it, or unchanged if
 // the configuration does not have it.
 func (c *Control) currentRoute(r workload.Route) workload.Route {
-	if c.configuration == nil {
+	if c.configuration.inUse == nil {
 		return r
 	}
-	for i := range c.configuration.Routes {
-		if c.configuration.Routes[i].Name == r.Name {
-			return c.configuration.Routes[i]
+	for i := range c.configuration.inUse.Routes {
+		if c.configuration.inUse.Routes[i].Name == r.Name {
+			return c.configuration.inUse.Routes[i]
 		}
 	}
 	return r
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -120,11 +120,10 @@
 	effects  []Effect
 	counters Counters
 
-	configuration    *workload.Configuration
-	rawConfiguration []byte
-	disabledRules    disabledRules
-	uplink           uplink
+	disabledRules disabledRules
+	uplink        uplink
 
+	configuration configuration
 	home          home
 	holder        holder
 	membership    membership
@@ -161,6 +160,7 @@
 		commits: make(map[uint64]func(CommitDone)),
 		scans:   make(map[uint64]func(ScanDone)),
 	}
+	c.configuration = newConfiguration()
 	c.home = newHome()
 	c.holder = newHolder(hold.Config{
 		Self: config.Self, Domain: config.Domain, Share: config.Share,
@@ -191,6 +191,7 @@
 		c.handleWithRecovery(in)
 	}
 	c.runMembership()
+	c.runConfiguration()
 	c.runEndpointList()
 	c.runHolds()
 	c.runHolder()
@@ -283,8 +284,10 @@
 		c.handleAdvert(from, m)
 	case *Heartbeat:
 		c.handleHeartbeat(from, m)
-	case *PeerConfiguration:
-		c.handlePeerConfiguration(from, m)
+	case *ConfigurationRequest:
+		c.handleConfigurationRequest(from, m)
+	case *ConfigurationPart:
+		c.handleConfigurationPart(from, m)
 	case *EndpointList:
 		c.handleEndpointList(from, m)
 	case *Yield:
@@ -353,38 +356,6 @@
 	c.emit(Scan{ID: c.nextID, Prefix: prefix})
 }
 
-// handleConfigured starts to use a configuration unless it already uses the same or
-// a later version.
-func (c *Control) handleConfigured(m Configured) {
-	if c.configuration != nil && m.Configuration.Version <= c.configuration.Version {
-		return
-	}
-	c.configuration, c.rawConfiguration = m.Configuration, m.Raw
-	c.logEvent("configuration in force", zap.Uint64("Version", m.Configuration.Version), zap.Int("Routes", len(m.Configuration.Routes)))
-}
-
-// storeConfigurationWait is how long a starting instance waits for the configuration
-// in the store before it accepts a peer's, which may be older than the one that the
-// instance used before its restart.
-const storeConfigurationWait = 800 * time.Millisecond
-
-// handlePeerConfiguration offers a configuration of a peer to this instance. While
-// it ignores one, peers send it again.
-func (c *Control) handlePeerConfiguration(from instance.ID, m *PeerConfiguration) {
-	if c.configuration == nil && c.now.Sub(c.began) < storeConfigurationWait {
-		c.logEvent("configuration of a peer left", zap.Stringer("Peer", from), zap.Uint64("Version", m.Version))
-		return
-	}
-	c.emit(OfferConfiguration{From: from, Version: m.Version, Raw: m.Raw})
-}
-
-func (c *Control) configurationVersion() uint64 {
-	if c.configuration == nil {
-		return 0
-	}
-	return c.configuration.Version
-}
-
 func (c *Control) beginStop() {
 	if c.stop != serving {
 		return
@@ -437,7 +408,7 @@
 // from has endpoints in use.
 func (c *Control) Overview() Overview {
 	return Overview{
-		Ready:   c.stop == serving && c.configuration != nil && c.anyCapacity(),
+		Ready:   c.stop == serving && c.configuration.inUse != nil && c.anyCapacity(),
 		Version: c.configurationVersion(), Jobs: c.home.jobs.Len(), Runs: c.holder.runs.Len(), Held: c.holder.held,
 		Members: c.membership.members.Len(), ReadsList: c.endpointList.reading, Counters: c.counters,
 	}
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -67,8 +67,6 @@
 	established          bool // as the registry of holds knows it, see isEstablished
 	heartbeat            Heartbeat
 	heartbeatAt          time.Time
-	configurationSent    uint64 // last configuration version sent to it
-	configurationSentAt  time.Time
 	dropSessionAt        time.Time // when its session is dropped if it stays unresponsive
 	sentAt               time.Time // when a message was last sent to it
 	heartbeatSent        Heartbeat // last heartbeat sent to it
@@ -172,7 +170,7 @@
 
 func (c *Control) heartbeatTo(m *member, waiting map[string]int) *Heartbeat {
 	return &Heartbeat{
-		Leaving: c.stop != serving, Configuration: c.configurationVersion(), Uptime: c.now.Sub(c.began),
+		Leaving: c.stop != serving, Configuration: c.configurationVersion(), ConfigurationBytes: len(c.configuration.raw), Uptime: c.now.Sub(c.began),
 		ReceiverSuspected: !m.suspectedSince.IsZero(), Waiting: waiting,
 	}
 }
@@ -374,11 +372,7 @@
 	if leavingChanged {
 		c.membership.changed = true
 	}
-	if b.Configuration < c.configurationVersion() && (m.configurationSent < c.configurationVersion() || c.now.Sub(m.configurationSentAt) > c.config.Timing.Settle) {
-		m.configurationSent, m.configurationSentAt = c.configurationVersion(), c.now
-		c.logEvent("configuration passed on", zap.Stringer("Peer", from), zap.Uint64("Version", c.configurationVersion()), zap.Uint64("PeerVersion", b.Configuration))
-		c.send(from, &PeerConfiguration{Version: c.configurationVersion(), Raw: c.rawConfiguration})
-	}
+	c.noteAnnounced(b)
 }
 
 // isEstablished reports whether a member has been up for long enough to be assigned
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -296,8 +296,7 @@
 // DropSession closes the session with a peer, so that a new one is established.
 type DropSession struct{ Peer instance.ID }
 
-// OfferConfiguration offers this instance a configuration that a peer has
-// forwarded.
+// OfferConfiguration offers this instance a configuration that peers have sent.
 type OfferConfiguration struct {
 	From    instance.ID
 	Version uint64
@@ -464,6 +463,9 @@
 	Leaving bool
 	// Configuration is the configuration version that the sender uses.
 	Configuration uint64
+	// ConfigurationBytes is the size of its document, or 0 if the sender does not answer a
+	// ConfigurationRequest.
+	ConfigurationBytes int
 	// Uptime is how long the sender has been running.
 	Uptime time.Duration
 	// ReceiverSuspected says that the sender has received nothing from the receiver
@@ -473,10 +475,20 @@
 	Waiting map[string]int
 }
 
-// PeerConfiguration forwards the operator's configuration to a peer.
-type PeerConfiguration struct {
+// ConfigurationRequest asks a peer for a part of a configuration's document.
+type ConfigurationRequest struct {
 	Version uint64
-	Raw     []byte
+	Offset  int
+	Limit   int // bytes of the part
+}
+
+// ConfigurationPart is the part of a configuration's document from Offset on. A part without
+// data says that the sender serves others at the moment.
+type ConfigurationPart struct {
+	Version uint64
+	Offset  int
+	Size    int // of the whole document; 0 if the part is the whole of it
+	Data    []byte
 }
 
 // EndpointList forwards the changes of the endpoint list to a peer.
@@ -497,17 +509,18 @@
 // CancelJob asks the receiver to cancel a job if it is the job's home.
 type CancelJob struct{ ID workload.JobID }
 
-func (*PlaceRequest) isMessage()      {}
-func (*Drop) isMessage()              {}
-func (*RunEnded) isMessage()          {}
-func (*OutcomesRecorded) isMessage()  {}
-func (*Inquire) isMessage()           {}
-func (*InquiryAnswer) isMessage()     {}
-func (*Waiting) isMessage()           {}
-func (*Advert) isMessage()            {}
-func (*Heartbeat) isMessage()         {}
-func (*PeerConfiguration) isMessage() {}
-func (*EndpointList) isMessage()      {}
-func (*Yield) isMessage()             {}
-func (*Yielded) isMessage()           {}
-func (*CancelJob) isMessage()         {}
+func (*PlaceRequest) isMessage()         {}
+func (*Drop) isMessage()                 {}
+func (*RunEnded) isMessage()             {}
+func (*OutcomesRecorded) isMessage()     {}
+func (*Inquire) isMessage()              {}
+func (*InquiryAnswer) isMessage()        {}
+func (*Waiting) isMessage()              {}
+func (*Advert) isMessage()               {}
+func (*Heartbeat) isMessage()            {}
+func (*ConfigurationRequest) isMessage() {}
+func (*ConfigurationPart) isMessage()    {}
+func (*EndpointList) isMessage()         {}
+func (*Yield) isMessage()                {}
+func (*Yielded) isMessage()              {}
+func (*CancelJob) isMessage()            {}
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -310,7 +310,7 @@
 	b.control = New(Config{Self: instance.ID{Instance: "a", Incarnation: 2}, Domain: "east", Share: 1, Timing: DefaultTiming()})
 	b.step(PeerUp{Peer: benchPeer})
 	offer := func() int {
-		b.step(b.receivedFrom(benchPeer, &PeerConfiguration{Version: 11, Raw: []byte("{}")}))
+		b.step(b.receivedFrom(benchPeer, &ConfigurationPart{Version: 11, Data: []byte("{}")}))
 		return len(effectsOf[OfferConfiguration](b))
 	}
 	assert.Equal(t, offer(), 0)
--- a/pkg/placement/uplink.go
+++ b/pkg/placement/uplink.go
@@ -19,6 +19,14 @@
 	if u.bytesPerSecond <= 0 {
 		return 0
 	}
-	u.freeAt = later(u.freeAt, now).Add(time.Duration(float64(bytes) / u.bytesPerSecond * float64(time.Second)))
+	u.freeAt = later(u.freeAt, now).Add(u.timeFor(bytes))
 	return u.freeAt.Sub(now)
 }
+
+// timeFor returns the time in which bytes pass the connection, in either direction.
+func (u *uplink) timeFor(bytes int) time.Duration {
+	if u.bytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / u.bytesPerSecond * float64(time.Second))
+}
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -63,10 +63,13 @@
 		return &wire.Message{Kind: &wire.Message_Advert{Advert: advertToWire(m)}}
 	case *placement.Heartbeat:
 		return &wire.Message{Kind: &wire.Message_SignOfLife{SignOfLife: &wire.SignOfLife{
-			Leaving: m.Leaving, Configuration: m.Configuration, UptimeNanos: int64(m.Uptime), Waiting: countsToWire(m.Waiting), Unheard: m.ReceiverSuspected,
+			Leaving: m.Leaving, Configuration: m.Configuration, ConfigurationBytes: uint32(m.ConfigurationBytes),
+			UptimeNanos: int64(m.Uptime), Waiting: countsToWire(m.Waiting), Unheard: m.ReceiverSuspected,
 		}}}
-	case *placement.PeerConfiguration:
-		return &wire.Message{Kind: &wire.Message_Settings{Settings: &wire.Settings{Version: m.Version, Raw: m.Raw}}}
+	case *placement.ConfigurationRequest:
+		return &wire.Message{Kind: &wire.Message_SettingsRequest{SettingsRequest: &wire.SettingsRequest{Version: m.Version, Offset: uint32(m.Offset), Limit: uint32(m.Limit)}}}
+	case *placement.ConfigurationPart:
+		return &wire.Message{Kind: &wire.Message_Settings{Settings: &wire.Settings{Version: m.Version, Raw: m.Data, Offset: uint32(m.Offset), Size: uint32(m.Size)}}}
 	case *placement.EndpointList:
 		return &wire.Message{Kind: &wire.Message_EndpointList{EndpointList: &wire.EndpointList{Sequence: m.Sequence, Base: m.Base, Endpoints: endpointsToWire(m.Rows), Gone: m.Gone}}}
 	case *placement.Yield:
@@ -261,11 +264,13 @@
 		return a, nil
 	case *wire.Message_SignOfLife:
 		return &placement.Heartbeat{
-			Leaving: k.SignOfLife.GetLeaving(), Configuration: k.SignOfLife.GetConfiguration(), Uptime: time.Duration(k.SignOfLife.GetUptimeNanos()),
+			Leaving: k.SignOfLife.GetLeaving(), Configuration: k.SignOfLife.GetConfiguration(), ConfigurationBytes: int(k.SignOfLife.GetConfigurationBytes()), Uptime: time.Duration(k.SignOfLife.GetUptimeNanos()),
 			Waiting: countsFromWire(k.SignOfLife.GetWaiting()), ReceiverSuspected: k.SignOfLife.GetUnheard(),
 		}, nil
 	case *wire.Message_Settings:
-		return &placement.PeerConfiguration{Version: k.Settings.GetVersion(), Raw: k.Settings.GetRaw()}, nil
+		return &placement.ConfigurationPart{Version: k.Settings.GetVersion(), Offset: int(k.Settings.GetOffset()), Size: int(k.Settings.GetSize()), Data: k.Settings.GetRaw()}, nil
+	case *wire.Message_SettingsRequest:
+		return &placement.ConfigurationRequest{Version: k.SettingsRequest.GetVersion(), Offset: int(k.SettingsRequest.GetOffset()), Limit: int(k.SettingsRequest.GetLimit())}, nil
 	case *wire.Message_EndpointList:
 		endpoints, err := endpointsFromWire(k.EndpointList.GetEndpoints())
 		if err != nil {
