Find a silent configuration feed within the bound at any number of members (CONFIG)

An instance whose feed has gone silent uses an older configuration.

As all feeds call again at the moment of a change, all of them found it at the same time. An instance that had the version of a peer went on with the silent call, and so missed the next version as well.

Waits are random now, with the same mean: some member finds the silence after 1.6 s in the mean at 7 to 1,000 members, and the others learn of a later version from its heartbeats. A version that came from a peer ends the present call and closes idle connections.

Tests: TestSomeFeedEndsSoonAmongAnyNumberOfMembers (the wait had no spread before) and TestFeedIsRenewedWhenAPeerHasALaterVersion (before, the later version came after the silent call's end).

--- a/service/gate/follow.go
+++ b/service/gate/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sort"
 	"strings"
 	"time"
@@ -16,13 +17,35 @@
 )
 
 const (
-	feedWait        = 1500 * time.Millisecond // detects a dead connection within the time allowed for a configuration change
+	minFeedWait     = 1500 * time.Millisecond // detects a silent connection within the time allowed for a configuration change
+	maxFeedWait     = 25 * time.Second        // the store waits for 30 s at most
 	followRetry     = 200 * time.Millisecond  // five calls a second while the store is unavailable
 	discoveryPeriod = 700 * time.Millisecond  // detects a draining endpoint well within the time allowed for draining
-	// Each member lengthens the feed's wait, as members forward a new version.
+	// Each member lengthens the mean wait of the feeds, so that the calls of all members
+	// together stay below 20 a second until maxFeedWait binds.
 	feedPerMember = 50 * time.Millisecond
 )
 
+// feedWait returns how long the next call of the feed waits. Waits are random because all
+// members call again at the same time after a change: if the store's connections have gone
+// silent, some member notices it after little more than minFeedWait, and the others learn
+// of a later version from that one.
+func feedWait(members int) time.Duration {
+	return min(minFeedWait+rand.N(2*time.Duration(max(members, 1))*feedPerMember), maxFeedWait)
+}
+
+// errFeedRenewed ends a call of the feed that has missed a version.
+var errFeedRenewed = errors.New("a peer has a later version")
+
+// renewFeed ends the present call of the feed, whose connection may be silent, so that the
+// next one opens another.
+func (s *Server) renewFeed() {
+	s.config.Store.CloseIdleConnections()
+	if cancel := s.feedCall.Load(); cancel != nil {
+		(*cancel)(errFeedRenewed)
+	}
+}
+
 // dependency logs when an external system becomes unavailable and when it recovers.
 type dependency struct {
 	name      string
@@ -51,16 +74,24 @@
 		var rows platform.Rows
 		var err error
 		asked := s.timers.Now()
+		call, cancel := context.WithCancelCause(ctx)
+		s.feedCall.Store(&cancel)
 		if known {
-			rows, err = s.config.Store.Feed(ctx, platform.OperatorTable, version, feedWait+time.Duration(s.Overview().Members)*feedPerMember)
+			rows, err = s.config.Store.Feed(call, platform.OperatorTable, version, feedWait(s.Overview().Members))
 			s.metrics.countStoreCall("feed", err)
 		} else {
-			rows, err = s.config.Store.ScanAt(ctx, platform.OperatorTable+"/", scanLimit)
+			rows, err = s.config.Store.ScanAt(call, platform.OperatorTable+"/", scanLimit)
 			s.metrics.countStoreCall("scan", err)
 		}
+		renewed := errors.Is(context.Cause(call), errFeedRenewed)
+		cancel(nil)
 		if ctx.Err() != nil {
 			return nil
 		}
+		if err != nil && renewed {
+			s.logger.Warn("configuration feed renewed", zap.Duration("Elapsed", s.timers.Now().Sub(asked)))
+			continue
+		}
 		var historyGone *storage.ErrHistoryGone
 		if errors.As(err, &historyGone) {
 			s.logger.Warn("configuration read anew", zap.Error(err))
@@ -83,21 +114,22 @@
 	return nil
 }
 
-// adopt activates a configuration unless the same or a later version is active.
-func (s *Server) adopt(raw []byte, source string) {
+// adopt activates a configuration unless the same or a later version is active. It reports
+// whether it did.
+func (s *Server) adopt(raw []byte, source string) bool {
 	began := s.timers.Now()
 	c, err := platform.DecodeConfiguration(raw)
 	decoding := s.timers.Now().Sub(began)
 	if err != nil {
 		s.logger.Error("configuration not understood", zap.String("Source", source), zap.Error(err))
-		return
+		return false
 	}
 	s.adoptMutex.Lock()
 	defer s.adoptMutex.Unlock()
 	current := s.routes.Load()
 	if current != nil && current.configuration.Version >= c.Version {
 		s.logger.Info("configuration not newer", zap.Uint64("Version", c.Version), zap.String("Source", source), zap.Int("Bytes", len(raw)), zap.Duration("Decoding", decoding))
-		return
+		return false
 	}
 	s.routes.Store(newRouteTable(c))
 	if current == nil {
@@ -106,6 +138,18 @@
 	s.logger.Info("configuration adopted", zap.Uint64("Version", c.Version), zap.String("Source", source), zap.Int("Routes", len(c.Routes)),
 		zap.Int("Bytes", len(raw)), zap.Duration("Decoding", decoding), zap.Duration("Total", s.timers.Now().Sub(began)))
 	s.deliver(placement.Configured{Configuration: c, Raw: raw})
+	return true
+}
+
+// adoptFromPeer activates the configuration of a peer. Decoding a large one takes long, so
+// its version is compared before.
+func (s *Server) adoptFromPeer(m placement.OfferConfiguration) {
+	if r := s.routes.Load(); r != nil && r.configuration.Version >= m.Version {
+		return
+	}
+	if s.adopt(m.Raw, "peer "+m.From.String()) {
+		s.renewFeed()
+	}
 }
 
 // followEndpoints reads the discovery entries periodically while the control state
--- /dev/null
+++ b/service/gate/follow_test.go
@@ -0,0 +1,106 @@
+package gate
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/instance"
+	"crocusseam/pkg/placement"
+	"crocusseam/pkg/timer"
+	"crocusseam/platform"
+)
+
+// Guards against configurations that come late in large deployments: the feeds of all
+// members went silent together and were all found silent at the same late moment.
+func TestSomeFeedEndsSoonAmongAnyNumberOfMembers(t *testing.T) {
+	const (
+		maxReads = 50 // a second, of all members
+		tries    = 500
+	)
+	for _, members := range []int{7, 37, 147, 1000} {
+		var sum, firsts time.Duration
+		for range tries {
+			first := maxFeedWait
+			for range members {
+				wait := feedWait(members)
+				sum += wait
+				first = min(first, wait)
+			}
+			firsts += first
+		}
+		reads, first := float64(tries*members)*float64(members)/sum.Seconds(), firsts/tries
+		t.Logf("%d members: %.1f reads/s, the first ends after %s in the mean", members, reads, first)
+		assert.Check(t, reads <= maxReads, "%d members", members)
+		assert.Check(t, first <= minFeedWait+200*time.Millisecond, "%d members", members)
+	}
+}
+
+// silentFeed is a store whose first call of the feed is never answered.
+type silentFeed struct {
+	first, later string // configurations: of the scan, and of each later call of the feed
+	feeds        atomic.Int64
+}
+
+func (f *silentFeed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	row := func(document string, version int) {
+		_, _ = fmt.Fprintf(w, `{"rows":[{"table":"op","part":"","key":"config","value":%q,"ver":%d}],"ver":%d}`, base64.StdEncoding.EncodeToString([]byte(document)), version, version)
+	}
+	switch {
+	case strings.HasPrefix(r.URL.Path, platform.PathFeed) && f.feeds.Add(1) == 1:
+		<-r.Context().Done()
+	case strings.HasPrefix(r.URL.Path, platform.PathFeed):
+		row(f.later, 9)
+	case r.URL.Query().Get("table") == platform.OperatorTable:
+		row(f.first, 3)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Guards against configurations that come late: an instance with a silent feed used the
+// version of its peers, and waited for the end of the silent call to read a later one.
+func TestFeedIsRenewedWhenAPeerHasALaterVersion(t *testing.T) {
+	document := func(version int) string {
+		return fmt.Sprintf(`{"version":%d,"routes":[],"services":[],"limits":{}}`, version)
+	}
+	store := &silentFeed{first: document(1), later: document(8)}
+	server := httptest.NewServer(store)
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	s, err := New(Config{
+		Self: instance.ID{Instance: "a", Incarnation: 1}, Domain: "east", Callers: any, Ready: any, Peers: any, Metrics: any, Timing: placement.DefaultTiming(),
+		Store:  platform.NewStore(platform.StoreConfig{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), ReadTimeout: time.Second, WriteTimeout: time.Second, Connections: 4}),
+		Timers: timer.New(), Logger: zap.NewNop(), LinesLeftOut: func() int64 { return 0 },
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return s.Run(ctx) })
+	defer func() {
+		cancel()
+		assert.Check(t, group.Wait())
+		server.CloseClientConnections()
+		server.Close()
+	}()
+	e := &environment{tb: t}
+	e.eventually("the first version", func() bool {
+		r := s.routes.Load()
+		return r != nil && r.configuration.Version == 1 && store.feeds.Load() == 1
+	})
+	began := time.Now()
+	s.adoptFromPeer(placement.OfferConfiguration{From: instance.ID{Instance: "b"}, Version: 5, Raw: []byte(document(5))})
+	assert.Equal(t, s.routes.Load().configuration.Version, uint64(5))
+	e.eventually("the version behind the silent call", func() bool { return s.routes.Load().configuration.Version == 8 })
+	assert.Assert(t, time.Since(began) < minFeedWait/2, "after %s", time.Since(began))
+}
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -77,7 +77,8 @@
 	routes     atomic.Pointer[routeTable]
 	configured chan struct{} // closed when the first configuration is adopted
 	adoptMutex sync.Mutex
-	watches    map[string]*watch // owned by the control goroutine
+	feedCall   atomic.Pointer[context.CancelCauseFunc] // ends the present call of the configuration feed
+	watches    map[string]*watch                       // owned by the control goroutine
 	replies    *mailbox.PendingRequests[placement.Handle, placement.Answer]
 }
 
@@ -280,7 +281,7 @@
 		s.metrics.countStoreCall("scan", err)
 		s.deliver(placement.ScanDone{ID: m.ID, Rows: rows, Err: err})
 	case placement.OfferConfiguration:
-		s.adopt(m.Raw, "peer "+m.From.String())
+		s.adoptFromPeer(m)
 	}
 }
 
