--- a/service/peer/sessions.go
+++ b/service/peer/sessions.go
@@ -62,7 +62,7 @@
 	// TLS is nil for sessions without TLS.
 	TLS *tls.Config
 	// Up and Down are called when the session with a peer begins and ends, Received
-	// for each message of a peer. They must not block.
+	// for each message of a peer. They must not block, nor call Sessions.
 	Up       func(instance.ID)
 	Down     func(instance.ID)
 	Received func(instance.ID, M)
@@ -379,30 +379,33 @@
 	return hello, stream.SetDeadline(time.Time{})
 }
 
+// register makes a session the one with its peer. It tells the control state while it holds
+// the lock, as unregister and receive do, so that Up, Down and the messages between them are
+// delivered in the order of the sessions.
 func (l *Sessions[M]) register(s *session[M]) {
 	l.mu.Lock()
 	old := l.sessions[s.peer]
 	l.sessions[s.peer] = s
-	l.mu.Unlock()
 	if old != nil {
-		old.end(errReplaced)
 		l.config.Down(s.peer)
 	}
 	l.config.Logger.Info("session up", zap.String("Peer", s.peer.String()))
 	l.config.Up(s.peer)
+	l.mu.Unlock()
+	if old != nil {
+		old.end(errReplaced)
+	}
 }
 
 func (l *Sessions[M]) unregister(s *session[M], cause error) {
 	l.mu.Lock()
-	current := l.sessions[s.peer] == s
-	if current {
-		delete(l.sessions, s.peer)
-	}
-	l.mu.Unlock()
-	if current {
-		l.config.Logger.Info("session down", zap.String("Peer", s.peer.String()), zap.String("Cause", cause.Error()), zap.Duration("Age", time.Since(s.since)), zap.Int("Queued", s.queued()))
-		l.config.Down(s.peer)
+	defer l.mu.Unlock()
+	if l.sessions[s.peer] != s {
+		return
 	}
+	delete(l.sessions, s.peer)
+	l.config.Logger.Info("session down", zap.String("Peer", s.peer.String()), zap.String("Cause", cause.Error()), zap.Duration("Age", time.Since(s.since)), zap.Int("Queued", s.queued()))
+	l.config.Down(s.peer)
 }
 
 // Send queues a message for a peer. It drops the message if there is no session;
@@ -511,11 +514,27 @@
 				l.Stats.BadMessages.Add(1)
 				return eris.Wrapf(err, "read from peer %s", s.peer)
 			}
-			l.config.Received(s.peer, message)
+			if !l.receive(s, message) {
+				return errReplaced
+			}
 		}
 	}
 }
 
+// receive passes on a message of a session, unless another session with the peer has begun.
+// This keeps an invariant: after Up, no message arrives that the peer sent over an earlier
+// session. The peer repeats what was lost with that one, and a late message would undo what
+// it has said since.
+func (l *Sessions[M]) receive(s *session[M], message M) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sessions[s.peer] != s {
+		return false
+	}
+	l.config.Received(s.peer, message)
+	return true
+}
+
 // countingConn counts the bytes that a connection reads and writes.
 type countingConn struct {
 	net.Conn
