Drop runs again when the session with their holder has ended (TWICE)

Between real processes tasks ran twice at once: a run that nobody stopped ended as done beside another one of the same task.

Cause: a home told holders once to stop the runs of a job that it had closed. When connections are reset, those of callers and the sessions between instances break together, so the message was lost. The home is alive, so nothing else stopped the runs, while the callers submitted their jobs to other instances 1.3 s later.

Invariant: a dropped run is known to its home until its holder has reported its end, or late orders can take no effect any more. A new session begins with the drops that are open, as it did with the placements. Stored jobs had the same gap after a cancellation; their drops are kept as well. Other messages whose loss would matter were looked through: ends are asked for by placements, kept outcomes, inquiries, yields and cancellations are repeated or have another way.

--- /dev/null
+++ b/pkg/placement/abandoned_test.go
@@ -0,0 +1,71 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"crocusseam/pkg/model"
+	"crocusseam/pkg/workload"
+)
+
+// resendDelay is how long callers wait after a broken connection until they submit their job
+// again, to any instance.
+const resendDelay = 1300 * time.Millisecond
+
+// longJobs is a world with ephemeral jobs of long tasks, some of them at every instance's
+// endpoints.
+type longJobs struct {
+	*model.World
+	route workload.Route
+	open  []*model.Outcome
+}
+
+func newLongJobs(seed uint64) *longJobs {
+	w := &longJobs{World: model.New(deployment(seed))}
+	w.route = workload.Route{Name: "long", Service: w.Config.Service, Stretch: 3, Slack: time.Second, Timeout: 10 * time.Second, MaxAttempts: 3}
+	w.Run(4 * time.Second)
+	return w
+}
+
+// submit submits jobs to the first instance.
+func (w *longJobs) submit(jobs int) {
+	l := load([]model.Kind{{Name: "long", Tasks: 3, Work: 3 * time.Second, MilliCPU: 27000}}, 0)
+	for range jobs {
+		j, _ := w.Draw(&l, &l.Kinds[0])
+		w.open = append(w.open, w.Submit(w.Nodes[0], j, w.route, 10*time.Second))
+	}
+}
+
+// resend submits all jobs again, to another instance.
+func (w *longJobs) resend() {
+	for _, o := range w.open {
+		w.Resubmit(w.Nodes[3], o, w.route, 10*time.Second)
+	}
+}
+
+// Guards against two runs of a task at once: the order to drop the runs of a job whose caller
+// had left was lost with the session to their holder.
+func TestDroppedRunsEndAlthoughTheirDropWasLost(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := newLongJobs(seed)
+		w.submit(8)
+		w.Run(300 * time.Millisecond)
+		home := w.Nodes[0].ID.Instance
+		for _, cut := range []bool{true, false} {
+			for _, n := range w.Nodes[1:] {
+				w.Cut(home, n.ID.Instance, cut)
+			}
+			for _, o := range w.open {
+				w.Nodes[0].DisconnectCaller(o)
+			}
+			w.Run(10 * time.Millisecond)
+		}
+		w.Run(resendDelay - 20*time.Millisecond)
+		w.resend()
+		w.Run(3 * time.Second)
+		assert.Check(t, cmp.Len(w.Breaches, 0))
+	})
+}
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -67,8 +67,8 @@
 	pendingCancels []delayedLookup
 	timeouts       map[string]*timeoutCounts // by route
 	waitingFloors  map[string]waitingFloor   // by route
-	// droppedRuns holds the runs of ephemeral jobs that were answered before the
-	// holders reported the ends of these runs.
+	// droppedRuns holds the runs of jobs that were closed before the holders reported the
+	// ends of these runs.
 	droppedRuns *table.Table[workload.JobID, droppedRuns]
 	own         member // this instance as a holder, in the same form as the other members
 }
@@ -351,8 +351,9 @@
 		zap.Uint64("Configuration", c.configurationVersion()))
 }
 
-// dropRuns asks the holders to stop the runs of a job's placed tasks. Those of an
-// ephemeral job are remembered, in case the job is submitted again before they end.
+// dropRuns asks the holders to stop the runs of a job's placed tasks. It remembers them until
+// they have ended: a holder is asked again if the session with it ends, and the job may be
+// submitted again before.
 func (c *Control) dropRuns(j *job) {
 	former := droppedRuns{runs: table.New[workload.Run, instance.ID](), at: c.now}
 	drops := table.New[instance.ID, *Drop]()
@@ -372,7 +373,7 @@
 			former.runs.Put(j.run(s, i), t.holder)
 		}
 	}
-	if j.stored == nil && former.runs.Len() > 0 {
+	if former.runs.Len() > 0 {
 		c.home.droppedRuns.Put(j.ID, former)
 	}
 	for holder, d := range drops.All() {
@@ -380,6 +381,23 @@
 	}
 }
 
+// resendDrops repeats the drops of runs that a holder has not reported as ended, after a new
+// session with it.
+func (c *Control) resendDrops(holder instance.ID) {
+	drop := &Drop{}
+	for _, former := range c.home.droppedRuns.All() {
+		for r, h := range former.runs.All() {
+			if h == holder {
+				drop.Runs = append(drop.Runs, r)
+			}
+		}
+	}
+	if len(drop.Runs) > 0 {
+		c.logEvent("runs dropped again", zap.Stringer("Holder", holder), zap.Int("Runs", len(drop.Runs)))
+		c.send(holder, drop)
+	}
+}
+
 func (j *job) run(step, index int) workload.Run {
 	return workload.Run{Task: workload.TaskID{Job: j.ID, Step: step, Index: index}, Number: j.steps[step][index].runNumber}
 }
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -346,6 +346,7 @@
 	c.holder.advertDue, c.holder.advertChanged = c.now, true
 	c.sendInitialList(m)
 	c.resendPlaceRequests(id)
+	c.resendDrops(id)
 }
 
 func (c *Control) handlePeerDown(id instance.ID) {
