After a pause, place tasks only for callers that still wait (TWICE)

Between real processes tasks ran twice at once: a run that was stopped soon, its end acknowledged, beside another one of the same task.

Cause: a process that was paused reads the requests that have come meanwhile. It started their tasks in the same step or a moment before it noticed that the callers had left, and stopped them then. Such callers had submitted their jobs to other instances.

After a pause it is not known which callers wait. Invariant, enforced where tasks of a job are placed: an ephemeral job's task is placed only when broken connections have had 50 ms to be noticed since the pause. Stored jobs need none of it: they are one job wherever they are submitted, and are verified by a write.

--- a/pkg/placement/abandoned_test.go
+++ b/pkg/placement/abandoned_test.go
@@ -69,3 +69,26 @@
 		assert.Check(t, cmp.Len(w.Breaches, 0))
 	})
 }
+
+// Guards against two runs of a task at once: an instance that had been paused started the jobs
+// of requests that had come meanwhile, whose callers had left and submitted them elsewhere.
+func TestRequestsReadAfterAPauseStartOnlyForCallersThatWait(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := newLongJobs(seed)
+		home := w.Nodes[0]
+		home.Pause(3 * time.Second)
+		w.Run(10 * time.Millisecond)
+		w.submit(8)
+		w.Run(1500 * time.Millisecond)
+		for _, o := range w.open[1:] {
+			w.After(1500*time.Millisecond, func() { home.DisconnectCaller(o) }) // noticed after the pause
+		}
+		w.Run(resendDelay)
+		for _, o := range w.open[1:] {
+			w.Resubmit(w.Nodes[3], o, w.route, 10*time.Second)
+		}
+		w.Run(9 * time.Second)
+		assert.Check(t, cmp.Len(w.Breaches, 0))
+		assert.Check(t, w.open[0].AllDone(), "the job whose caller waits is not done")
+	})
+}
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -212,9 +212,10 @@
 }
 
 // handlePause re-evaluates the state after the process was paused: what it knows of
-// other instances is as old as the gap, and their homes have given up the runs that
-// they placed here.
+// other instances and of callers is as old as the gap, and other homes have given up the
+// runs that they placed here.
 func (c *Control) handlePause(gap time.Duration) {
+	c.home.callersKnownAt = c.now.Add(callerCheckTime)
 	c.orphanForeignRuns(gap)
 	c.reverifyStored("this instance stood still")
 	c.membership.nextMemberCheck = c.now
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -71,6 +71,8 @@
 	// ends of these runs.
 	droppedRuns *table.Table[workload.JobID, droppedRuns]
 	own         member // this instance as a holder, in the same form as the other members
+	// callersKnownAt is when it is known again, after a pause, which callers have left.
+	callersKnownAt time.Time
 }
 
 // droppedRuns are the runs of one job that their holders were asked to stop.
@@ -92,6 +94,7 @@
 	maxRejectionPause     = 80 * time.Millisecond // longest rejectionPause; also used when no holder is found
 	movePeriod            = 20 * time.Millisecond // between searches for a better holder for waiting tasks
 	minMoveGain           = 10 * time.Millisecond // shortest remaining wait for which a task is moved
+	callerCheckTime       = 50 * time.Millisecond // after a pause, until broken connections of callers have been noticed
 	answerMargin          = 5 * time.Millisecond  // before the caller's timeout, so that the answer still arrives
 	expiryFactor          = 3                     // multiple of a job's objective after which its answer no longer helps
 	lateOrderWindow       = 15 * time.Second      // endpoints carry out orders up to 12 s late
@@ -426,11 +429,16 @@
 }
 
 // placeStep places the ready tasks of one step, with one request for each holder.
-// A stored job's tasks are placed only while this instance is verified as its home.
+// A stored job's tasks are placed only while this instance is verified as its home, an
+// ephemeral job's only while its caller is known to wait: one that has left submits the job
+// to another instance.
 func (c *Control) placeStep(j *job, step int) {
 	if j.stored != nil && !(c.anyReady(j, step) && c.verified(j)) {
 		return
 	}
+	if j.stored == nil && c.now.Before(c.home.callersKnownAt) {
+		return
+	}
 	requests := table.New[instance.ID, *PlaceRequest]()
 	refreshed := false
 	for i := range j.steps[step] {
