--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -78,8 +78,7 @@
 	confirmedAt   time.Time // when the endpoint first confirmed the run
 	stopSentAt    time.Time
 	stopDone      time.Time // when the endpoint accepted the stop
-	unwanted      bool      // the run is to be stopped: its home does not want it or cannot be relied on
-	orphanedAt    time.Time // when it was marked for a stop because its home will assume that it has ended
+	unwantedAt    time.Time // when it was marked for a stop, as its home does not want it or cannot be relied on
 	mayStartLater bool      // the endpoint's next incarnation may still execute the start order
 	percent       int       // progress that the endpoint last reported
 	percentAt     time.Time
@@ -598,13 +597,13 @@
 	return e.state == active && !e.unresponsive && !e.leaseWithheld
 }
 
-// updateWithheldLease stops renewing the lease of an endpoint that does not accept
-// the stop of an orphan: the orphan's home relies on its end within
-// holderLossTimeout.
+// updateWithheldLease stops renewing the lease of an endpoint that does not accept the stop of
+// an unwanted run. The home of an orphan relies on its end within holderLossTimeout, and
+// callers submit a job that their home has dropped to another instance after as short a time.
 func (c *Control) updateWithheldLease(e *endpoint) {
 	leaseWithheld := false
 	for _, r := range e.runs.All() {
-		leaseWithheld = leaseWithheld || (r.state == stopping && !r.orphanedAt.IsZero() && r.stopDone.IsZero() && c.now.Sub(r.orphanedAt) >= c.config.Timing.StopRetry)
+		leaseWithheld = leaseWithheld || (r.state == stopping && !r.unwantedAt.IsZero() && r.stopDone.IsZero() && c.now.Sub(r.unwantedAt) >= c.config.Timing.StopRetry)
 	}
 	if leaseWithheld == e.leaseWithheld {
 		return
@@ -728,14 +727,10 @@
 	}
 }
 
-// orphanRun stops a run that its home will soon assume to have ended, unless the run
-// was orphaned before or is being stopped for another reason.
+// orphanRun stops a run that its home will soon assume to have ended, unless it is unwanted
+// already.
 func (c *Control) orphanRun(r *run, cause string) {
-	if !r.orphanedAt.IsZero() {
-		return
-	}
-	r.orphanedAt = c.now
-	if !r.unwanted {
+	if r.unwantedAt.IsZero() {
 		c.counters.Orphans++
 		c.dropRun(r, cause)
 	}
--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -272,7 +272,7 @@
 		}
 		if r.home != from || r.request.Round < round {
 			r.home = from
-			if !r.unwanted {
+			if r.unwantedAt.IsZero() {
 				c.dropRun(r, "its job has another home")
 			}
 		}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -350,15 +350,17 @@
 
 // dropRun ends a queued run and stops one whose start was ordered.
 func (c *Control) dropRun(r *run, cause string) {
+	if r.state == finished {
+		return
+	}
+	if r.unwantedAt.IsZero() {
+		r.unwantedAt = c.now
+	}
 	switch r.state {
 	case queued:
-		r.unwanted = true
 		c.endRun(r, workload.NeverRan, cause)
 	case starting, running:
-		r.unwanted = true
 		c.stopRun(r)
-	case stopping:
-		r.unwanted = true
 	}
 }
 
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -317,3 +317,32 @@
 	b.advanceBy(storeConfigurationWait)
 	assert.Equal(t, offer(), 1, "the store could not be read")
 }
+
+// Guards against two runs of a task at once: the lease of a run that its home had dropped was
+// renewed while the endpoint did not answer the stop.
+func TestLeaseOfADroppedRunIsNotRenewedWhileItsStopIsUnanswered(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], Accepted)
+	b.step(Abandon{Handle: Handle(b.jobs)})
+	assert.Equal(t, len(effectsOf[StopRun](b)), 1)
+	renewing := true
+	for range 30 {
+		b.report([]workload.RunningRun{{Run: starts[0].Run, Percent: 1}}, nil)
+		for _, w := range effectsOf[Watch](b) {
+			renewing = w.Renew
+		}
+		b.advanceBy(10 * time.Millisecond)
+		for _, w := range effectsOf[Watch](b) {
+			renewing = w.Renew
+		}
+	}
+	assert.Assert(t, !renewing, "the lease is renewed 0.3 s after the drop")
+	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: starts[0].Run, Outcome: Accepted})
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Stopped}})
+	b.advanceBy(10 * time.Millisecond)
+	for _, w := range effectsOf[Watch](b) {
+		renewing = w.Renew
+	}
+	assert.Assert(t, renewing, "the lease is not renewed after the stop")
+}
