Keep the later of two states of an endpoint, whoever sends them (TWICE)

The list was older than the one in use and showed an endpoint in its former incarnation. Its present one counted as ended, and a run with a confirmed start as lapsed. 26 ms later the endpoint, taken again, reported that run.

Invariant, enforced where lists are applied: the known state of an endpoint never goes back. Entries carry a version of their row, read from the store and passed on with the lists; an entry with an older version is left, with a log line. That holds for draining endpoints too. The stand-ins give entries versions that rise with their content.

--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -314,7 +314,9 @@
 		var list []workload.Endpoint
 		for _, x := range w.Endpoints {
 			if x.Listed {
-				list = append(list, x.Info)
+				e := x.Info
+				e.Version = uint64(w.Now.UnixNano())
+				list = append(list, e)
 			}
 		}
 		n.deliver(placement.Listed{Endpoints: list})
--- a/pkg/placement/endpoint_list_test.go
+++ b/pkg/placement/endpoint_list_test.go
@@ -132,3 +132,28 @@
 	}
 	assert.Assert(t, b.control.Overview().ReadsList)
 }
+
+// Guards against two runs of a task at once: the list of a member that had been cut off showed
+// an earlier incarnation of an endpoint, and the runs there counted as lapsed while they ran.
+func TestOutdatedListEndsNoLifeOfAnEndpoint(t *testing.T) {
+	b := newBench(t)
+	b.connectMembers(MemberRow{Instance: "b", Incarnation: 1, Domain: "east"})
+	present, former := benchEndpoint, benchEndpoint
+	present.Version, present.Draining = 9, true
+	former.Version, former.ID.Born = 4, benchEndpoint.ID.Born-1
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], Accepted)
+	b.step(Listed{Endpoints: []workload.Endpoint{present}})
+	b.step(b.receivedFrom(benchPeer, &EndpointList{table.Difference[string, workload.Endpoint]{Sequence: 1, Rows: []workload.Endpoint{former}}}))
+	assert.Equal(t, b.control.Overview().Held, 1)
+	for range 10 {
+		b.advanceBy(10 * time.Millisecond)
+		assert.Equal(t, len(effectsOf[Start](b)), 0, "the task is started again")
+	}
+	listed, ok := b.control.holder.listed.Get(benchEndpoint.ID.Name)
+	assert.Assert(t, ok && listed.Draining && listed.ID == benchEndpoint.ID)
+	next := former
+	next.ID.Born, next.Version = benchEndpoint.ID.Born+1, 10
+	b.step(Listed{Endpoints: []workload.Endpoint{next}})
+	assert.Equal(t, b.control.Overview().Held, 0, "a later incarnation ends the hold")
+}
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -156,7 +156,14 @@
 		e := endpoints[i]
 		present[e.ID.Name] = true
 		delete(h.missingSince, e.ID.Name)
-		if old, ok := h.listed.Get(e.ID.Name); !ok || old.Draining != e.Draining || old.ID != e.ID {
+		old, ok := h.listed.Get(e.ID.Name)
+		if ok && isOutdated(&e, old) {
+			if !e.Equal(old) {
+				c.logEvent("outdated entry of an endpoint left", zap.String("Endpoint", e.ID.Name), zap.Int64("Born", e.ID.Born), zap.Uint64("Version", e.Version), zap.Uint64("Known", old.Version))
+			}
+			continue
+		}
+		if !ok || old.Draining != e.Draining || old.ID != e.ID {
 			c.logEvent("endpoint listed", zap.String("Endpoint", e.ID.Name), zap.Int64("Born", e.ID.Born), zap.Bool("Draining", e.Draining), zap.String("Domain", e.Domain))
 			h.allRowsRead = false
 			h.planDue = c.now
@@ -193,6 +200,14 @@
 	h.capacityStale, h.queueChanged = true, true
 }
 
+// isOutdated reports whether an entry of an endpoint is older than the one that is known. This
+// keeps an invariant: the known state of an endpoint never goes back. A list from a member
+// that was paused or cut off may be older than what another one has sent, and an earlier
+// incarnation or state of an endpoint would count as its next one.
+func isOutdated(e, known *workload.Endpoint) bool {
+	return e.Version > 0 && e.Version < known.Version
+}
+
 // validEndpoints returns the valid endpoints of a list. Every list passes through it, read
 // or received, so that an entry of another writer affects no other endpoint.
 func (c *Control) validEndpoints(endpoints []workload.Endpoint) []workload.Endpoint {
--- a/pkg/standin/workers.go
+++ b/pkg/standin/workers.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -34,6 +35,8 @@
 	world     *model.World
 	began     time.Time
 	listeners []net.Listener
+	entries   map[string]storage.Row // discovery entries as last listed, by name
+	version   storage.Version        // of the last change of an entry
 }
 
 // workersTick is the period in which the workers' world catches up with real time.
@@ -43,7 +46,7 @@
 func NewWorkers(config WorkersConfig) (*Workers, error) {
 	timing := placement.DefaultTiming()
 	timing.Lease = config.Lease
-	w := &Workers{began: time.Now(), world: model.New(model.Config{Service: config.Service, Timing: timing})}
+	w := &Workers{began: time.Now(), entries: make(map[string]storage.Row), world: model.New(model.Config{Service: config.Service, Timing: timing})}
 	for _, d := range config.Domains {
 		for _, e := range d.Endpoints {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -104,9 +107,18 @@
 	var rows []storage.Row
 	w.With(func(m *model.World) {
 		for _, x := range m.Endpoints {
-			if x.Listed {
-				rows = append(rows, storage.Row{Key: platform.EndpointPrefix + x.Info.ID.Name, Value: platform.EncodeEndpoint(x.Info), Version: 1})
+			if !x.Listed {
+				continue
 			}
+			row := storage.Row{Key: platform.EndpointPrefix + x.Info.ID.Name, Value: platform.EncodeEndpoint(x.Info)}
+			if old, ok := w.entries[row.Key]; ok && bytes.Equal(old.Value, row.Value) {
+				row.Version = old.Version
+			} else {
+				w.version++
+				row.Version = w.version
+				w.entries[row.Key] = row
+			}
+			rows = append(rows, row)
 		}
 	})
 	return rows
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -194,6 +194,9 @@
 	Labels   []string
 	Capacity Resources
 	Draining bool
+	// Version orders the states of the entry: it is a version of its row with this content,
+	// or 0 if that is not known. It is not part of the content.
+	Version uint64
 }
 
 const (
