--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -94,7 +94,7 @@
 	maxRejectionPause     = 80 * time.Millisecond // longest rejectionPause; also used when no holder is found
 	movePeriod            = 20 * time.Millisecond // between searches for a better holder for waiting tasks
 	minMoveGain           = 10 * time.Millisecond // shortest remaining wait for which a task is moved
-	callerCheckTime       = 50 * time.Millisecond // after a pause, until broken connections of callers have been noticed
+	callerCheckTime       = 50 * time.Millisecond // after a pause, for the process to notice broken connections of callers
 	answerMargin          = 5 * time.Millisecond  // before the caller's timeout, so that the answer still arrives
 	expiryFactor          = 3                     // multiple of a job's objective after which its answer no longer helps
 	lateOrderWindow       = 15 * time.Second      // endpoints carry out orders up to 12 s late
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -581,3 +581,28 @@
 	}
 	t.Fatal("the job was not placed after its former run had ended")
 }
+
+// Guards against two runs of a task at once: after a pause, an instance started the queued
+// runs of its own jobs, or repeated their starts, although their callers had left.
+func TestOwnRunsStartAfterAPauseOnlyForCallersThatWait(t *testing.T) {
+	b := newBench(t)
+	full := b.submit(1, 64000)
+	assert.Equal(t, len(full), 1)
+	b.answerStart(&full[0], Accepted)
+	left, waiting := b.jobs+1, b.jobs+2
+	assert.Equal(t, len(b.submit(1, 40000))+len(b.submit(1, 40000)), 0, "both wait for capacity")
+	b.now = b.now.Add(2 * time.Second)
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: full[0].Run, How: workload.Done}})
+	assert.Equal(t, len(effectsOf[Start](b)), 0)
+	b.step(Abandon{Handle: Handle(left)})
+	assert.Equal(t, len(effectsOf[Start](b)), 0)
+	b.now = b.now.Add(callerCheckTime)
+	b.report(nil, nil)
+	starts := effectsOf[Start](b)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Run.Task.Job, workload.JobID(rune('a'+waiting)))
+	b.now = b.now.Add(2 * time.Second)
+	b.step()
+	assert.Equal(t, b.countFirstCopies()+len(effectsOf[Start](b)), 0, "the start is repeated")
+	assert.Equal(t, len(effectsOf[StopRun](b)), 1)
+}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -105,7 +105,7 @@
 			returned = append(returned, r)
 			continue
 		}
-		if e := c.bestEndpoint(r); e != nil {
+		if e := c.bestEndpoint(r); e != nil && !c.callerUnknown(r) {
 			c.startRun(r, e)
 			continue
 		}
@@ -129,6 +129,12 @@
 	}
 }
 
+// callerUnknown reports whether a run is of an ephemeral job of this instance whose caller may
+// have left during a pause.
+func (c *Control) callerUnknown(r *run) bool {
+	return r.home == c.self && !r.request.Stored && c.now.Before(c.home.callersKnownAt)
+}
+
 // bestEndpoint returns the best endpoint with enough free capacity for a run, or nil.
 // It also returns nil if the run would miss its objective at each of them but can
 // still meet it at a fast endpoint: the run then waits for one.
@@ -233,10 +239,10 @@
 	}
 }
 
-// retryStart repeats an unanswered start order. After StartRetries repeats, or while
-// the lease is withheld, it stops the run instead.
+// retryStart repeats an unanswered start order. After StartRetries repeats, while the lease
+// is withheld, or after a pause it stops the run instead.
 func (c *Control) retryStart(r *run) {
-	if r.startsSent > c.config.Timing.StartRetries || r.endpoint.leaseWithheld {
+	if r.startsSent > c.config.Timing.StartRetries || r.endpoint.leaseWithheld || c.callerUnknown(r) {
 		c.stopRun(r)
 		return
 	}
