--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -168,12 +168,13 @@
 
 // keepFoundOutcome keeps the outcome of a former holder's run that was found at an
 // endpoint: the job may be stored, and its home may not know the outcome. It keeps only
-// Done and Failed, and skips runs that have lately ended at this instance.
+// Done and Failed, and skips runs that have lately ended so at this instance. A run that has
+// ended here without a known outcome may have been started late by the endpoint.
 func (c *Control) keepFoundOutcome(e *endpoint, ended *workload.EndedRun) {
 	if c.keptOutcomes.outcomes.Has(ended.Run) || (ended.How != workload.Done && ended.How != workload.Failed) {
 		return
 	}
-	if _, known := c.holder.ended.Get(ended.Run); known {
+	if r, known := c.holder.ended.Get(ended.Run); known && r.endMessage.How == ended.How {
 		return
 	}
 	end := &RunEnded{Run: ended.Run, How: ended.How, Endpoint: e.info.ID.Name, Detail: "found at a take-over"}
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -606,3 +606,35 @@
 	assert.Equal(t, b.countFirstCopies()+len(effectsOf[Start](b)), 0, "the start is repeated")
 	assert.Equal(t, len(effectsOf[StopRun](b)), 1)
 }
+
+// Guards against a stored job's task that runs again after it is done: the next incarnation of
+// an endpoint had carried out a late start, and its end was acknowledged unrecorded, as a run
+// of this number had lately ended here without a known outcome.
+func TestEndOfALateStartIsKeptAlthoughItsRunHasEndedHere(t *testing.T) {
+	b := newBench(t)
+	b.control.keptOutcomes.storedJobsExist = true
+	b.control.handlePlaceRequest(b.control.self, &PlaceRequest{
+		Sequence: 1, Job: "0a", Service: "s", Need: workload.Resources{MilliCPU: 1000}, Estimate: time.Second, Stored: true,
+		Objective: time.Second, Expiry: 3 * time.Second, CallerTimeout: 3 * time.Second, Tasks: []PlacedTask{{Number: 1}},
+	})
+	b.step()
+	starts := effectsOf[Start](b)
+	assert.Equal(t, len(starts), 1)
+	b.step(StartDone{Endpoint: starts[0].Endpoint, Token: benchToken, Run: starts[0].Run, Copy: 1, Outcome: OtherLife})
+	ended, ok := b.control.holder.ended.Get(starts[0].Run)
+	assert.Assert(t, ok && ended.endMessage.How == workload.Unknown)
+	next := benchEndpoint
+	next.ID.Born++
+	b.step(Listed{Endpoints: []workload.Endpoint{next}})
+	for range 150 {
+		b.serveStore()
+		b.advanceBy(10 * time.Millisecond)
+		b.serveStore()
+	}
+	assert.Equal(t, b.control.Overview().Held, 1)
+	b.step(Reported{Endpoint: next.ID, Token: benchToken, Sent: b.now, Received: b.now, Report: workload.Report{
+		Clock: time.Second, Ended: []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Done}},
+	}})
+	assert.Equal(t, len(effectsOf[Acknowledge](b)), 0)
+	assert.Assert(t, b.control.keptOutcomes.outcomes.Has(starts[0].Run))
+}
