--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -38,6 +38,7 @@
 	336,  // a job submitted again while a start order could still be carried out late (docs/incidents/soak-336.md); a lease renewed without an answer (lease-renewed-unanswered.md)
 	900,  // a job accepted after the end of a planned stop (docs/incidents/soak-900.md)
 	2026, // a run taken for lapsed by an outdated list of endpoints (docs/incidents/runs-at-once-between-processes.md)
+	3002, // the same; and the end of a late start lost at an endpoint's next incarnation (docs/incidents/soak-3002.md)
 }
 
 const (
