--- a/pkg/model/link.go
+++ b/pkg/model/link.go
@@ -42,7 +42,6 @@
 		return 0
 	}
 	bytes := w.Config.MessageSize(e)
-	from.SentBytes += int64(bytes)
 	return to.down.pass(from.up.pass(w.Now, bytes), bytes).Sub(w.Now)
 }
 
--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -28,9 +28,7 @@
 	FeedSilent bool
 	// ConfiguredAt holds the times at which configurations reached the instance, by version.
 	ConfiguredAt map[uint64]time.Time
-	// SentBytes counts the bytes sent to peers, ReceivedConfigurations the bytes of
-	// configurations received from them.
-	SentBytes              int64
+	// ReceivedConfigurations counts the bytes of configurations received from peers.
 	ReceivedConfigurations int64
 
 	world      *World
