Model: a killed instance requests no further reports

Cause: the watch of an endpoint went on after Kill. The endpoint's answer to its last request scheduled the next one in the generation after the kill, so a killed instance renewed its leases until it was started again. Besides, an answer that was lost started a second chain of requests beside the first, which doubled with each loss: with LoseAnswers at 1 a test took all memory. Change: Kill cancels the watches of the instance; a request whose report has come does not count as failed.

--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -92,6 +92,9 @@
 func (n *Node) Kill() {
 	n.Up = false
 	n.generation++
+	for _, x := range n.watches {
+		x.cancelled = true // an endpoint may still answer its last request
+	}
 	for _, o := range n.world.Nodes {
 		if o != n {
 			o.loseSession(n)
@@ -359,7 +362,7 @@
 func (n *Node) startWatch(m placement.Watch) {
 	if x, ok := n.watches[m.Endpoint.Name]; ok {
 		if x.Endpoint == m.Endpoint && x.Token == m.Token {
-			x.Renew, x.ExplicitAcks = m.Renew, m.ExplicitAcks
+			x.Renew, x.RenewUntil, x.ExplicitAcks = m.Renew, m.RenewUntil, m.ExplicitAcks
 			return
 		}
 		x.cancelled = true
@@ -382,8 +385,8 @@
 	}
 	sent := w.Now
 	until := time.Duration(0)
-	if x.Renew && !x.clockReadAt.IsZero() {
-		until = x.endpointClock + sent.Sub(x.clockReadAt) + w.Config.Timing.Lease
+	if end, ok := x.LeaseEnd(sent, w.Config.Timing.Lease); ok && !x.clockReadAt.IsZero() {
+		until = x.endpointClock + end.Sub(x.clockReadAt)
 	}
 	var report workload.Report
 	answered, gaveUp := false, false
@@ -410,7 +413,7 @@
 		})
 		return outcome
 	}, func(o placement.OrderOutcome) {
-		if x.cancelled {
+		if x.cancelled || answered {
 			return
 		}
 		if o == placement.Accepted {
