--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -105,6 +105,9 @@
 	timers := timer.New()
 	timing := placement.DefaultTiming()
 	timing.Lease = time.Duration(s.Lease)
+	if s.ResubmitAfter != 0 {
+		timing.ResubmitAfter = time.Duration(s.ResubmitAfter)
+	}
 	timing.MaxLeaveTime = time.Duration(float64(s.Grace) * plannedStopShare)
 	store := platform.NewStore(platform.StoreConfig{
 		Address: s.Store, ReadTimeout: storeReadTimeout, WriteTimeout: storeWriteTimeout, Connections: storeConnections, PageRows: maxPageRows(s.LinkMbps),
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -47,6 +47,7 @@
 	EchoTimeout       time.Duration // since the last message that a home has confirmed, until its holders stop its runs
 	DeadAfter         time.Duration // without messages and row renewals until an instance counts as dead
 	Lease             time.Duration // of the runs at an endpoint, on the endpoint's clock
+	ResubmitAfter     time.Duration // after which callers without an answer submit a job again
 	Settle            time.Duration // that a new instance waits for other members before it takes holds
 	Established       time.Duration // uptime from which other holders yield endpoints to an instance
 	MemberScan        time.Duration // between scans of the members' rows
@@ -72,6 +73,7 @@
 		EchoTimeout:       900 * time.Millisecond, // SuspectAfter in each direction
 		DeadAfter:         700 * time.Millisecond, // two renewals of a row
 		Lease:             time.Second,
+		ResubmitAfter:     1300 * time.Millisecond,
 		Settle:            time.Second,
 		Established:       3 * time.Second,
 		MemberScan:        2 * time.Second,
@@ -98,6 +100,13 @@
 	return time.Duration(float64(t.Lease)*(1+clockDrift)) + stopTime
 }
 
+// confirmationTerm returns the time for which runs may go on after the last sign that their
+// callers wait: the leases that end then have certainly expired, on the slowest clock,
+// before the callers submit the jobs again.
+func (t Timing) confirmationTerm() time.Duration {
+	return time.Duration(float64(t.ResubmitAfter-stopTime) / (1 + clockDrift))
+}
+
 // stopTime is the longest time that an endpoint takes to stop a run.
 const stopTime = 50 * time.Millisecond
 
@@ -180,12 +189,12 @@
 	gap := now.Sub(c.now)
 	c.now = now
 	if c.began.IsZero() {
-		c.began = now
+		c.began, c.home.callersConfirmedAt = now, now
 		if c.config.Share == 0 {
 			c.endpointList.refreshedAt = now.Add(noShareStartWait - listMaxAge)
 		}
-	} else if gap > c.config.Timing.SuspectAfter {
-		c.handlePause(gap)
+	} else {
+		c.noteGap(gap)
 	}
 	for _, in := range inputs {
 		c.handleWithRecovery(in)
@@ -211,6 +220,20 @@
 	return effects, now.Add(tick)
 }
 
+// noteGap notes the time since the step before. After a longer one the process has to notice
+// first which callers have left meanwhile.
+func (c *Control) noteGap(gap time.Duration) {
+	if gap > c.config.Timing.HeartbeatInterval {
+		c.home.callersCheckedAt = c.now.Add(callerCheckTime)
+	}
+	if !c.now.Before(c.home.callersCheckedAt) {
+		c.home.callersConfirmedAt = c.now
+	}
+	if gap > c.config.Timing.SuspectAfter {
+		c.handlePause(gap)
+	}
+}
+
 // handlePause re-evaluates the state after the process was paused: what it knows of
 // other instances and of callers is as old as the gap, and other homes have given up the
 // runs that they placed here.
@@ -321,7 +344,7 @@
 	stamped := Envelope{Message: m, Sent: c.now.Sub(c.began)}
 	if p, ok := c.membership.members.Get(to.Instance); ok && p.id == to {
 		p.sentAt = c.now
-		stamped.LastReceived = p.peerSent
+		stamped.LastReceived = c.echoTo(p)
 	}
 	c.emit(Send{Peer: to, Envelope: stamped})
 }
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -39,6 +39,8 @@
 	missedReports        int                 // in a row
 	unresponsive         bool                // reports are missing, so the lease is not renewed
 	leaseWithheld        bool                // the endpoint accepts no stop of an orphan, so the lease is not renewed
+	leaseLimit           time.Time           // latest time to which the lease may be renewed; zero without a run
+	watchLimit           time.Time           // leaseLimit as the watch knows it
 	unknownRunsStoppedAt time.Time           // when stop orders for unknown runs were last sent
 	explicitAcks         bool                // ended runs are acknowledged only by Acknowledge effects
 	storedUnknown        bool                // not yet known whether stored jobs exist; runs of theirs may have ended here
@@ -133,6 +135,7 @@
 	fewPeers              = 10                      // with up to this many members, adverts and heartbeats are not thinned out
 	farAdvertFactor       = 4                       // with more members, adverts to other domains are this many times as far apart
 	checkInterval         = 5 * time.Millisecond    // between checks of all endpoints and runs
+	leaseLimitStep        = 100 * time.Millisecond  // by which the limit of a lease rises before its watch is told
 )
 
 func newHolder(config hold.Config) holder {
@@ -629,6 +632,50 @@
 	c.watchEndpoint(e)
 }
 
+// updateLeaseLimit computes anew to when the lease of an endpoint may be renewed, and tells the
+// endpoint's watch.
+//
+// This keeps an invariant: a run that its callers may have left ends before they submit its job
+// again, whatever fails after they have left. So the lease never reaches beyond
+// confirmationTerm after its homes have last confirmed that callers wait, nor beyond a lease
+// after one of the runs has become unwanted.
+func (c *Control) updateLeaseLimit(e *endpoint) {
+	e.leaseLimit = time.Time{}
+	for _, r := range e.runs.All() {
+		if limit := c.leaseLimitOf(r); e.leaseLimit.IsZero() || limit.Before(e.leaseLimit) {
+			e.leaseLimit = limit
+		}
+	}
+	if e.leaseLimit.IsZero() != e.watchLimit.IsZero() || e.leaseLimit.Before(e.watchLimit) || e.leaseLimit.Sub(e.watchLimit) >= leaseLimitStep {
+		c.watchEndpoint(e)
+	}
+}
+
+// leaseLimitOf returns to when the lease of a run may be renewed.
+func (c *Control) leaseLimitOf(r *run) time.Time {
+	confirmed := c.home.callersConfirmedAt
+	if r.home != c.self {
+		confirmed = time.Time{}
+		if m, ok := c.membership.members.Get(r.home.Instance); ok && m.id == r.home {
+			confirmed = m.echoedAt
+		}
+	}
+	limit := confirmed.Add(c.config.Timing.confirmationTerm())
+	if unwanted := r.unwantedAt.Add(c.config.Timing.Lease); !r.unwantedAt.IsZero() && unwanted.Before(limit) {
+		return unwanted
+	}
+	return limit
+}
+
+// leaseEnd returns the time to which an order that is sent to an endpoint now extends the lease.
+func (c *Control) leaseEnd(e *endpoint) time.Time {
+	end := c.now.Add(c.config.Timing.Lease)
+	if !e.leaseLimit.IsZero() && end.After(e.leaseLimit) {
+		return e.leaseLimit
+	}
+	return end
+}
+
 // endLapsedRuns ends the runs at an endpoint whose lease has certainly expired. It
 // leaves runs whose start order is unanswered, as the endpoint may still execute it:
 // these end only after the endpoint has accepted their stop.
@@ -648,7 +695,7 @@
 // it. During a planned stop of this instance no endpoint is usable.
 func (c *Control) usable(e *endpoint) bool {
 	_, mayStart := c.holder.registry.Token(e.info.ID.Name)
-	return mayStart && e.renewsLease() && !e.info.Draining && c.stop == serving &&
+	return mayStart && e.renewsLease() && c.leaseEnd(e).Sub(c.now) > c.config.Timing.Lease/2 && !e.info.Draining && c.stop == serving &&
 		c.now.Sub(e.reportReceivedAt) < c.config.Timing.MaxReportAge && e.health.admits(c.now, e.runs.Len())
 }
 
@@ -677,6 +724,7 @@
 	for _, e := range h.endpoints.All() {
 		h.held++
 		c.updateWithheldLease(e)
+		c.updateLeaseLimit(e)
 		c.endLapsedRuns(e)
 		c.requestOverdueReport(e)
 		if e.renewsLease() {
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -73,6 +73,10 @@
 	own         member // this instance as a holder, in the same form as the other members
 	// callersKnownAt is when it is known again, after a pause, which callers have left.
 	callersKnownAt time.Time
+	// callersCheckedAt is the same after a shorter gap between two steps, in which tasks are
+	// still placed, and callersConfirmedAt when it was last known.
+	callersCheckedAt   time.Time
+	callersConfirmedAt time.Time
 }
 
 // droppedRuns are the runs of one job that their holders were asked to stop.
--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -126,9 +126,10 @@
 		e.leaseRenewedAt = c.now
 	}
 	e.renewing = renew
+	e.watchLimit = e.leaseLimit
 	c.emit(Watch{
 		Endpoint: e.info.ID, Address: e.info.Address, Token: e.token,
-		Renew: renew, ExplicitAcks: e.explicitAcks,
+		Renew: renew, RenewUntil: e.watchLimit, ExplicitAcks: e.explicitAcks,
 	})
 }
 
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -58,6 +58,7 @@
 	hasSession           bool
 	lastSeenAt           time.Time     // when a message last came from it
 	peerSent             time.Duration // uptime of the member when it sent its last message
+	echoSent             time.Duration // peerSent as last confirmed to the member
 	echoedAt             time.Time     // when this instance sent the last message that the member has confirmed
 	lastRunAt            time.Time     // when one of the two instances last ran something for the other
 	fullRateSince        time.Time     // since when heartbeats at the full rate are expected from it
@@ -275,6 +276,16 @@
 	c.markAlive(m)
 }
 
+// echoTo returns what to confirm to a member of the messages received from it. A confirmation
+// also says that the callers of this instance still wait, so none of later messages is given
+// while that is not known.
+func (c *Control) echoTo(m *member) time.Duration {
+	if c.home.callersConfirmedAt.Equal(c.now) {
+		m.echoSent = m.peerSent
+	}
+	return m.echoSent
+}
+
 // markAlive notes that a member is alive. Stored jobs are verified anew after a
 // silence in which another instance may have become their home.
 func (c *Control) markAlive(m *member) {
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -242,11 +242,23 @@
 	Address  netip.AddrPort
 	Token    workload.Token
 	Renew    bool
+	// RenewUntil is the latest time to which the lease may be renewed; zero means any.
+	RenewUntil time.Time
 	// ExplicitAcks makes the watch acknowledge ended runs to the endpoint only on an
 	// Acknowledge. Otherwise it acknowledges every ended run that it has delivered.
 	ExplicitAcks bool
 }
 
+// LeaseEnd returns the time to which a request that is sent now renews a lease of the
+// given length, or false if it renews none.
+func (w *Watch) LeaseEnd(now time.Time, lease time.Duration) (time.Time, bool) {
+	end := now.Add(lease)
+	if !w.RenewUntil.IsZero() && end.After(w.RenewUntil) {
+		end = w.RenewUntil
+	}
+	return end, w.Renew && end.After(now)
+}
+
 // Acknowledge makes a watch with ExplicitAcks acknowledge ended runs to its
 // endpoint.
 type Acknowledge struct {
--- /dev/null
+++ b/pkg/placement/resubmitted_test.go
@@ -0,0 +1,130 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"crocusseam/pkg/model"
+)
+
+// homeFaults break the connections of the callers of an instance at one moment.
+var homeFaults = []struct {
+	name string
+	do   func(w *longJobs, home *model.Node)
+}{
+	{"callers leave", func(w *longJobs, home *model.Node) { w.disconnect(home) }},
+	{"home killed", func(_ *longJobs, home *model.Node) { home.Kill() }},
+	{"home killed and restarted", func(w *longJobs, home *model.Node) {
+		home.Kill()
+		w.After(300*time.Millisecond, home.Start)
+	}},
+	{"home paused for 0.2 s", func(w *longJobs, home *model.Node) {
+		home.Pause(200 * time.Millisecond)
+		w.disconnect(home)
+	}},
+	{"home paused for 0.4 s", func(w *longJobs, home *model.Node) {
+		home.Pause(400 * time.Millisecond)
+		w.disconnect(home)
+	}},
+	{"home paused for 3 s", func(w *longJobs, home *model.Node) {
+		home.Pause(3 * time.Second)
+		w.disconnect(home)
+	}},
+	{"home cut off from its peers", func(w *longJobs, home *model.Node) {
+		for _, n := range w.Nodes[1:] {
+			w.Cut(home.ID.Instance, n.ID.Instance, true)
+		}
+		w.disconnect(home)
+	}},
+	{"messages of the home delayed", func(w *longJobs, home *model.Node) {
+		for _, n := range w.Nodes[1:] {
+			w.DelayMessages(home, n, 2*time.Second)
+		}
+		w.disconnect(home)
+	}},
+}
+
+// endpointFaults affect the endpoints at which runs of the jobs are, or their holders.
+var endpointFaults = []struct {
+	name string
+	do   func(w *longJobs, busy []*model.Endpoint)
+}{
+	{"no other", func(*longJobs, []*model.Endpoint) {}},
+	{"endpoints cut off", func(w *longJobs, busy []*model.Endpoint) {
+		for _, x := range busy {
+			for _, n := range w.Nodes {
+				w.Cut(x.Info.ID.Name, n.ID.Instance, true)
+			}
+		}
+	}},
+	{"endpoints carry orders out late", func(_ *longJobs, busy []*model.Endpoint) {
+		for _, x := range busy {
+			x.LateOrders, x.LateBy = 1, 4*time.Second
+		}
+	}},
+	{"answers of endpoints lost", func(_ *longJobs, busy []*model.Endpoint) {
+		for _, x := range busy {
+			x.LoseAnswers = 1
+		}
+	}},
+	{"holders paused for 0.4 s", func(w *longJobs, _ []*model.Endpoint) { w.pauseHolders(400 * time.Millisecond) }},
+	{"holders paused for 0.8 s", func(w *longJobs, _ []*model.Endpoint) { w.pauseHolders(800 * time.Millisecond) }},
+	{"holders paused for 3 s", func(w *longJobs, _ []*model.Endpoint) { w.pauseHolders(3 * time.Second) }},
+}
+
+func (w *longJobs) disconnect(home *model.Node) {
+	for _, o := range w.open {
+		home.DisconnectCaller(o)
+	}
+}
+
+// pauseHolders pauses all instances but the first, the home, and the last, to which callers
+// submit their jobs again.
+func (w *longJobs) pauseHolders(span time.Duration) {
+	for _, n := range w.Nodes[1 : len(w.Nodes)-1] {
+		n.Pause(span)
+	}
+}
+
+// busyEndpoints returns the endpoints at which tasks run.
+func (w *longJobs) busyEndpoints() []*model.Endpoint {
+	var busy []*model.Endpoint
+	for _, x := range w.Endpoints {
+		if len(x.Report().Running) > 0 {
+			busy = append(busy, x)
+		}
+	}
+	return busy
+}
+
+// Guards against two runs of a task at once: a job whose home or caller had gone was submitted
+// again while runs of it still went on, since its home and the path to an endpoint had failed
+// at nearly the same time.
+func TestRunsEndBeforeCallersSubmitTheirJobsAgain(t *testing.T) {
+	const step, last = 20 * time.Millisecond, 400 * time.Millisecond
+	for _, h := range homeFaults {
+		for _, e := range endpointFaults {
+			t.Run(fmt.Sprint(h.name, ", ", e.name), func(t *testing.T) {
+				t.Parallel()
+				for offset := time.Duration(0); offset <= last; offset += step {
+					w := newLongJobs(uint64(offset))
+					w.submit(8)
+					w.Run(300 * time.Millisecond)
+					busy := w.busyEndpoints()
+					w.After(offset, func() { e.do(w, busy) })
+					h.do(w, w.Nodes[0])
+					w.Run(resendDelay)
+					for _, o := range w.open {
+						w.Resubmit(w.Nodes[len(w.Nodes)-1], o, w.route, 10*time.Second)
+					}
+					w.Run(3 * time.Second)
+					assert.Check(t, cmp.Len(w.Breaches, 0), "the endpoint fault %v after the home's: %d tasks", offset, len(w.Breaches))
+				}
+			})
+		}
+	}
+}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -174,6 +174,7 @@
 // orderStart sends a copy of the start order of a run.
 func (c *Control) orderStart(r *run) {
 	e := r.endpoint
+	c.updateLeaseLimit(e)
 	r.startsSent++
 	e.leaseRenewedAt = c.now
 	answerTimeout := c.config.Timing.FirstStartTimeout
@@ -186,7 +187,7 @@
 		zap.Duration("Waited", c.now.Sub(r.arrivedAt)), zap.String("Home", r.home.Instance))
 	c.emit(Start{
 		Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r.id, Spec: r.request.Spec,
-		Until: e.clock + c.now.Sub(e.reportReceivedAt) + c.config.Timing.Lease,
+		Until: e.clock + c.leaseEnd(e).Sub(e.reportReceivedAt),
 		Copy:  r.startsSent,
 	})
 }
@@ -367,6 +368,7 @@
 		c.endRun(r, workload.NeverRan, cause)
 	case starting, running:
 		c.stopRun(r)
+		c.updateLeaseLimit(r.endpoint)
 	}
 }
 
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -346,3 +346,70 @@
 	}
 	assert.Assert(t, renewing, "the lease is not renewed after the stop")
 }
+
+// renewUntil returns the limit of the lease in the last change of the endpoint's watch.
+func (b *bench) renewUntil(before time.Time) time.Time {
+	for _, w := range effectsOf[Watch](b) {
+		before = w.RenewUntil
+	}
+	return before
+}
+
+// Guards against two runs of a task at once: an instance that had stood still renewed the leases
+// of its runs before it noticed that their callers had left.
+func TestLeaseIsNotExtendedAfterAGapBeforeCallersAreChecked(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	limit := b.renewUntil(time.Time{})
+	assert.Equal(t, limit, b.now.Add(b.control.config.Timing.confirmationTerm()))
+	b.answerStart(&starts[0], Accepted)
+	b.advanceBy(300 * time.Millisecond)
+	assert.Equal(t, b.renewUntil(limit), limit, "the lease is extended before callers are checked")
+	for range 30 {
+		b.advanceBy(10 * time.Millisecond)
+		limit = b.renewUntil(limit)
+	}
+	assert.Assert(t, limit.After(b.now.Add(b.control.config.Timing.Lease)), "the lease is not extended after callers were checked")
+}
+
+// Guards against two runs of a task at once: the lease of a run that its home had dropped was
+// renewed until its stop counted as unanswered, and also by starts of other runs.
+func TestLeaseOfADroppedRunIsNotExtended(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], Accepted)
+	b.step(Abandon{Handle: Handle(b.jobs)})
+	assert.Equal(t, b.renewUntil(time.Time{}), b.now.Add(b.control.config.Timing.Lease))
+	b.advanceBy(100 * time.Millisecond)
+	starts = b.submit(1, 1000)
+	assert.Equal(t, len(starts), 1)
+	e, _ := b.control.holder.endpoints.Get(benchEndpoint.ID.Name)
+	assert.Equal(t, starts[0].Until, e.clock+b.now.Add(b.control.config.Timing.Lease-100*time.Millisecond).Sub(e.reportReceivedAt))
+}
+
+// Guards against two runs of a task at once: an instance that had stood still confirmed messages
+// of the holders of its runs before it noticed that callers had left.
+func TestNothingIsConfirmedAfterAGapBeforeCallersAreChecked(t *testing.T) {
+	b := newBench(t)
+	b.step(PeerUp{Peer: benchPeer}, b.receivedFrom(benchPeer, &Heartbeat{Configuration: 1}))
+	confirmed := func(known time.Duration) time.Duration {
+		for _, m := range effectsOf[Send](b) {
+			known = m.LastReceived
+		}
+		return known
+	}
+	known := confirmed(0)
+	for range 20 {
+		b.advanceBy(10 * time.Millisecond)
+		known = confirmed(known)
+	}
+	b.now = b.now.Add(300 * time.Millisecond)
+	b.step(b.receivedFrom(benchPeer, &Heartbeat{Configuration: 1}))
+	uptime := b.now.Sub(b.control.began)
+	assert.Equal(t, confirmed(known), known, "a message is confirmed before callers are checked")
+	for range 30 {
+		b.advanceBy(10 * time.Millisecond)
+		known = confirmed(known)
+	}
+	assert.Equal(t, known, uptime)
+}
--- a/pkg/settings/gate.go
+++ b/pkg/settings/gate.go
@@ -32,6 +32,9 @@
 	LinkMbps float64
 	// Lease is the longest lease of what runs at an endpoint.
 	Lease document.Duration
+	// ResubmitAfter is the shortest time after which callers whose connection broke, or who got
+	// no answer, submit a job again. Runs end before. 0 means 1.3 s.
+	ResubmitAfter document.Duration
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace document.Duration
 	// FarFactor is how many times as long a task takes away from its data.
@@ -66,6 +69,8 @@
 		return &ErrSetting{"LinkMbps", fmt.Sprint(s.LinkMbps), "more than 0"}
 	case s.Lease <= 0:
 		return &ErrSetting{"Lease", fmt.Sprint(s.Lease), "more than 0"}
+	case s.ResubmitAfter != 0 && s.ResubmitAfter < s.Lease:
+		return &ErrSetting{"ResubmitAfter", fmt.Sprint(s.ResubmitAfter), "0, or the Lease or more"}
 	case s.FarFactor < 1:
 		return &ErrSetting{"FarFactor", fmt.Sprint(s.FarFactor), "1 or more"}
 	case s.Retention <= 0:
--- a/service/gate/watch.go
+++ b/service/gate/watch.go
@@ -18,29 +18,31 @@
 
 // watch requests reports from one endpoint continuously.
 type watch struct {
-	target       placement.Watch
-	renew        atomic.Bool
-	explicitAcks atomic.Bool  // ended runs are acknowledged only up to acknowledged
+	target       atomic.Pointer[placement.Watch]
 	acknowledged atomic.Int64 // sequence of the last ended run that may be acknowledged
 	ackAdvanced  chan struct{}
 	cancel       context.CancelFunc
 }
 
+// isOf reports whether the watch is of an endpoint's incarnation under a token.
+func (w *watch) isOf(endpoint workload.EndpointID, token workload.Token) bool {
+	target := w.target.Load()
+	return target.Endpoint == endpoint && target.Token == token
+}
+
 // startWatch starts watching an endpoint, or updates the watch's lease renewal and
 // acknowledgement mode.
 func (s *Server) startWatch(ctx context.Context, m placement.Watch) {
 	if w, ok := s.watches[m.Endpoint.Name]; ok {
-		if w.target.Endpoint == m.Endpoint && w.target.Token == m.Token {
-			w.renew.Store(m.Renew)
-			w.explicitAcks.Store(m.ExplicitAcks)
+		if w.isOf(m.Endpoint, m.Token) {
+			w.target.Store(&m)
 			return
 		}
 		w.cancel()
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	w := &watch{target: m, cancel: cancel, ackAdvanced: make(chan struct{}, 1)}
-	w.renew.Store(m.Renew)
-	w.explicitAcks.Store(m.ExplicitAcks)
+	w := &watch{cancel: cancel, ackAdvanced: make(chan struct{}, 1)}
+	w.target.Store(&m)
 	s.watches[m.Endpoint.Name] = w
 	s.group.Go(func() error {
 		s.runWatch(ctx, w)
@@ -51,7 +53,7 @@
 // acknowledge lets the watch of an endpoint acknowledge ended runs.
 func (s *Server) acknowledge(m placement.Acknowledge) {
 	w, ok := s.watches[m.Endpoint.Name]
-	if !ok || w.target.Endpoint != m.Endpoint || w.target.Token != m.Token {
+	if !ok || !w.isOf(m.Endpoint, m.Token) {
 		return
 	}
 	w.acknowledged.Store(max(m.Upto, w.acknowledged.Load()))
@@ -65,7 +67,7 @@
 // acknowledged after a report. With explicit acknowledgements it waits briefly for
 // one, because the endpoint answers immediately while it has unacknowledged runs.
 func (s *Server) lastToAcknowledge(ctx context.Context, w *watch, before int64, ended []workload.EndedRun) int64 {
-	if !w.explicitAcks.Load() {
+	if !w.target.Load().ExplicitAcks {
 		for _, e := range ended {
 			before = max(before, e.Sequence)
 		}
@@ -93,14 +95,15 @@
 // that this instance no longer holds it. Each request acknowledges the last ended
 // run that may be acknowledged.
 func (s *Server) runWatch(ctx context.Context, w *watch) {
-	q := platform.ReportRequest{Endpoint: w.target.Endpoint, Address: w.target.Address, Token: w.target.Token}
+	target := w.target.Load()
+	q := platform.ReportRequest{Endpoint: target.Endpoint, Address: target.Address, Token: target.Token}
 	var clock time.Duration // of the endpoint, at clockAt
 	var clockAt time.Time
 	for ctx.Err() == nil {
 		sent := s.timers.SinceBoot()
 		q.Until = 0
-		if w.renew.Load() && !clockAt.IsZero() {
-			q.Until = clock + sent.Sub(clockAt) + s.config.Timing.Lease
+		if end, ok := w.target.Load().LeaseEnd(sent, s.config.Timing.Lease); ok && !clockAt.IsZero() {
+			q.Until = clock + end.Sub(clockAt)
 		}
 		report, outcome, err := s.endpoints.Report(ctx, q)
 		if ctx.Err() != nil {
