Log the runs of a task so that two of them can be told apart

Endpoints and callers report a task that ran twice by what they have seen: the name of the task, the number of the run, the endpoint, the token and the time.

Causes: - No line had the name that endpoints know a task by, ID.K.STEP.INDEX. A filter for that name finds nothing; whether the operators' one looks for it is not known. - `stop ordered`, `unknown run stopped`, `start not accepted` and `run makes no progress` lacked the step, `tasks placed` named one run of several, `run ended` had neither a token nor, for runs that were stopped, a cause. A home that gave up the run of a lost holder and an instance that found the end of an earlier holder's run logged nothing. - Lines beyond 400 equal ones a second were dropped, whatever they said, and only a metric showed it.

Change: one function adds the fields of a run to every line about it (logging.go). Each end of a belief in a run states its cause: `stop ordered` and `run ended` at the holder, `run given up` at the home, `unknown run stopped` and `unknown run ended` for a run of an earlier holder or one that counted as ended here. The end of a job names the dropped runs and their holders; `job accepted` shows a resubmission (Patience and RouteTimeout, FormerRuns). Detail of `run ended` is now Cause; Run and Tasks of `tasks placed` are Runs. No decision has changed; RunEnded.Detail has other texts, which only the log shows.

--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -2,8 +2,8 @@
 package instance
 
 import (
-	"fmt"
 	"net/netip"
+	"strconv"
 )
 
 // ID identifies one incarnation of an instance.
@@ -13,7 +13,7 @@
 }
 
 // String returns the name and the incarnation, such as "east-1.7".
-func (id ID) String() string { return fmt.Sprintf("%s.%d", id.Instance, id.Incarnation) }
+func (id ID) String() string { return id.Instance + "." + strconv.FormatUint(id.Incarnation, 10) }
 
 // Peer is an instance with its failure domain and the address where other instances
 // reach it.
--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -195,6 +195,9 @@
 	}
 	o.Started = true
 	w.started(o, m.Run)
+	if w.Config.Started != nil {
+		w.Config.Started(x, m)
+	}
 	s := &o.Job.Steps[m.Run.Task.Step]
 	for _, other := range w.Endpoints {
 		for id := range other.runs {
--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -185,6 +185,9 @@
 	switch m := e.(type) {
 	case placement.LogEvent:
 		n.LogEvents[m.Event]++
+		if w.Config.Log != nil {
+			w.Config.Log(n, m)
+		}
 	case placement.Reply:
 		if o, ok := n.callers[m.Handle]; ok {
 			delete(n.callers, m.Handle)
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -32,6 +32,10 @@
 	// MessageSize returns the bytes of a message between instances. It is needed only
 	// where instances have a LinkRate.
 	MessageSize func(placement.Envelope) int
+	// Log, if set, is called with each event that an instance logs.
+	Log func(*Node, placement.LogEvent)
+	// Started, if set, is called with each start order that an endpoint carries out.
+	Started func(*Endpoint, *placement.Start)
 }
 
 // Domain is a failure domain with its instances and endpoints.
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -326,10 +326,6 @@
 	c.emit(Send{Peer: to, Envelope: stamped})
 }
 
-func (c *Control) logEvent(event string, fields ...zap.Field) {
-	c.emit(LogEvent{Event: event, Fields: fields})
-}
-
 func (c *Control) commitDone(m CommitDone) {
 	if done, ok := c.commits[m.ID]; ok {
 		delete(c.commits, m.ID)
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -43,6 +43,7 @@
 	explicitAcks         bool                // ended runs are acknowledged only by Acknowledge effects
 	storedUnknown        bool                // not yet known whether stored jobs exist; runs of theirs may have ended here
 	lastEndedSequence    int64               // sequence of the last ended run in a report
+	lastLoggedEnd        int64               // sequence of the last ended run that logUnexpectedEnds has seen
 	unacknowledged       []workload.EndedRun // ended runs that the endpoint still keeps
 	speed                speedModel
 	health               health
@@ -82,6 +83,7 @@
 	mayStartLater bool      // the endpoint's next incarnation may still execute the start order
 	percent       int       // progress that the endpoint last reported
 	percentAt     time.Time
+	stopCause     string // why its stop was first ordered
 	endMessage    *RunEnded
 	endedAt       time.Time
 }
@@ -189,7 +191,7 @@
 	}
 	for _, name := range h.registry.SetEndpoints(list) {
 		if e, ok := h.endpoints.Get(name); ok {
-			c.loseEndpoint(e, c.lostRunsOutcome(e), "its life has ended")
+			c.loseEndpoint(e, c.lostRunsOutcome(e), c.listedEndCause(e))
 		}
 	}
 	for name, e := range h.endpoints.All() {
@@ -240,6 +242,14 @@
 	return workload.Unknown
 }
 
+// listedEndCause says why the list of endpoints ends the hold of an endpoint.
+func (c *Control) listedEndCause(e *endpoint) string {
+	if info, ok := c.holder.listed.Get(e.info.ID.Name); ok && info.ID.Born != e.info.ID.Born {
+		return "its life has ended: the list names another"
+	}
+	return "it has left the list"
+}
+
 // runHolds asks the registry of holds for a plan and executes it: it requests yields,
 // probes endpoints and takes holds. It waits while a commit of holds is in progress.
 func (c *Control) runHolds() {
@@ -361,7 +371,7 @@
 
 // loseEndpoint ends the hold of an endpoint and, with the given outcome, its runs.
 func (c *Control) loseEndpoint(e *endpoint, how workload.How, cause string) {
-	c.logEvent("endpoint lost", zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)), zap.Stringer("Runs", how), zap.Int("Count", e.runs.Len()), zap.String("Cause", cause))
+	c.logWarning("endpoint lost", e.logFields(zap.Int64("Born", e.info.ID.Born), zap.Stringer("Runs", how), zap.Int("Count", e.runs.Len()), zap.String("Cause", cause))...)
 	c.emit(Unwatch{Endpoint: e.info.ID})
 	for _, r := range e.runs.All() {
 		if how == workload.Lapsed && r.confirmedAt.IsZero() {
@@ -478,6 +488,7 @@
 	}
 	e.reportRequestedAt = later(e.reportRequestedAt, m.Sent)
 	e.missedReports = 0
+	c.logUnexpectedEnds(e, m.Report.Ended)
 	for i := range m.Report.Ended {
 		c.applyEndedRun(e, &m.Report.Ended[i])
 	}
@@ -502,7 +513,7 @@
 		return
 	}
 	e.recordOutcome(c, r, ended.How)
-	c.endRun(r, ended.How, "")
+	c.endRun(r, ended.How, r.endCause(ended.How))
 }
 
 // applyRunning processes the running runs in a report and returns the unknown ones:
@@ -547,7 +558,7 @@
 			if !r.confirmedAt.IsZero() {
 				how = workload.Stopped
 			}
-			c.endRun(r, how, "the endpoint does not list it")
+			c.endRun(r, how, "the endpoint does not list it after its stop: "+r.stopCause)
 		}
 	}
 }
@@ -568,14 +579,14 @@
 		e.unknownRunsStoppedAt = c.now
 		c.counters.UnknownRuns += int64(len(unknown))
 		for _, r := range unknown {
-			c.logEvent("unknown run stopped", jobField(r.Task.Job), zap.Int("Index", r.Task.Index), zap.Int("Run", r.Number), zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)))
+			c.logWarning("unknown run stopped", runFields(r, e.logFields(zap.String("Cause", c.formerEnd(r)))...)...)
 			c.orderStop(e, r)
 		}
 		return
 	}
 	if e.state == verifying || e.unresponsive {
 		if e.state == verifying {
-			c.logEvent("endpoint in use", zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)))
+			c.logEvent("endpoint in use", e.logFields()...)
 		}
 		e.state, e.unresponsive = active, false
 		c.holder.checkDue = c.now
@@ -601,7 +612,7 @@
 		e.unresponsive = true
 		c.holder.checkDue = c.now
 		c.counters.SilentEndpoints++
-		c.logEvent("endpoint silent", zap.String("Endpoint", e.info.ID.Name), zap.Stringer("Outcome", m.Outcome), zap.Duration("ReportAge", c.now.Sub(e.reportReceivedAt)), zap.Int("Runs", e.runs.Len()), zap.Error(m.Err))
+		c.logWarning("endpoint silent", e.logFields(zap.Stringer("Outcome", m.Outcome), zap.Duration("ReportAge", c.now.Sub(e.reportReceivedAt)), zap.Int("Runs", e.runs.Len()), zap.Error(m.Err))...)
 		c.watchEndpoint(e)
 	}
 }
@@ -625,7 +636,7 @@
 	}
 	e.leaseWithheld = leaseWithheld
 	c.holder.capacityStale = true
-	c.logEvent("renewal of the lease changed", zap.String("Endpoint", e.info.ID.Name), zap.Bool("Withheld", leaseWithheld), zap.Int("Runs", e.runs.Len()))
+	c.logWarning("renewal of the lease changed", e.logFields(zap.Bool("Withheld", leaseWithheld), zap.Int("Runs", e.runs.Len()))...)
 	c.watchEndpoint(e)
 }
 
@@ -775,7 +786,7 @@
 // orphanForeignRuns stops the runs of all other homes after this process was paused
 // for so long that they have given up these runs.
 func (c *Control) orphanForeignRuns(gap time.Duration) {
-	c.logEvent("instance stood still", zap.Duration("Gap", gap), zap.Int("Runs", c.holder.runs.Len()))
+	c.logWarning("instance stood still", zap.Duration("Gap", gap), zap.Int("Runs", c.holder.runs.Len()))
 	c.orphanRuns(func(home instance.ID) bool { return home != c.self }, "this instance stood still")
 }
 
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -113,7 +113,7 @@
 		}
 		j.handles = append(j.handles, m.Handle)
 		c.home.byHandle[m.Handle] = j.ID
-		c.logEvent("joined a job in progress", jobField(j.ID))
+		c.logWarning("joined a job in progress", jobField(j.ID), zap.String("Route", j.route.Name), zap.Duration("Elapsed", c.now.Sub(j.arrived)), zap.Duration("Patience", m.CallerTimeout), zap.Int("Callers", len(j.handles)))
 		return
 	}
 	c.counters.Submitted++
@@ -124,11 +124,12 @@
 	}
 	c.home.jobs.Put(j.ID, j)
 	c.home.byHandle[m.Handle] = j.ID
+	formerRuns := 0
 	if j.Ephemeral {
-		c.resumeFormerRuns(j)
+		formerRuns = c.resumeFormerRuns(j)
 	}
-	c.logEvent("job accepted", jobField(j.ID), zap.String("Route", j.route.Name), zap.Int("Tasks", j.remaining), zap.Duration("LongestChain", j.LongestChain()),
-		zap.Duration("Objective", j.objective.Sub(j.arrived)), zap.Duration("Patience", m.CallerTimeout), zap.Uint64("Configuration", c.configurationVersion()))
+	c.logEvent("job accepted", jobField(j.ID), zap.Int("FormerRuns", formerRuns), zap.String("Route", j.route.Name), zap.Int("Tasks", j.remaining), zap.Duration("LongestChain", j.LongestChain()),
+		zap.Duration("Objective", j.objective.Sub(j.arrived)), zap.Duration("Patience", m.CallerTimeout), zap.Duration("RouteTimeout", m.Route.Timeout), zap.Uint64("Configuration", c.configurationVersion()))
 	if !j.Ephemeral {
 		c.acceptStored(j)
 		return
@@ -173,8 +174,6 @@
 	c.placeReady(j)
 }
 
-func jobField(id workload.JobID) zap.Field { return zap.String("Job", string(id)) }
-
 // newJob returns the job of a submission. An ephemeral job expires at a multiple of its
 // objective or when its caller stops waiting, a stored one after storedJobTimeout.
 func (c *Control) newJob(m Submit) *job {
@@ -239,11 +238,11 @@
 
 // resumeFormerRuns restores the runs of a resubmitted ephemeral job that were dropped
 // when the job was answered and may not have ended. Their tasks count as placed, so
-// that no second run starts beside them.
-func (c *Control) resumeFormerRuns(j *job) {
+// that no second run starts beside them. It returns the number of these runs.
+func (c *Control) resumeFormerRuns(j *job) int {
 	former, ok := c.home.droppedRuns.Get(j.ID)
 	if !ok {
-		return
+		return 0
 	}
 	c.home.droppedRuns.Delete(j.ID)
 	for r, holder := range former.runs.All() {
@@ -252,8 +251,9 @@
 		}
 		t := &j.steps[r.Task.Step][r.Task.Index]
 		t.phase, t.holder, t.runNumber, t.placed = placed, holder, r.Number, c.now
-		c.logEvent("task waits for the end of a former run", jobField(j.ID), zap.Int("Step", r.Task.Step), zap.Int("Index", r.Task.Index), zap.Int("Run", r.Number), zap.Stringer("Holder", holder))
+		c.logWarning("task waits for the end of a former run", runFields(r, zap.Stringer("Holder", holder))...)
 	}
+	return former.runs.Len()
 }
 
 // forgetDroppedRuns forgets dropped runs after the time within which a late order
@@ -342,22 +342,23 @@
 		c.reply(h, a)
 	}
 	j.handles = nil
-	c.dropRuns(j)
+	dropped := c.dropRuns(j)
 	c.home.jobs.Delete(j.ID)
 	elapsed := c.now.Sub(j.arrived)
 	if a.Status == Completed && c.now.After(j.objective) {
 		c.counters.Late++
 	}
 	c.emit(Finished{Route: j.route.Name, Status: a.Status, Elapsed: elapsed})
-	c.logEvent("job answered", jobField(j.ID), zap.String("Route", j.route.Name), zap.Stringer("Status", a.Status), zap.String("Reason", a.Reason),
+	c.logJobEnd("job answered", dropped, jobField(j.ID), zap.String("Route", j.route.Name), zap.Stringer("Status", a.Status), zap.String("Reason", a.Reason),
 		zap.Duration("Elapsed", elapsed), zap.Duration("Objective", j.objective.Sub(j.arrived)), zap.Int("TasksLeft", j.remaining),
 		zap.Uint64("Configuration", c.configurationVersion()))
 }
 
 // dropRuns asks the holders to stop the runs of a job's placed tasks. It remembers them until
 // they have ended: a holder is asked again if the session with it ends, and the job may be
-// submitted again before.
-func (c *Control) dropRuns(j *job) {
+// submitted again before. It returns these runs.
+func (c *Control) dropRuns(j *job) []droppedRun {
+	var dropped []droppedRun
 	former := droppedRuns{runs: table.New[workload.Run, instance.ID](), at: c.now}
 	drops := table.New[instance.ID, *Drop]()
 	for s := range j.steps {
@@ -374,6 +375,7 @@
 			}
 			d.Runs = append(d.Runs, j.run(s, i))
 			former.runs.Put(j.run(s, i), t.holder)
+			dropped = append(dropped, droppedRun{j.run(s, i), t.holder})
 		}
 	}
 	if former.runs.Len() > 0 {
@@ -382,6 +384,7 @@
 	for holder, d := range drops.All() {
 		c.send(holder, d)
 	}
+	return dropped
 }
 
 // resendDrops repeats the drops of runs that a holder has not reported as ended, after a new
@@ -396,7 +399,7 @@
 		}
 	}
 	if len(drop.Runs) > 0 {
-		c.logEvent("runs dropped again", zap.Stringer("Holder", holder), zap.Int("Runs", len(drop.Runs)))
+		c.logWarning("runs dropped again", zap.Stringer("Holder", holder), zap.Int("Runs", len(drop.Runs)), zap.Strings("Dropped", runNames(drop.Runs)))
 		c.send(holder, drop)
 	}
 }
@@ -504,8 +507,8 @@
 		m.sequence++
 		p.Sequence = m.sequence
 	}
-	c.logEvent("tasks placed", jobField(p.Job), zap.Int("Step", p.Step), zap.Int("Tasks", len(p.Tasks)), zap.Int("Run", p.Tasks[0].Number),
-		zap.String("Holder", holder.Instance), zap.Duration("AdvertAge", c.advertAge(holder)), zap.Duration("Left", p.CallerTimeout))
+	c.logEvent("tasks placed", jobField(p.Job), zap.Int("Step", p.Step), zap.Array("Runs", placedNames{p}),
+		zap.Stringer("Holder", holder), zap.Duration("AdvertAge", c.advertAge(holder)), zap.Duration("Left", p.CallerTimeout))
 	if holder != c.self {
 		c.uplink.enqueue(c.now, len(p.Spec)+orderOverheadBytes)
 	}
@@ -589,12 +592,14 @@
 			t.retryAt = c.now
 		}
 	case workload.Unknown:
+		c.logGivenUp(m.Run, from, m, c.config.Timing.leaseExpiry(), m.Detail)
 		j.markLost(t, c.now.Add(c.config.Timing.leaseExpiry()))
 		if m.MayStartLater {
 			t.lateStartEndpoint, t.lateStartUntil = m.Endpoint, c.now.Add(lateOrderWindow)
 		}
 		return
 	default:
+		c.logGivenUp(m.Run, from, m, 0, m.Detail)
 		c.counters.Retries++
 		if m.Endpoint != "" {
 			t.avoid = append(t.avoid, m.Endpoint)
@@ -619,8 +624,7 @@
 	}
 	t.failedRuns = append(t.failedRuns, m.Run.Number)
 	t.avoid = append(t.avoid, m.Endpoint)
-	c.logEvent("run failed", jobField(j.ID), zap.Int("Step", m.Run.Task.Step), zap.Int("Index", m.Run.Task.Index), zap.Int("Run", m.Run.Number),
-		zap.String("Endpoint", m.Endpoint), zap.Int("Failures", len(t.failedRuns)), zap.Int("MaxAttempts", j.route.MaxAttempts), zap.Duration("Elapsed", m.Elapsed))
+	c.logEvent("run failed", runFields(m.Run, zap.Stringer("Holder", t.holder), zap.String("Endpoint", m.Endpoint), zap.Int("Failures", len(t.failedRuns)), zap.Int("MaxAttempts", j.route.MaxAttempts), zap.Duration("Elapsed", m.Elapsed))...)
 	if j.failed(t) {
 		c.counters.Failed++
 		c.close(j, Answer{Status: Failed, Reason: fmt.Sprintf("task %d of step %d failed %d times", m.Run.Task.Index, m.Run.Task.Step, len(t.failedRuns))})
@@ -661,7 +665,9 @@
 		for s := range j.steps {
 			for i := range j.steps[s] {
 				if t := &j.steps[s][i]; t.phase == placed && t.holder == holder {
-					j.markLost(t, later(heardAt, t.placed).Add(c.config.Timing.holderLossTimeout()))
+					endedBy := later(heardAt, t.placed).Add(c.config.Timing.holderLossTimeout())
+					c.logGivenUp(j.run(s, i), holder, nil, max(0, endedBy.Sub(c.now)), "its holder has restarted")
+					j.markLost(t, endedBy)
 				}
 			}
 		}
@@ -757,6 +763,7 @@
 			}
 			if t.phase == placed && !c.reachable(t.holder) {
 				if m, ok := c.membership.members.Get(t.holder.Instance); ok && m.id == t.holder && c.now.Sub(later(m.lastSeenAt, t.placed)) > c.config.Timing.holderLossTimeout() {
+					c.logGivenUp(j.run(s, i), t.holder, nil, 0, "its holder is silent")
 					j.markLost(t, c.now)
 				}
 			}
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/storage"
@@ -307,6 +308,7 @@
 // change of the control state.
 type LogEvent struct {
 	Event  string
+	Level  zapcore.Level
 	Fields []zap.Field
 }
 
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -38,6 +38,7 @@
 	verifiedAt     time.Time           // when the last write was sent whose success showed that this instance is the home
 	finalStatus    Status              // outcome of the job, once it is decided
 	reason         string              // of finalStatus
+	dropped        []droppedRun        // runs dropped when the outcome was decided
 	unrecorded     []unrecordedOutcome // outcomes of runs that the next commit records
 	pendingCancels []Handle            // callers to answer once the job has ended
 }
@@ -341,7 +342,7 @@
 	s.finalStatus, s.reason = status, reason
 	if s.phase == open {
 		s.phase = ending
-		c.dropRuns(j)
+		s.dropped = c.dropRuns(j)
 		c.record(j)
 	}
 }
@@ -356,7 +357,7 @@
 	c.home.jobs.Delete(j.ID)
 	elapsed := c.now.Sub(j.arrived)
 	c.emit(Finished{Route: j.route.Name, Status: s.finalStatus, Elapsed: elapsed})
-	c.logEvent("job ended", jobField(j.ID), zap.String("Route", j.route.Name), zap.Stringer("Status", s.finalStatus), zap.String("Reason", s.reason),
+	c.logJobEnd("job ended", s.dropped, jobField(j.ID), zap.String("Route", j.route.Name), zap.Stringer("Status", s.finalStatus), zap.String("Reason", s.reason),
 		zap.Duration("Elapsed", elapsed), zap.Duration("Objective", j.objective.Sub(j.arrived)), zap.Int("Round", s.round), zap.Uint64("Configuration", c.configurationVersion()))
 }
 
@@ -402,7 +403,7 @@
 		c.close(j, Answer{Status: ended.Status, Reason: ended.Reason})
 	default:
 		j.stored.finalStatus, j.stored.reason = ended.Status, ended.Reason
-		c.dropRuns(j)
+		j.stored.dropped = append(j.stored.dropped, c.dropRuns(j)...)
 		c.confirmOutcomes(append(e.outcomes, j.stored.unrecorded...))
 		c.finishStored(j)
 	}
@@ -451,7 +452,7 @@
 
 // dropStored forgets a stored job that has another home, and stops its runs.
 func (c *Control) dropStored(j *job, cause string) {
-	c.dropRuns(j)
+	dropped := c.dropRuns(j)
 	for _, h := range j.handles {
 		delete(c.home.byHandle, h)
 		c.reply(h, Answer{Status: TimedOut, Reason: "its state is not known here: " + cause})
@@ -461,7 +462,7 @@
 	}
 	c.home.jobs.Delete(j.ID)
 	c.unsettle(partitionOf(j.ID)) // a later adoption by this instance may have replaced this one
-	c.logEvent("job lost", jobField(j.ID), zap.String("Cause", cause), zap.Int("Round", j.stored.round))
+	c.logJobEnd("job lost", dropped, jobField(j.ID), zap.String("Cause", cause), zap.Int("Round", j.stored.round))
 }
 
 // reverifyStored has the row of every open stored job written before more of its tasks
@@ -509,7 +510,9 @@
 	switch m.How {
 	case workload.Done:
 		if t.phase == placed && t.runNumber != m.Run.Number {
-			c.send(t.holder, &Drop{Runs: []workload.Run{j.run(m.Run.Task.Step, m.Run.Task.Index)}})
+			current := j.run(m.Run.Task.Step, m.Run.Task.Index)
+			c.logGivenUp(current, t.holder, nil, 0, fmt.Sprintf("run %d of its task is done", m.Run.Number))
+			c.send(t.holder, &Drop{Runs: []workload.Run{current}})
 		}
 		j.started = true
 		c.taskDone(j, t, m.Run.Task.Step)
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -40,6 +40,7 @@
 	if r, ok := h.runs.Get(id); ok {
 		if r.home != from {
 			r.otherHomes = append(r.otherHomes, from)
+			c.logWarning("run of another home is still here", r.logFields(zap.Stringer("AskedBy", from))...)
 		}
 		return
 	}
@@ -181,9 +182,8 @@
 		answerTimeout = c.config.Timing.AnswerTimeout
 	}
 	r.answerDue = c.now.Add(answerTimeout + c.uplink.enqueue(c.now, len(r.request.Spec)+orderOverheadBytes))
-	c.logEvent("start ordered", jobField(r.id.Task.Job), zap.Int("Step", r.id.Task.Step), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.Int("Copy", r.startsSent),
-		zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)), zap.Int("FreeMilliCPU", e.free().MilliCPU), zap.Duration("ReportAge", c.now.Sub(e.reportReceivedAt)),
-		zap.Duration("Waited", c.now.Sub(r.arrivedAt)), zap.String("Home", r.home.Instance))
+	c.logEvent("start ordered", r.logFields(zap.Int("Copy", r.startsSent), zap.Int("FreeMilliCPU", e.free().MilliCPU), zap.Duration("ReportAge", c.now.Sub(e.reportReceivedAt)),
+		zap.Duration("Waited", c.now.Sub(r.arrivedAt)))...)
 	c.emit(Start{
 		Endpoint: e.info.ID, Address: e.info.Address, Token: e.token, Run: r.id, Spec: r.request.Spec,
 		Until: e.clock + c.now.Sub(e.reportReceivedAt) + c.config.Timing.Lease,
@@ -217,8 +217,7 @@
 		}
 		return
 	}
-	c.logEvent("start not accepted", jobField(m.Run.Task.Job), zap.Int("Index", m.Run.Task.Index), zap.Int("Run", m.Run.Number), zap.Int("Copy", r.startsSent),
-		zap.String("Endpoint", m.Endpoint.Name), zap.Stringer("Outcome", m.Outcome), zap.Error(m.Err))
+	c.logEvent("start not accepted", r.logFields(zap.Int("Copy", r.startsSent), zap.Stringer("Outcome", m.Outcome), zap.Error(m.Err))...)
 	if r.state != starting {
 		return
 	}
@@ -228,7 +227,7 @@
 			c.retryStart(r)
 		}
 	case r.startsSent > 1:
-		c.stopRun(r)
+		c.stopRun(r, "a copy of its start was refused: "+m.Outcome.String())
 	case m.Outcome == TooOld:
 		c.endRun(r, workload.Outdated, m.Outcome.String())
 	case m.Outcome == Malformed:
@@ -243,7 +242,7 @@
 // is withheld, or after a pause it stops the run instead.
 func (c *Control) retryStart(r *run) {
 	if r.startsSent > c.config.Timing.StartRetries || r.endpoint.leaseWithheld || c.callerUnknown(r) {
-		c.stopRun(r)
+		c.stopRun(r, "its start is not answered")
 		return
 	}
 	c.counters.RepeatedStarts++
@@ -251,11 +250,14 @@
 }
 
 // stopRun sends a stop order for a run and marks the run as stopping.
-func (c *Control) stopRun(r *run) {
+func (c *Control) stopRun(r *run, cause string) {
 	e := r.endpoint
 	r.state, r.stopSentAt = stopping, c.now
+	if r.stopCause == "" {
+		r.stopCause = cause
+	}
 	c.counters.Stops++
-	c.logEvent("stop ordered", jobField(r.id.Task.Job), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token)))
+	c.logWarning("stop ordered", r.logFields(zap.String("Cause", cause))...)
 	c.orderStop(e, r.id)
 }
 
@@ -290,21 +292,20 @@
 	switch r.state {
 	case starting:
 		if !c.now.Before(r.answerDue) {
-			c.logEvent("start not answered in time", jobField(r.id.Task.Job), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.Int("Copy", r.startsSent), zap.String("Endpoint", r.endpoint.info.ID.Name))
+			c.logEvent("start not answered in time", r.logFields(zap.Int("Copy", r.startsSent))...)
 			c.retryStart(r)
 		}
 	case stopping:
 		if r.stopDone.IsZero() && c.now.Sub(r.stopSentAt) >= c.config.Timing.StopRetry {
-			c.stopRun(r)
+			c.stopRun(r, r.stopCause)
 		}
 	case running:
 		if r.endpoint.state == active && r.stalled() {
 			c.counters.StragglersStopped++
-			c.logEvent("run makes no progress", jobField(r.id.Task.Job), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.String("Endpoint", r.endpoint.info.ID.Name),
-				zap.Int("Percent", r.percent), zap.Duration("Unchanged", c.now.Sub(later(r.percentAt, r.orderedAt))), zap.Duration("Estimate", r.request.Estimate))
+			c.logWarning("run makes no progress", r.logFields(zap.Int("Percent", r.percent), zap.Duration("Unchanged", c.now.Sub(later(r.percentAt, r.orderedAt))), zap.Duration("Estimate", r.request.Estimate))...)
 			r.endpoint.health.eject(c.now)
 			c.holder.capacityStale = true
-			c.stopRun(r)
+			c.stopRun(r, "it makes no progress")
 		}
 	}
 }
@@ -349,7 +350,11 @@
 func (c *Control) handleDrop(from instance.ID, m *Drop) {
 	for _, id := range m.Runs {
 		if r, ok := c.holder.runs.Get(id); ok && r.home == from && (r.state == queued || !m.OnlyWaiting) {
-			c.dropRun(r, "its home does not want it any more")
+			cause := "its job has ended at its home"
+			if m.OnlyWaiting {
+				cause = "its home moves it to another holder"
+			}
+			c.dropRun(r, cause)
 		}
 	}
 }
@@ -366,7 +371,7 @@
 	case queued:
 		c.endRun(r, workload.NeverRan, cause)
 	case starting, running:
-		c.stopRun(r)
+		c.stopRun(r, cause)
 	}
 }
 
@@ -402,8 +407,7 @@
 		h.ended.Put(r.id, r)
 	}
 	h.capacityStale, h.queueChanged, h.advertChanged = true, true, true
-	c.logEvent("run ended", jobField(r.id.Task.Job), zap.Int("Step", r.id.Task.Step), zap.Int("Index", r.id.Task.Index), zap.Int("Run", r.id.Number), zap.Stringer("How", how),
-		zap.String("Endpoint", ended.Endpoint), zap.Duration("Elapsed", ended.Elapsed), zap.Duration("Estimate", r.request.Estimate), zap.String("Detail", detail))
+	c.logRunEnded(r)
 	c.send(r.home, ended)
 	for _, id := range r.otherHomes {
 		c.send(id, &RunEnded{Run: r.id, How: workload.NeverRan, Detail: "a run of this number was there for another home"})
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -149,6 +150,12 @@
 	Index int
 }
 
+// Name returns the name of the task on the platform's interfaces. Its second part numbers the
+// occurrences of timed jobs, which are not offered.
+func (t TaskID) Name() string {
+	return string(t.Job) + ".0." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
 // Run identifies one start of a task. The runs of a task have rising numbers,
 // from 1.
 type Run struct {
@@ -156,6 +163,9 @@
 	Number int
 }
 
+// Name returns the name of the run's task and the number of the run.
+func (r Run) Name() string { return r.Task.Name() + " run " + strconv.Itoa(r.Number) }
+
 // How is the outcome of a run.
 type How int
 
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -234,7 +234,7 @@
 func (s *Server) perform(ctx context.Context, e placement.Effect) {
 	switch m := e.(type) {
 	case placement.LogEvent:
-		s.logger.Info(m.Event, m.Fields...)
+		s.logger.Log(m.Level, m.Event, m.Fields...)
 	case placement.Reply:
 		s.replies.Answer(m.Handle, m.Answer)
 	case placement.Send:
