Breaches of TWICE name both runs; workers' stand-ins carry out orders late and lose answers

Cause: a breach named the task and two endpoints.

Change: messages only, no rule. Both runs are named with endpoint and its born, the holders' tokens of start, stop and acknowledgement, the times, and how each ended once it has; beside real processes with wall-clock times as in their logs. The stand-in of a worker draws late orders and lost answers as the model's network does: a late order gets no answer and an open connection, a lost answer a broken connection. The drawing is in one place (OrderIsLate, AnswerIsLost), with the same draws.

--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -37,8 +37,8 @@
 	runs         map[workload.Run]*endpointRun
 	highestEnded map[workload.TaskID]int // number of the latest stopped or ended run of each task
 	ended        []workload.EndedRun
-	endedAt      map[int64]time.Time // by sequence number
-	lapsedAt     time.Time           // when the lease last ran out
+	endedRuns    map[int64]*endpointRun // by sequence number
+	lapsedAt     time.Time              // when the lease last ran out
 	sequence     int64
 	waiters      []func()
 }
@@ -70,10 +70,49 @@
 }
 
 type endpointRun struct {
+	id       workload.Run
+	endpoint *Endpoint
+	born     int64 // incarnation of the endpoint
+	token    workload.Token
 	need     workload.Resources
 	started  time.Time
 	length   time.Duration
 	stopping bool
+	breaches []int // indexes of the breaches that name the run
+
+	// For messages only, like token.
+	stopped           time.Time // when the first stop order came
+	stopToken         workload.Token
+	how               string
+	ended             time.Time
+	acknowledged      time.Time
+	acknowledgedToken workload.Token
+}
+
+// String returns what leads to the log lines of a run: its endpoint, its times and the
+// tokens of the holders that ordered it.
+func (r *endpointRun) String() string {
+	w := r.endpoint.world
+	text := fmt.Sprintf("run %d on %s (born %d, token %d) started %s", r.id.Number, r.endpoint.Info.ID.Name, r.born, r.token, w.stamp(r.started))
+	if !r.stopped.IsZero() {
+		text += fmt.Sprintf(", told to stop %s (token %d)", w.stamp(r.stopped), r.stopToken)
+	}
+	if r.how != "" {
+		text += fmt.Sprintf(", %s %s", r.how, w.stamp(r.ended))
+	}
+	if !r.acknowledged.IsZero() {
+		text += fmt.Sprintf(", acknowledged %s (token %d)", w.stamp(r.acknowledged), r.acknowledgedToken)
+	}
+	return text
+}
+
+// end notes how the run ended, also in the breaches that name it.
+func (r *endpointRun) end(how string) {
+	w := r.endpoint.world
+	r.how, r.ended = how, w.Now
+	for _, i := range r.breaches {
+		w.Breaches[i] += fmt.Sprintf("; %v", r)
+	}
 }
 
 // AddEndpoint adds an endpoint to a failure domain.
@@ -100,12 +139,15 @@
 	x.runs = make(map[workload.Run]*endpointRun)
 	x.highestEnded = make(map[workload.TaskID]int)
 	x.ended, x.waiters = nil, nil
-	x.endedAt = make(map[int64]time.Time)
+	x.endedRuns = make(map[int64]*endpointRun)
 }
 
 // Crash stops the endpoint and all runs on it without reporting their outcomes.
 func (x *Endpoint) Crash() {
 	x.Up = false
+	for _, r := range x.runs {
+		r.end("lost in a crash")
+	}
 	x.runs = make(map[workload.Run]*endpointRun)
 	x.waiters = nil
 }
@@ -194,12 +236,15 @@
 		return placement.Malformed
 	}
 	o.Started = true
-	w.started(o, m.Run)
+	r := &endpointRun{id: m.Run, endpoint: x, born: x.Info.ID.Born, token: m.Token, started: w.Now}
+	w.started(o, r)
 	s := &o.Job.Steps[m.Run.Task.Step]
 	for _, other := range w.Endpoints {
-		for id := range other.runs {
+		for id, earlier := range other.runs {
 			if id.Task == m.Run.Task {
-				w.breach(fmt.Sprintf("task %v runs on %s and was started on %s", id.Task, other.Info.ID.Name, x.Info.ID.Name))
+				i := len(w.Breaches)
+				earlier.breaches, r.breaches = append(earlier.breaches, i), append(r.breaches, i)
+				w.breach(fmt.Sprintf("task %v runs on %s and was started on %s: %v; %v", id.Task, other.Info.ID.Name, x.Info.ID.Name, earlier, r))
 			}
 		}
 	}
@@ -208,7 +253,8 @@
 		length = o.Lengths[m.Run.Task.Index]
 	}
 	length = time.Duration(float64(length) / x.Speed())
-	x.runs[m.Run] = &endpointRun{need: s.Need, started: w.Now, length: length}
+	r.need, r.length = s.Need, length
+	x.runs[m.Run] = r
 	if !x.Used().Fits(x.Info.Capacity) {
 		w.breach(fmt.Sprintf("%s is over its capacity: %v of %v", x.Info.ID.Name, x.Used(), x.Info.Capacity))
 	}
@@ -216,7 +262,6 @@
 	if x.FailsAll {
 		outcome, length = workload.Failed, length/4
 	}
-	r := x.runs[m.Run]
 	id, incarnation := m.Run, x.startedAt
 	if !x.Hangs {
 		w.After(length, func() {
@@ -242,6 +287,7 @@
 		return placement.Accepted
 	}
 	r.stopping = true
+	r.stopped, r.stopToken = x.world.Now, m.Token
 	incarnation := x.startedAt
 	x.world.After(stopTime, func() {
 		if x.startedAt == incarnation && x.runs[m.Run] == r {
@@ -252,11 +298,13 @@
 }
 
 func (x *Endpoint) endRun(id workload.Run, how workload.How) {
+	r := x.runs[id]
 	delete(x.runs, id)
+	r.end(how.String())
 	x.highestEnded[id.Task] = max(x.highestEnded[id.Task], id.Number)
 	x.sequence++
 	x.ended = append(x.ended, workload.EndedRun{Sequence: x.sequence, Run: id, How: how})
-	x.endedAt[x.sequence] = x.world.Now
+	x.endedRuns[x.sequence] = r
 	if o, ok := x.world.Jobs[id.Task.Job]; ok {
 		switch {
 		case how == workload.Done:
@@ -282,8 +330,10 @@
 		return placement.Fenced
 	}
 	for len(x.ended) > 0 && x.ended[0].Sequence <= acknowledged {
-		x.world.recordAcknowledged(&x.ended[0], x.lapsedAt.After(x.endedAt[x.ended[0].Sequence]))
-		delete(x.endedAt, x.ended[0].Sequence)
+		r := x.endedRuns[x.ended[0].Sequence]
+		r.acknowledged, r.acknowledgedToken = x.world.Now, token
+		x.world.recordAcknowledged(&x.ended[0], r, x.lapsedAt.After(r.ended))
+		delete(x.endedRuns, x.ended[0].Sequence)
 		x.ended = x.ended[1:]
 	}
 	if until > 0 {
@@ -292,6 +342,16 @@
 	return placement.Accepted
 }
 
+// OrderIsLate draws whether an order is carried out late and not answered.
+func (x *Endpoint) OrderIsLate() bool {
+	return x.LateOrders > 0 && x.world.random.Float64() < x.LateOrders
+}
+
+// AnswerIsLost draws whether the answer to an order is lost.
+func (x *Endpoint) AnswerIsLost() bool {
+	return x.LoseAnswers > 0 && x.world.random.Float64() < x.LoseAnswers
+}
+
 // WhenEnded calls do once: as soon as there are unacknowledged ended runs, or when
 // the wait is over.
 func (x *Endpoint) WhenEnded(wait time.Duration, do func()) {
--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -337,12 +337,12 @@
 		return
 	}
 	delay := w.oneWay(n.location(), x.location())
-	if x.LateOrders > 0 && w.random.Float64() < x.LateOrders {
+	if x.OrderIsLate() {
 		w.After(x.LateBy, func() { do(x) })
 		n.later(timeout, func() { done(placement.Unanswered) })
 		return
 	}
-	lost := x.LoseAnswers > 0 && w.random.Float64() < x.LoseAnswers
+	lost := x.AnswerIsLost()
 	w.After(delay, func() {
 		outcome := do(x)
 		if outcome == placement.Accepted && x.Info.ID != id {
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -81,6 +81,9 @@
 	Breaches []string
 	// Jobs holds the outcome of every submitted job.
 	Jobs map[workload.JobID]*Outcome
+	// Began, if set, is the wall-clock time at which the virtual time began. Messages
+	// then give wall-clock times, as logs do.
+	Began time.Time
 
 	random       *rand.Rand
 	events       events
@@ -105,10 +108,10 @@
 	// that connection may have run tasks even if a later one is refused.
 	CallerDisconnected bool
 
-	resend           func()                   // schedules another submission; nil if the caller makes none
-	finished         map[workload.TaskID]bool // tasks with a run that ended as done
-	acknowledgedDone map[workload.TaskID]bool // tasks of a stored job with an acknowledged run that ended as done
-	lastRun          map[workload.TaskID]int  // highest run number started, for a stored job
+	resend           func()                           // schedules another submission; nil if the caller makes none
+	finished         map[workload.TaskID]bool         // tasks with a run that ended as done
+	acknowledgedDone map[workload.TaskID]*endpointRun // acknowledged runs of a stored job's tasks that ended as done
+	lastRun          map[workload.TaskID]*endpointRun // the highest run started, for a stored job
 	failures         map[workload.TaskID]*failures
 }
 
@@ -281,7 +284,7 @@
 // later run of a stored job's task was started after one that ended as done, not
 // even before the acknowledgement. Runs are exempt if the endpoint's lease lapsed
 // between the two, because its holder couldn't know that they had ended.
-func (w *World) recordAcknowledged(e *workload.EndedRun, lapsed bool) {
+func (w *World) recordAcknowledged(e *workload.EndedRun, r *endpointRun, lapsed bool) {
 	o, ok := w.Jobs[e.Run.Task.Job]
 	if !ok || o.Job.Ephemeral || lapsed {
 		return
@@ -296,30 +299,41 @@
 		return
 	}
 	if o.acknowledgedDone == nil {
-		o.acknowledgedDone = make(map[workload.TaskID]bool)
+		o.acknowledgedDone = make(map[workload.TaskID]*endpointRun)
 	}
-	o.acknowledgedDone[e.Run.Task] = true
-	if last := o.lastRun[e.Run.Task]; last > e.Run.Number {
-		w.breach(fmt.Sprintf("run %d of task %v was started, although run %d is done and acknowledged", last, e.Run.Task, e.Run.Number))
+	o.acknowledgedDone[e.Run.Task] = r
+	if last := o.lastRun[e.Run.Task]; last.id.Number > e.Run.Number {
+		w.breach(fmt.Sprintf("run %d of task %v was started, although run %d is done and acknowledged: %v; %v", last.id.Number, e.Run.Task, e.Run.Number, r, last))
 	}
 }
 
 // started records that a run of a stored job was started, and checks that no
 // acknowledged run of its task has ended as done.
-func (w *World) started(o *Outcome, r workload.Run) {
+func (w *World) started(o *Outcome, r *endpointRun) {
 	if o.Job.Ephemeral {
 		return
 	}
 	if o.lastRun == nil {
-		o.lastRun = make(map[workload.TaskID]int)
+		o.lastRun = make(map[workload.TaskID]*endpointRun)
 	}
-	o.lastRun[r.Task] = max(o.lastRun[r.Task], r.Number)
-	f := o.failuresOf(r.Task)
-	f.startedAfter = append(f.startedAfter, startedTask{run: r.Number, failed: f.ended})
-	w.checkBudget(r.Task, f)
-	if o.acknowledgedDone[r.Task] {
-		w.breach(fmt.Sprintf("run %d of task %v was started, which is done", r.Number, r.Task))
+	task := r.id.Task
+	if last := o.lastRun[task]; last == nil || r.id.Number > last.id.Number {
+		o.lastRun[task] = r
+	}
+	f := o.failuresOf(task)
+	f.startedAfter = append(f.startedAfter, startedTask{run: r.id.Number, failed: f.ended})
+	w.checkBudget(task, f)
+	if done := o.acknowledgedDone[task]; done != nil {
+		w.breach(fmt.Sprintf("run %d of task %v was started, which is done: %v; %v", r.id.Number, task, done, r))
+	}
+}
+
+// stamp returns a time as messages give it.
+func (w *World) stamp(t time.Time) string {
+	if w.Began.IsZero() {
+		return t.Sub(epoch).String()
 	}
+	return w.Began.Add(t.Sub(epoch)).UTC().Format("15:04:05.0000")
 }
 
 func (w *World) breach(text string) { w.Breaches = append(w.Breaches, text) }
--- a/pkg/standin/workers.go
+++ b/pkg/standin/workers.go
@@ -47,6 +47,7 @@
 	timing := placement.DefaultTiming()
 	timing.Lease = config.Lease
 	w := &Workers{began: time.Now(), entries: make(map[string]storage.Row), world: model.New(model.Config{Service: config.Service, Timing: timing})}
+	w.world.Began = w.began
 	for _, d := range config.Domains {
 		for _, e := range d.Endpoints {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -160,7 +161,8 @@
 }
 
 // order reads the body of an order, carries the order out in the workers' world and
-// answers with the outcome.
+// answers with the outcome. An order that is carried out late gets no answer, and its
+// connection stays open.
 func (w *Workers) order(out http.ResponseWriter, r *http.Request, x *model.Endpoint, do func([]byte) (placement.OrderOutcome, error)) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBody))
 	if err != nil {
@@ -168,17 +170,23 @@
 	}
 	var status int
 	var answer []byte
-	unanswered := false
-	w.With(func(*model.World) {
+	late, unanswered := false, false
+	w.With(func(m *model.World) {
 		outcome := placement.Misdirected
 		if platform.TargetEndpoint(r.Header) == x.Info.ID.Name {
+			if late = x.OrderIsLate(); late {
+				m.After(x.LateBy, func() { _, _ = do(body) }) // nobody waits for the outcome
+				return
+			}
 			outcome, err = do(body)
 		}
-		unanswered = outcome == placement.Unanswered
+		unanswered = outcome == placement.Unanswered || x.AnswerIsLost()
 		report := workload.Report{Clock: x.Clock()}
 		status, answer = platform.EncodeOutcome(outcome, x.Info.ID.Born, &report)
 	})
 	switch {
+	case late:
+		<-r.Context().Done()
 	case err != nil:
 		http.Error(out, err.Error(), http.StatusBadRequest)
 	case unanswered:
