Soak: parameters in a profile, faults in a file of their own

Cause: the soak's size and faults were constants, so a rougher one was a patch to them (docs/incidents/between-real-processes.md). A fault of a gate's peers applied only to the sessions that others had dialed to it; the older of two instances kept its own.

Change: a profile holds the parameters; the present one keeps its values, its faults and its random streams. A proxy finds in the hello which instance has dialed, so a gate can be cut from its peers whoever dialed. A gate can get another address, and signals reach a gate that stops.

--- a/cmd/crocus-gate/proxy_test.go
+++ b/cmd/crocus-gate/proxy_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -18,12 +19,14 @@
 	listener net.Listener
 	group    *errgroup.Group
 
+	target netip.AddrPort
+
 	mu           sync.Mutex
-	target       netip.AddrPort
 	state        proxyState
+	bySource     map[string]proxyState // further faults, by the instance that has dialed
 	toTarget     shapedLink
 	fromTarget   shapedLink
-	conns        map[net.Conn]bool
+	conns        map[net.Conn]*dialed
 	stateChanged chan struct{} // closed when the state changes
 }
 
@@ -35,6 +38,18 @@
 	Unreachable       bool // connections are reset
 }
 
+// and returns the faults of both states together.
+func (s proxyState) and(o proxyState) proxyState {
+	return proxyState{
+		max(s.Delay, o.Delay), s.BlockedToTarget || o.BlockedToTarget, s.BlockedFromTarget || o.BlockedFromTarget, s.Unreachable || o.Unreachable,
+	}
+}
+
+// dialed is a connection through a proxy.
+type dialed struct {
+	source string // the instance that has dialed, once its hello has come
+}
+
 const bufferBytes = 32 << 10 // of one direction of a connection
 
 // shapedLink delays bytes as a link of some rate does that all connections share.
@@ -88,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &proxy{listener: listener, group: group, target: target, conns: make(map[net.Conn]bool), stateChanged: make(chan struct{})}
+	l := &proxy{listener: listener, group: group, target: target, bySource: make(map[string]proxyState), conns: make(map[net.Conn]*dialed), stateChanged: make(chan struct{})}
 	group.Go(func() error {
 		<-ctx.Done()
 		l.setState(proxyState{Unreachable: true})
@@ -116,14 +131,21 @@
 
 // setState changes the faults of the proxy. An unreachable proxy resets its open
 // connections.
-func (l *proxy) setState(s proxyState) {
+func (l *proxy) setState(s proxyState) { l.change(func() { l.state = s }) }
+
+// setSourceState changes the faults of the connections that an instance has dialed.
+func (l *proxy) setSourceState(source string, s proxyState) {
+	l.change(func() { l.bySource[source] = s })
+}
+
+func (l *proxy) change(do func()) {
 	l.mu.Lock()
-	l.state = s
+	do()
 	close(l.stateChanged)
 	l.stateChanged = make(chan struct{})
 	var reset []net.Conn
-	if s.Unreachable {
-		for c := range l.conns {
+	for c, d := range l.conns {
+		if l.state.and(l.bySource[d.source]).Unreachable {
 			reset = append(reset, c)
 		}
 	}
@@ -141,17 +163,27 @@
 	_ = c.Close()
 }
 
-func (l *proxy) current() (proxyState, netip.AddrPort, chan struct{}) {
+func (l *proxy) current(d *dialed) (proxyState, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.and(l.bySource[d.source]), l.stateChanged
+}
+
+// identify finds the instance that has dialed a connection, in the hello that it sends first.
+func (l *proxy) identify(d *dialed, sent []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.state, l.target, l.stateChanged
+	// The name stands behind its length.
+	if i := bytes.Index(sent, []byte("gate-")); d.source == "" && i > 0 && i+int(sent[i-1]) <= len(sent) {
+		d.source = string(sent[i : i+int(sent[i-1])])
+	}
 }
 
-func (l *proxy) track(c net.Conn, kept bool) {
+func (l *proxy) track(c net.Conn, d *dialed) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if kept {
-		l.conns[c] = true
+	if d != nil {
+		l.conns[c] = d
 		return
 	}
 	delete(l.conns, c)
@@ -159,41 +191,47 @@
 
 func (l *proxy) serve(near net.Conn) {
 	defer resetConn(near)
-	s, target, _ := l.current()
-	if s.Unreachable {
+	d := new(dialed)
+	if s, _ := l.current(d); s.Unreachable {
 		return
 	}
-	far, err := net.DialTimeout("tcp", target.String(), time.Second)
+	far, err := net.DialTimeout("tcp", l.target.String(), time.Second)
 	if err != nil {
 		return
 	}
 	defer resetConn(far)
 	for _, c := range []net.Conn{near, far} {
-		l.track(c, true)
-		defer l.track(c, false)
+		l.track(c, d)
+		defer l.track(c, nil)
 	}
 	var both errgroup.Group
 	both.Go(func() error {
-		return l.forwardBytes(far, near, &l.toTarget, func(s proxyState) bool { return s.BlockedToTarget })
+		return l.forwardBytes(far, near, d, &l.toTarget, func(s proxyState) bool { return s.BlockedToTarget })
 	})
 	both.Go(func() error {
-		return l.forwardBytes(near, far, &l.fromTarget, func(s proxyState) bool { return s.BlockedFromTarget })
+		return l.forwardBytes(near, far, d, &l.fromTarget, func(s proxyState) bool { return s.BlockedFromTarget })
 	})
 	_ = both.Wait() // the tests break connections on purpose
 }
 
 // forwardBytes copies bytes in one direction. While that direction is blocked, the bytes
 // wait.
-func (l *proxy) forwardBytes(to, from net.Conn, link *shapedLink, silent func(proxyState) bool) error {
+func (l *proxy) forwardBytes(to, from net.Conn, d *dialed, link *shapedLink, silent func(proxyState) bool) error {
 	defer func() { _ = to.Close() }()
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			s, _, change := l.current()
+			if link == &l.toTarget {
+				l.identify(d, buffer[:n])
+			}
+			s, change := l.current(d)
 			for silent(s) && !s.Unreachable {
 				<-change
-				s, _, change = l.current()
+				s, change = l.current(d)
+			}
+			if s.Unreachable {
+				return net.ErrClosed
 			}
 			time.Sleep(s.Delay)
 			link.pass(n)
--- a/cmd/crocus-gate/soak_configuration_test.go
+++ b/cmd/crocus-gate/soak_configuration_test.go
@@ -210,6 +210,9 @@
 func (s *soak) checkInForceEverywhere() {
 	client := &http.Client{Timeout: time.Second}
 	for _, p := range s.gates {
+		if !p.joined.Load() {
+			continue
+		}
 		if status := s.routeStatus(client, p, s.changes.due()); status != http.StatusOK {
 			s.recordBreach("%s answers %d on the route of the newest version %d", p.name, status, s.changes.due())
 		}
@@ -228,7 +231,7 @@
 		p := s.gates[i]
 		s.lastFault.Store(time.Now().UnixNano())
 		p.disturbed.begin()
-		for _, l := range []*proxy{p.callersProxy, p.peers, s.toStore[i]} {
+		for _, l := range []*proxy{p.callersProxy, p.toPeers(), s.toStore[i]} {
 			l.resetSome(func() bool { return r.IntN(2) == 0 })
 		}
 		p.disturbed.end()
--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -41,22 +41,35 @@
 	3002, // the same; and the end of a late start lost at an endpoint's next incarnation (docs/incidents/soak-3002.md)
 }
 
+// profile holds the parameters of a soak.
+type profile struct {
+	domains           int
+	gates             int // unless SOAK_GATES is set; the gates of all domains, in turn
+	joiningGates      int // further gates that start when a fault has them join
+	workers           int // in all domains
+	addedWorkers      int // that faults add, in all domains
+	callers           int
+	longCallers       int
+	duration          time.Duration
+	overlappingFaults int     // on average
+	giveUpShare       float64 // of the calls, which their callers break off early
+	faults            []fault
+}
+
+var smallProfile = profile{
+	domains: 3, gates: 6, workers: 12, callers: 16, longCallers: 6, duration: 12 * time.Second, overlappingFaults: 2, faults: faults,
+}
+
 const (
-	soakDomains       = 3
-	soakGates         = 6  // unless SOAK_GATES is set
-	soakWorkers       = 12 // in all domains
-	soakCallers       = 16
-	soakLongCallers   = 6
-	soakDuration      = 12 * time.Second
-	overlappingFaults = 2                       // that overlap, on average
-	resendDelay       = 1300 * time.Millisecond // until a caller without an answer sends its job again
-	callerTimeout     = 2 * time.Second
-	visibleWithin     = 3 * time.Second  // time after which every gate knows an accepted job
-	settleTimeout     = 60 * time.Second // for all jobs to end after the last fault
-	maxCallAttempts   = 6
-	unreadWindow      = 200 * time.Millisecond // a younger request may not have been read by the gate
-	soakHost          = "seats.example"
-	soakService       = "booking"
+	resendDelay     = 1300 * time.Millisecond // until a caller without an answer sends its job again
+	callerTimeout   = 2 * time.Second
+	callerPatience  = callerTimeout + time.Second // until a caller closes its connection
+	visibleWithin   = 3 * time.Second             // time after which every gate knows an accepted job
+	settleTimeout   = 60 * time.Second            // for all jobs to end after the last fault
+	maxCallAttempts = 6
+	unreadWindow    = 200 * time.Millisecond // a younger request may not have been read by the gate
+	soakHost        = "seats.example"
+	soakService     = "booking"
 	// faultFreePeriod is the time after the last fault from which on a planned stop must
 	// not break off any request.
 	faultFreePeriod = 4 * time.Second
@@ -74,14 +87,16 @@
 // callers and endpoints can observe.
 type soak struct {
 	t         *testing.T
+	profile   profile
 	ctx       context.Context
 	group     *errgroup.Group
 	random    *rand.Rand // chooses the faults
 	dir       string
 	store     *standin.Platform
 	workers   *standin.Workers
-	toStore   []*proxy // one for each gate
-	toWorkers []*proxy // one for each worker
+	toStore   []*proxy          // one for each gate
+	toWorkers []*proxy          // one for each worker
+	added     []*model.Endpoint // workers that faults can add
 	gates     []*process
 
 	changes   *changes     // of the configuration
@@ -106,11 +121,15 @@
 	name            string
 	settings        string
 	callers         netip.AddrPort
-	peers           *proxy
-	callersProxy    *proxy      // in front of callers
-	disturbed       disturbance // by faults of the process or its links
+	domain          int
+	setup           map[string]any // the settings
+	joined          atomic.Bool    // it has been started
+	callersProxy    *proxy         // in front of callers
+	disturbed       disturbance    // by faults of the process or its links
 	mu              sync.Mutex
-	cmd             *exec.Cmd
+	peers           *proxy
+	cmd             *exec.Cmd   // nil while the process is down or stops
+	last            *os.Process // started, for signals
 	starts          int
 	inFault         bool // a fault of this gate is in progress
 	onlyPlannedStop bool // a planned stop is its only fault
@@ -134,18 +153,18 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + pid%64), byte(pid / 64), byte(gate + 1)}), port)
 }
 
-func newSoak(t *testing.T, seed uint64, binary string) *soak {
+func newSoak(t *testing.T, p profile, seed uint64, binary string) *soak {
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	s := &soak{
-		t: t, ctx: ctx, group: group, random: rand.New(rand.NewPCG(seed, 1)), dir: t.TempDir(),
+		t: t, profile: p, ctx: ctx, group: group, random: rand.New(rand.NewPCG(seed, 1)), dir: t.TempDir(),
 		stored: make(map[workload.JobID]*storedJob), refused: make(map[workload.JobID]*model.Outcome),
 		changes: newChanges(seed),
 	}
 	config := standin.WorkersConfig{Service: soakService, Lease: time.Second}
-	for i := range soakDomains {
+	for i := range p.domains {
 		d := model.Domain{Name: fmt.Sprintf("domain-%d", i)}
-		for j := range soakWorkers / soakDomains {
+		for j := range (p.workers + p.addedWorkers) / p.domains {
 			d.Endpoints = append(d.Endpoints, model.EndpointConfig{Capacity: workload.Resources{MilliCPU: 64000, MemoryMB: 4096}, Speed: []float64{0.6, 1, 1.6}[j%3]})
 		}
 		config.Domains = append(config.Domains, d)
@@ -163,6 +182,10 @@
 	s.workers.With(func(w *model.World) {
 		for i, x := range w.Endpoints {
 			x.Info.Address = s.toWorkers[i].address()
+			if i%((p.workers+p.addedWorkers)/p.domains) >= p.workers/p.domains {
+				x.Up, x.Listed = false, false
+				s.added = append(s.added, x)
+			}
 		}
 	})
 	s.store.ListWorkers(s.workers)
@@ -176,42 +199,66 @@
 		assert.Check(t, group.Wait())
 	})
 	s.changes.write(s, 0)
-	for i := range gateCount() {
-		s.addGate(i, binary)
-	}
-	return s
-}
-
-func gateCount() int {
+	gates := p.gates
 	if n, err := strconv.Atoi(os.Getenv("SOAK_GATES")); err == nil {
-		return n
+		gates = n
+	}
+	for i := range gates + p.joiningGates {
+		s.addGate(i)
+		if i < gates {
+			s.start(s.gates[i], binary)
+		}
 	}
-	return soakGates
+	return s
 }
 
-func (s *soak) addGate(i int, binary string) {
+func (s *soak) addGate(i int) {
 	toStore, err := newProxy(s.ctx, s.group, s.store.Address())
 	assert.NilError(s.t, err)
 	rate := s.linkRate(i)
 	toStore.shape(rate)
 	peers, callers := gateAddress(i, portPeers), gateAddress(i, portCallers)
-	p := &process{name: fmt.Sprintf("gate-%d", i), settings: filepath.Join(s.dir, fmt.Sprintf("gate-%d.json", i))}
-	p.peers, err = newProxy(s.ctx, s.group, peers)
-	assert.NilError(s.t, err)
-	p.peers.shape(rate)
+	p := &process{name: fmt.Sprintf("gate-%d", i), domain: i % s.profile.domains, settings: filepath.Join(s.dir, fmt.Sprintf("gate-%d.json", i))}
 	p.callersProxy, err = newProxy(s.ctx, s.group, callers)
 	assert.NilError(s.t, err)
 	p.callers = p.callersProxy.address()
-	text, err := json.Marshal(map[string]any{
-		"Instance": p.name, "Domain": fmt.Sprintf("domain-%d", i%soakDomains), "Callers": callers, "Ready": gateAddress(i, portReady), "Peers": peers,
-		"Advertised": p.peers.address(), "Metrics": gateAddress(i, portMetrics), "Store": toStore.address(), "Processor": 0.4, "MemoryMB": 284,
+	p.setup = map[string]any{
+		"Instance": p.name, "Domain": fmt.Sprintf("domain-%d", p.domain), "Callers": callers, "Ready": gateAddress(i, portReady), "Peers": peers,
+		"Metrics": gateAddress(i, portMetrics), "Store": toStore.address(), "Processor": 0.4, "MemoryMB": 284,
 		"LinkMbps": rate * 8 / 1e6, "Lease": "1s", "Grace": "6s", "FarFactor": 1.5, "Retention": "120s", "Log": "info",
-	})
-	assert.NilError(s.t, err)
-	assert.NilError(s.t, os.WriteFile(p.settings, text, 0o600))
+	}
 	s.toStore = append(s.toStore, toStore)
 	s.gates = append(s.gates, p)
-	s.start(p, binary)
+	s.advertise(p, i)
+}
+
+// advertise gives a gate a new address for its peers, and writes its settings.
+func (s *soak) advertise(p *process, i int) {
+	peers, err := newProxy(s.ctx, s.group, gateAddress(i, portPeers))
+	assert.NilError(s.t, err)
+	peers.shape(s.linkRate(i))
+	p.setup["Advertised"] = peers.address()
+	text, err := json.Marshal(p.setup)
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, os.WriteFile(p.settings, text, 0o600))
+	p.mu.Lock()
+	p.peers = peers
+	p.mu.Unlock()
+}
+
+func (p *process) toPeers() *proxy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peers
+}
+
+// pickGate draws one of the gates that have joined.
+func (s *soak) pickGate(r *rand.Rand) *process {
+	i := r.IntN(len(s.gates))
+	for !s.gates[i].joined.Load() {
+		i = (i + 1) % len(s.gates)
+	}
+	return s.gates[i]
 }
 
 func (s *soak) start(p *process, binary string) {
@@ -223,10 +270,12 @@
 	defer func() { assert.NilError(s.t, log.Close()) }()
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.starts++
+	p.joined.Store(true)
 	p.inFault, p.onlyPlannedStop = false, false
 	seen, err := log.Stat()
 	assert.NilError(s.t, err)
 	assert.NilError(s.t, p.cmd.Start())
+	p.last = p.cmd.Process
 	// The process handles signals from its first log line on.
 	for end := time.Now().Add(settleTimeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if now, err := log.Stat(); err == nil && now.Size() > seen.Size() {
@@ -238,8 +287,8 @@
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(sig) // the process may have ended
+	if p.last != nil {
+		_ = p.last.Signal(sig) // the process may have ended
 	}
 }
 
@@ -260,162 +309,9 @@
 	}
 }
 
-// fault is one kind of fault; run injects it, and ends it after span.
-type fault struct {
-	name string
-	run  func(s *soak, r *rand.Rand, span time.Duration, binary string)
-}
-
-func sleepOrDone(ctx context.Context, span time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(span):
-	}
-}
-
-func (s *soak) withGate(r *rand.Rand, do func(p *process, i int)) {
-	i := r.IntN(len(s.gates))
-	p := s.gates[i]
-	p.mu.Lock()
-	free := p.cmd != nil && !p.inFault
-	p.inFault = true
-	p.mu.Unlock()
-	if !free {
-		return
-	}
-	p.disturbed.begin()
-	do(p, i)
-	p.disturbed.end()
-	p.mu.Lock()
-	p.inFault = false
-	p.mu.Unlock()
-}
-
-func proxyFault(name string, pick func(s *soak, r *rand.Rand) (*proxy, *disturbance), state func(r *rand.Rand) proxyState) fault {
-	return fault{name, func(s *soak, r *rand.Rand, span time.Duration, _ string) {
-		l, d := pick(s, r)
-		d.begin()
-		l.setState(state(r))
-		sleepOrDone(s.ctx, span)
-		l.setState(proxyState{})
-		d.end()
-	}}
-}
-
-var (
-	pickStoreProxy = func(s *soak, r *rand.Rand) (*proxy, *disturbance) {
-		i := r.IntN(len(s.toStore))
-		return s.toStore[i], &s.gates[i].disturbed
-	}
-	pickPeersProxy = func(s *soak, r *rand.Rand) (*proxy, *disturbance) {
-		p := s.gates[r.IntN(len(s.gates))]
-		return p.peers, &p.disturbed
-	}
-	pickWorkerProxy = func(s *soak, r *rand.Rand) (*proxy, *disturbance) {
-		return s.toWorkers[r.IntN(len(s.toWorkers))], new(disturbance)
-	}
-	blocked = func(r *rand.Rand) proxyState {
-		return proxyState{BlockedToTarget: r.IntN(3) > 0, BlockedFromTarget: r.IntN(3) > 0}
-	}
-	delayed = func(r *rand.Rand) proxyState {
-		return proxyState{Delay: time.Duration(20+r.IntN(400)) * time.Millisecond}
-	}
-	unreachable = func(*rand.Rand) proxyState { return proxyState{Unreachable: true} }
-)
-
-func workerFault(name string, do, undo func(x *model.Endpoint)) fault {
-	return fault{name, func(s *soak, r *rand.Rand, span time.Duration, _ string) {
-		i := r.IntN(soakWorkers)
-		s.workers.With(func(w *model.World) { do(w.Endpoints[i]) })
-		sleepOrDone(s.ctx, span)
-		s.workers.With(func(w *model.World) { undo(w.Endpoints[i]) })
-	}}
-}
-
-var faults = []fault{
-	{"gate killed", func(s *soak, r *rand.Rand, span time.Duration, binary string) {
-		s.withGate(r, func(p *process, _ int) {
-			p.kill()
-			sleepOrDone(s.ctx, span/2)
-			s.start(p, binary)
-		})
-	}},
-	{"gate paused", func(s *soak, r *rand.Rand, span time.Duration, _ string) {
-		s.withGate(r, func(p *process, _ int) {
-			p.signal(syscall.SIGSTOP)
-			sleepOrDone(s.ctx, span)
-			p.signal(syscall.SIGCONT)
-		})
-	}},
-	{"gate stopped in plan", func(s *soak, r *rand.Rand, _ time.Duration, binary string) {
-		s.withGate(r, func(p *process, _ int) {
-			p.signal(syscall.SIGTERM)
-			p.waitExit()
-			s.start(p, binary)
-		})
-	}},
-	{"settings reloaded", func(s *soak, r *rand.Rand, _ time.Duration, _ string) {
-		s.withGate(r, func(p *process, _ int) { p.signal(syscall.SIGHUP) })
-	}},
-	proxyFault("store silent for a gate", pickStoreProxy, blocked),
-	proxyFault("store slow for a gate", pickStoreProxy, delayed),
-	proxyFault("store resets a gate", pickStoreProxy, unreachable),
-	proxyFault("peers silent", pickPeersProxy, blocked),
-	proxyFault("peers slow", pickPeersProxy, delayed),
-	proxyFault("peers reset", pickPeersProxy, unreachable),
-	proxyFault("worker silent", pickWorkerProxy, blocked),
-	proxyFault("worker slow", pickWorkerProxy, delayed),
-	proxyFault("worker resets", pickWorkerProxy, unreachable),
-	workerFault("worker hangs", func(x *model.Endpoint) { x.Hangs = true }, func(x *model.Endpoint) {
-		x.Hangs = false
-		x.Crash() // runs that hang do not recover
-		x.Restart()
-	}),
-	workerFault("worker fails all", func(x *model.Endpoint) { x.FailsAll = true }, func(x *model.Endpoint) { x.FailsAll = false }),
-	workerFault("worker crashes", (*model.Endpoint).Crash, (*model.Endpoint).Restart),
-	{"store away", func(s *soak, _ *rand.Rand, span time.Duration, _ string) {
-		s.changes.store.begin()
-		defer s.changes.store.end()
-		yes, no := true, false
-		s.store.SetFaults(standin.Faults{Away: &yes})
-		sleepOrDone(s.ctx, span)
-		s.store.SetFaults(standin.Faults{Away: &no})
-	}},
-	{"store loses answers", func(s *soak, r *rand.Rand, _ time.Duration, _ string) {
-		s.changes.store.begin()
-		defer s.changes.store.end()
-		s.store.SetFaults(standin.Faults{LoseAnswers: 1 + r.IntN(6), LoseWrites: r.IntN(3)})
-	}},
-	{"store forgets its history", func(s *soak, _ *rand.Rand, _ time.Duration, _ string) {
-		s.changes.store.begin()
-		defer s.changes.store.end()
-		s.store.SetFaults(standin.Faults{Forget: true})
-	}},
-}
-
-// runFaults injects random faults one after the other. Each lasts a while, so that faults
-// overlap.
-func (s *soak) runFaults(length time.Duration, binary string) {
-	var running errgroup.Group
-	for end := time.Now().Add(length); time.Now().Before(end) && s.ctx.Err() == nil; {
-		f := faults[s.random.IntN(len(faults))]
-		span := time.Duration(300+s.random.IntN(3200)) * time.Millisecond
-		own := rand.New(rand.NewPCG(s.random.Uint64(), 2))
-		s.count(f.name)
-		s.lastFault.Store(time.Now().UnixNano())
-		running.Go(func() error {
-			f.run(s, own, span, binary)
-			s.lastFault.Store(time.Now().UnixNano())
-			return nil
-		})
-		sleepOrDone(s.ctx, time.Duration(s.random.Int64N(int64(2*time.Second/overlappingFaults))))
-	}
-	_ = running.Wait() // faults return no errors
-}
-
 // caller submits jobs over connections that it keeps open, until the context ends.
 func (s *soak) caller(ctx context.Context, r *rand.Rand, draw func(*rand.Rand) *workload.Job) error {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: callerTimeout + time.Second}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: callerPatience}
 	for ctx.Err() == nil {
 		s.submitJob(client, r, draw(r))
 		sleepOrDone(ctx, time.Duration(r.IntN(120))*time.Millisecond)
@@ -449,8 +345,8 @@
 	body := platform.EncodeJob(j)
 	onlyRefused := true
 	for range maxCallAttempts {
-		p := s.gates[r.IntN(len(s.gates))]
-		status, state := s.call(client, p, http.MethodPost, j.ID, body)
+		p := s.pickGate(r)
+		status, state := s.call(client, p, http.MethodPost, j.ID, body, s.patience(r))
 		s.count(fmt.Sprint("answers ", status))
 		switch {
 		case status == http.StatusOK && !j.Ephemeral:
@@ -475,12 +371,22 @@
 // notWritten is the status of a request that was never written to a connection.
 const notWritten = -1
 
+// patience returns how long a caller waits for an answer until it closes its connection.
+func (s *soak) patience(r *rand.Rand) time.Duration {
+	if s.profile.giveUpShare == 0 || r.Float64() >= s.profile.giveUpShare {
+		return callerPatience
+	}
+	return time.Duration(20+r.IntN(100)+r.IntN(2)*r.IntN(900)) * time.Millisecond
+}
+
 // call makes one request. Status 0 means a broken connection, a timeout or a response
 // that cannot be read.
-func (s *soak) call(client *http.Client, p *process, method string, id workload.JobID, body []byte) (status int, state string) {
+func (s *soak) call(client *http.Client, p *process, method string, id workload.JobID, body []byte, patience time.Duration) (status int, state string) {
 	written := false
 	sent := time.Now()
-	ctx := httptrace.WithClientTrace(s.ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
+	ctx, cancel := context.WithTimeout(s.ctx, patience)
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
 		written, sent = i.Err == nil, time.Now()
 	}})
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+p.callers.String()+"/seats/"+string(id), bytes.NewReader(body))
@@ -491,7 +397,8 @@
 	platform.SetCallerTimeout(request.Header, callerTimeout)
 	response, err := client.Do(request)
 	if err != nil {
-		if !written {
+		// A request that was given up may still be written.
+		if patience == callerPatience && !written {
 			return notWritten, ""
 		}
 		s.checkPlannedStop(p, sent, err)
@@ -533,7 +440,7 @@
 		s.mu.Lock()
 		j.cancelled = true
 		s.mu.Unlock()
-		status, _ := s.call(client, s.gates[r.IntN(len(s.gates))], http.MethodDelete, o.Job.ID, nil)
+		status, _ := s.call(client, s.pickGate(r), http.MethodDelete, o.Job.ID, nil, callerPatience)
 		s.count(fmt.Sprint("cancels ", status))
 	}
 	if r.IntN(2) == 0 {
@@ -545,7 +452,7 @@
 // gate does not know the job, or shows a state other than an outcome shown before.
 func (s *soak) checkState(client *http.Client, r *rand.Rand, j *storedJob) string {
 	asked := time.Now()
-	status, state := s.call(client, s.gates[r.IntN(len(s.gates))], http.MethodGet, j.outcome.Job.ID, nil)
+	status, state := s.call(client, s.pickGate(r), http.MethodGet, j.outcome.Job.ID, nil, callerPatience)
 	s.mu.Lock()
 	cancelled, lastState := j.cancelled, j.lastState
 	if status == http.StatusOK {
@@ -567,7 +474,7 @@
 // checkSettled waits until every accepted job has its outcome, and then checks the
 // invariants over all jobs.
 func (s *soak) checkSettled(r *rand.Rand) {
-	client := &http.Client{Timeout: callerTimeout + time.Second}
+	client := &http.Client{Timeout: callerPatience}
 	open := make(map[workload.JobID]*storedJob, len(s.stored))
 	for id, j := range s.stored {
 		open[id] = j
@@ -603,11 +510,11 @@
 func (s *soak) awaitServing() {
 	client := &http.Client{Timeout: time.Second}
 	for _, p := range s.gates {
-		served := false
+		served := !p.joined.Load()
 		for end := time.Now().Add(settleTimeout); time.Now().Before(end) && !served; time.Sleep(50 * time.Millisecond) {
 			j := &workload.Job{ID: workload.JobID(fmt.Sprintf("%016x", rand.Uint64())), Ephemeral: true, Steps: []workload.Step{{Count: 1, Estimate: 10 * time.Millisecond, Need: workload.Resources{MilliCPU: 1000}}}}
 			s.workers.Expect(&model.Outcome{Job: j})
-			status, _ := s.call(client, p, http.MethodPost, j.ID, platform.EncodeJob(j))
+			status, _ := s.call(client, p, http.MethodPost, j.ID, platform.EncodeJob(j), callerPatience)
 			served = status == http.StatusOK
 		}
 		if !served {
@@ -616,23 +523,23 @@
 	}
 }
 
-func runSoak(t *testing.T, seed uint64, binary string) {
-	s := newSoak(t, seed, binary)
+func runSoak(t *testing.T, profile profile, seed uint64, binary string) {
+	s := newSoak(t, profile, seed, binary)
 	s.awaitServing()
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	var callers errgroup.Group
-	for i := range soakCallers {
+	for i := range profile.callers {
 		r := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		callers.Go(func() error { return s.caller(ctx, r, shortJob) })
 	}
-	for i := range soakLongCallers {
+	for i := range profile.longCallers {
 		r := rand.New(rand.NewPCG(seed, uint64(200+i)))
 		callers.Go(func() error { return s.caller(ctx, r, longJob) })
 	}
 	callers.Go(func() error { return s.changeConfigurations(ctx) })
 	callers.Go(func() error { return s.resetConnections(ctx, rand.New(rand.NewPCG(seed, 5))) })
-	s.runFaults(soakDuration, binary)
+	s.runFaults(binary)
 	s.changes.calm.Store(true)
 	sleepOrDone(s.ctx, faultFreePeriod)
 	s.checkInForceEverywhere()
@@ -658,7 +565,7 @@
 
 // stopInPlan stops one gate by a planned stop, with no other fault, and starts it again.
 func (s *soak) stopInPlan(binary string) {
-	p := s.gates[s.random.IntN(len(s.gates))]
+	p := s.pickGate(s.random)
 	p.mu.Lock()
 	p.onlyPlannedStop = true
 	p.mu.Unlock()
@@ -667,22 +574,29 @@
 	s.start(p, binary)
 }
 
-// TestSoak runs a few fixed seeds and the regression seeds. If SOAK_SEEDS is set, it runs
-// that many seeds from SOAK_FIRST on instead.
+// TestSoak runs a few fixed seeds and the regression seeds.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "crocus-gate")
-	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
-	assert.NilError(t, err, string(out))
-	seeds := append([]uint64{1, 2}, regressionSeeds...)
+	soakSeeds(t, "", smallProfile, append([]uint64{1, 2}, regressionSeeds...))
+}
+
+// soakSeeds runs the given seeds. If SOAK_SEEDS is set, it runs that many seeds from
+// SOAK_FIRST on instead, and only with the profile that SOAK_PROFILE names.
+func soakSeeds(t *testing.T, name string, p profile, seeds []uint64) {
 	if n, err := strconv.Atoi(os.Getenv("SOAK_SEEDS")); err == nil {
+		if name != os.Getenv("SOAK_PROFILE") {
+			return
+		}
 		first, err := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
 		assert.NilError(t, err)
-		seeds = seeds[:0]
+		seeds = nil
 		for i := range n {
 			seeds = append(seeds, first+uint64(i))
 		}
 	}
+	binary := filepath.Join(t.TempDir(), "crocus-gate")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	assert.NilError(t, err, string(out))
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, binary) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, p, seed, binary) })
 	}
 }
