Timers: a wake-up that is postponed leaves the goroutine of the service asleep

Change: WakeAt wakes it only for a time before the one until which it sleeps. Otherwise it wakes at the former time, 20 to 47 times a second, and sleeps on.

--- a/pkg/timer/timer.go
+++ b/pkg/timer/timer.go
@@ -34,6 +34,7 @@
 type Service struct {
 	mu      sync.Mutex
 	pending subscriptionHeap
+	alarmAt time.Time // until which Run sleeps
 	changed chan struct{}
 }
 
@@ -86,7 +87,8 @@
 	return &Subscription{C: make(chan time.Time, 1), service: s, index: -1}
 }
 
-// WakeAt sets the time of the subscription's next wake-up.
+// WakeAt sets the time of the subscription's next wake-up. A later time than before leaves
+// Run asleep, because some subscribers postpone their wake-up thousands of times a second.
 func (u *Subscription) WakeAt(due time.Time) {
 	s := u.service
 	s.mu.Lock()
@@ -97,7 +99,7 @@
 	} else {
 		heap.Push(&s.pending, u)
 	}
-	if s.pending[0] == u {
+	if s.pending[0] == u && due.Before(s.alarmAt) {
 		s.notify()
 	}
 }
@@ -142,6 +144,7 @@
 	for len(s.pending) > 0 {
 		u := s.pending[0]
 		if wait := u.due.Sub(now); wait > 0 {
+			s.alarmAt = u.due
 			return wait
 		}
 		heap.Pop(&s.pending)
@@ -154,6 +157,7 @@
 			heap.Push(&s.pending, u)
 		}
 	}
+	s.alarmAt = now.Add(time.Hour)
 	return time.Hour
 }
 
