--- a/pkg/cmds/gate_test.go
+++ b/pkg/cmds/gate_test.go
@@ -49,7 +49,7 @@
 		{`"Store":"127.0.0.1:5"`, `"Store":""`, "Store"},
 		{`"FarFactor":1.5`, `"FarFactor":0.5`, "FarFactor"},
 		{`"LinkMbps":1000`, `"LinkMbps":0`, "LinkMbps"},
-		{`"Lease":"1000ms"`, `"Lease":"1000ms","ResubmitAfter":"500ms"`, "ResubmitAfter"},
+		{`"Lease":"1000ms"`, `"Lease":"1000ms","ResubmitAfter":"1200ms"`, "ResubmitAfter"},
 		{`"Retention":"120s"`, `"Retention":"0s"`, "Retention"},
 	} {
 		err := load(strings.Replace(goodGate, c.old, c.new, 1))
--- a/pkg/placement/abandoned_test.go
+++ b/pkg/placement/abandoned_test.go
@@ -39,10 +39,10 @@
 	}
 }
 
-// resend submits all jobs again, to another instance.
-func (w *longJobs) resend() {
+// resendTo submits all jobs again, to another instance.
+func (w *longJobs) resendTo(n *model.Node) {
 	for _, o := range w.open {
-		w.Resubmit(w.Nodes[3], o, w.route, 10*time.Second)
+		w.Resubmit(n, o, w.route, 10*time.Second)
 	}
 }
 
@@ -64,7 +64,7 @@
 			w.Run(10 * time.Millisecond)
 		}
 		w.Run(resendDelay - 20*time.Millisecond)
-		w.resend()
+		w.resendTo(w.Nodes[3])
 		w.Run(3 * time.Second)
 		assert.Check(t, cmp.Len(w.Breaches, 0))
 	})
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -100,13 +100,16 @@
 	return time.Duration(float64(t.Lease)*(1+clockDrift)) + stopTime
 }
 
-// confirmationTerm returns the time for which runs may go on after the last sign that their
-// callers wait: the leases that end then have certainly expired, on the slowest clock,
-// before the callers submit the jobs again.
-func (t Timing) confirmationTerm() time.Duration {
-	return time.Duration(float64(t.ResubmitAfter-stopTime) / (1 + clockDrift))
+// maxUnconfirmed returns the time for which runs may go on after it was last known that their
+// callers wait. Their leases have certainly expired before the callers submit the jobs again,
+// on the slowest clock, read as long ago as a report may be.
+func (t Timing) maxUnconfirmed() time.Duration {
+	return time.Duration(float64(t.ResubmitAfter)/(1+clockDrift)-clockDrift*float64(t.MaxReportAge)) - messageTime
 }
 
+// messageTime is allowed for a message or an order on its way.
+const messageTime = 30 * time.Millisecond
+
 // stopTime is the longest time that an endpoint takes to stop a run.
 const stopTime = 50 * time.Millisecond
 
@@ -189,7 +192,7 @@
 	gap := now.Sub(c.now)
 	c.now = now
 	if c.began.IsZero() {
-		c.began, c.home.callersConfirmedAt = now, now
+		c.began, c.home.callers.confirmedAt = now, now
 		if c.config.Share == 0 {
 			c.endpointList.refreshedAt = now.Add(noShareStartWait - listMaxAge)
 		}
@@ -220,25 +223,11 @@
 	return effects, now.Add(tick)
 }
 
-// noteGap notes the time since the step before. After a longer one the process has to notice
-// first which callers have left meanwhile.
-func (c *Control) noteGap(gap time.Duration) {
-	if gap > c.config.Timing.HeartbeatInterval {
-		c.home.callersCheckedAt = c.now.Add(callerCheckTime)
-	}
-	if !c.now.Before(c.home.callersCheckedAt) {
-		c.home.callersConfirmedAt = c.now
-	}
-	if gap > c.config.Timing.SuspectAfter {
-		c.handlePause(gap)
-	}
-}
-
 // handlePause re-evaluates the state after the process was paused: what it knows of
 // other instances and of callers is as old as the gap, and other homes have given up the
 // runs that they placed here.
 func (c *Control) handlePause(gap time.Duration) {
-	c.home.callersKnownAt = c.now.Add(callerCheckTime)
+	c.home.callers.placeAfter = c.now.Add(placePause)
 	c.orphanForeignRuns(gap)
 	c.reverifyStored("this instance stood still")
 	c.membership.nextMemberCheck = c.now
@@ -344,7 +333,7 @@
 	stamped := Envelope{Message: m, Sent: c.now.Sub(c.began)}
 	if p, ok := c.membership.members.Get(to.Instance); ok && p.id == to {
 		p.sentAt = c.now
-		stamped.LastReceived = c.echoTo(p)
+		stamped.LastReceived = c.confirmReceived(p)
 	}
 	c.emit(Send{Peer: to, Envelope: stamped})
 }
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -41,6 +41,7 @@
 	leaseWithheld        bool                // the endpoint accepts no stop of an orphan, so the lease is not renewed
 	leaseLimit           time.Time           // latest time to which the lease may be renewed; zero without a run
 	watchLimit           time.Time           // leaseLimit as the watch knows it
+	leaseGranted         time.Time           // latest time to which a start, or the watch until its last change, has extended the lease
 	unknownRunsStoppedAt time.Time           // when stop orders for unknown runs were last sent
 	explicitAcks         bool                // ended runs are acknowledged only by Acknowledge effects
 	storedUnknown        bool                // not yet known whether stored jobs exist; runs of theirs may have ended here
@@ -646,10 +647,12 @@
 // updateLeaseLimit computes anew to when the lease of an endpoint may be renewed, and tells the
 // endpoint's watch.
 //
-// This keeps an invariant: a run that its callers may have left ends before they submit its job
-// again, whatever fails after they have left. So the lease never reaches beyond
-// confirmationTerm after its homes have last confirmed that callers wait, nor beyond a lease
-// after one of the runs has become unwanted.
+// This keeps an invariant: a run whose callers have left ends before they submit its job again,
+// whatever fails after their home could know that they left. So no run is under a lease that
+// reaches beyond maxUnconfirmed after its home last knew that its callers wait, or beyond a
+// lease after it has become unwanted. A lease is of a whole endpoint and is never shortened:
+// the limit is that of all runs there, and a run starts only where the lease that was granted
+// before does not exceed its own (bestEndpoint).
 func (c *Control) updateLeaseLimit(e *endpoint) {
 	e.leaseLimit = time.Time{}
 	for _, r := range e.runs.All() {
@@ -657,32 +660,59 @@
 			e.leaseLimit = limit
 		}
 	}
-	if e.leaseLimit.IsZero() != e.watchLimit.IsZero() || e.leaseLimit.Before(e.watchLimit) || e.leaseLimit.Sub(e.watchLimit) >= leaseLimitStep {
+	if limitMoved(e.watchLimit, e.leaseLimit) {
 		c.watchEndpoint(e)
 	}
 }
 
-// leaseLimitOf returns to when the lease of a run may be renewed.
+// limitMoved reports whether a watch has to be told a new limit of the lease. A limit that
+// rises is told in steps, as it rises with each message of a home.
+func limitMoved(known, limit time.Time) bool {
+	return known.IsZero() != limit.IsZero() || limit.Before(known) || limit.Sub(known) >= leaseLimitStep
+}
+
+// leaseLimitOf returns to when the lease of a run may be renewed. No caller waits for a stored
+// job: its next home asks the holders before it starts anything.
 func (c *Control) leaseLimitOf(r *run) time.Time {
-	confirmed := c.home.callersConfirmedAt
-	if r.home != c.self {
-		confirmed = time.Time{}
-		if m, ok := c.membership.members.Get(r.home.Instance); ok && m.id == r.home {
-			confirmed = m.echoedAt
-		}
+	confirmed := c.now
+	if !r.request.Stored {
+		confirmed = c.callersConfirmedBy(r.home)
 	}
-	limit := confirmed.Add(c.config.Timing.confirmationTerm())
+	limit := confirmed.Add(c.config.Timing.maxUnconfirmed())
 	if unwanted := r.unwantedAt.Add(c.config.Timing.Lease); !r.unwantedAt.IsZero() && unwanted.Before(limit) {
 		return unwanted
 	}
 	return limit
 }
 
+// callersConfirmedBy returns when a home is last known to have known its callers.
+func (c *Control) callersConfirmedBy(home instance.ID) time.Time {
+	if home == c.self {
+		return c.home.callers.confirmedAt
+	}
+	if m, ok := c.membership.members.Get(home.Instance); ok && m.id == home {
+		return m.echoedAt
+	}
+	return c.now.Add(-c.config.Timing.maxUnconfirmed())
+}
+
 // leaseEnd returns the time to which an order that is sent to an endpoint now extends the lease.
 func (c *Control) leaseEnd(e *endpoint) time.Time {
-	end := c.now.Add(c.config.Timing.Lease)
-	if !e.leaseLimit.IsZero() && end.After(e.leaseLimit) {
-		return e.leaseLimit
+	return cappedLease(c.now.Add(c.config.Timing.Lease), e.leaseLimit)
+}
+
+// grantedLease returns the time to which the lease of an endpoint may reach already.
+func (c *Control) grantedLease(e *endpoint) time.Time {
+	if !e.renewing || e.watchLimit.IsZero() {
+		return e.leaseGranted
+	}
+	return later(e.leaseGranted, cappedLease(c.now.Add(c.config.Timing.Lease), e.watchLimit))
+}
+
+// cappedLease returns the end of a lease under a limit; a zero limit is none.
+func cappedLease(end, limit time.Time) time.Time {
+	if !limit.IsZero() && limit.Before(end) {
+		return limit
 	}
 	return end
 }
@@ -702,12 +732,12 @@
 }
 
 // usable reports whether runs may be started at an endpoint: it is not being yielded
-// or drained, its lease is renewed, its last report is recent and its health permits
-// it. During a planned stop of this instance no endpoint is usable.
+// or drained, its lease is renewed and not about to end, its last report is recent and its
+// health permits it. During a planned stop of this instance no endpoint is usable.
 func (c *Control) usable(e *endpoint) bool {
 	_, mayStart := c.holder.registry.Token(e.info.ID.Name)
-	return mayStart && e.renewsLease() && c.leaseEnd(e).Sub(c.now) > c.config.Timing.Lease/2 && !e.info.Draining && c.stop == serving &&
-		c.now.Sub(e.reportReceivedAt) < c.config.Timing.MaxReportAge && e.health.admits(c.now, e.runs.Len())
+	return mayStart && e.renewsLease() && !e.info.Draining && c.stop == serving &&
+		c.leaseEnd(e).Sub(c.now) > c.config.Timing.Lease/2 && c.now.Sub(e.reportReceivedAt) < c.config.Timing.MaxReportAge && e.health.admits(c.now, e.runs.Len())
 }
 
 func (e *endpoint) free() workload.Resources { return e.info.Capacity.Sub(e.reserved) }
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -71,12 +71,7 @@
 	// ends of these runs.
 	droppedRuns *table.Table[workload.JobID, droppedRuns]
 	own         member // this instance as a holder, in the same form as the other members
-	// callersKnownAt is when it is known again, after a pause, which callers have left.
-	callersKnownAt time.Time
-	// callersCheckedAt is the same after a shorter gap between two steps, in which tasks are
-	// still placed, and callersConfirmedAt when it was last known.
-	callersCheckedAt   time.Time
-	callersConfirmedAt time.Time
+	callers     callerCheck
 }
 
 // droppedRuns are the runs of one job that their holders were asked to stop.
@@ -98,7 +93,6 @@
 	maxRejectionPause     = 80 * time.Millisecond // longest rejectionPause; also used when no holder is found
 	movePeriod            = 20 * time.Millisecond // between searches for a better holder for waiting tasks
 	minMoveGain           = 10 * time.Millisecond // shortest remaining wait for which a task is moved
-	callerCheckTime       = 50 * time.Millisecond // after a pause, for the process to notice broken connections of callers
 	answerMargin          = 5 * time.Millisecond  // before the caller's timeout, so that the answer still arrives
 	expiryFactor          = 3                     // multiple of a job's objective after which its answer no longer helps
 	lateOrderWindow       = 15 * time.Second      // endpoints carry out orders up to 12 s late
@@ -443,7 +437,7 @@
 	if j.stored != nil && !(c.anyReady(j, step) && c.verified(j)) {
 		return
 	}
-	if j.stored == nil && c.now.Before(c.home.callersKnownAt) {
+	if j.stored == nil && c.now.Before(c.home.callers.placeAfter) {
 		return
 	}
 	requests := table.New[instance.ID, *PlaceRequest]()
--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -122,6 +122,7 @@
 // not to: the runs there lapse a term after that.
 func (c *Control) watchEndpoint(e *endpoint) {
 	renew := e.renewsLease()
+	e.leaseGranted = c.grantedLease(e)
 	if e.renewing && !renew {
 		e.leaseRenewedAt = c.now
 	}
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -59,6 +59,8 @@
 	lastSeenAt           time.Time     // when a message last came from it
 	peerSent             time.Duration // uptime of the member when it sent its last message
 	echoSent             time.Duration // peerSent as last confirmed to the member
+	echoPending          time.Duration // peerSent when the present caller check began
+	echoHeldBack         bool          // the last message to it confirmed less than was received
 	echoedAt             time.Time     // when this instance sent the last message that the member has confirmed
 	lastRunAt            time.Time     // when one of the two instances last ran something for the other
 	fullRateSince        time.Time     // since when heartbeats at the full rate are expected from it
@@ -149,7 +151,7 @@
 			continue
 		}
 		b := c.heartbeatTo(m, waiting)
-		if c.now.Sub(m.sentAt) < c.heartbeatFactor(m)*c.config.Timing.HeartbeatInterval && !b.differsFrom(&m.heartbeatSent) {
+		if c.now.Sub(m.sentAt) < c.heartbeatFactor(m)*c.config.Timing.HeartbeatInterval && !b.differsFrom(&m.heartbeatSent) && !m.echoHeldBack {
 			continue
 		}
 		c.sendHeartbeat(m, b)
@@ -276,16 +278,6 @@
 	c.markAlive(m)
 }
 
-// echoTo returns what to confirm to a member of the messages received from it. A confirmation
-// also says that the callers of this instance still wait, so none of later messages is given
-// while that is not known.
-func (c *Control) echoTo(m *member) time.Duration {
-	if c.home.callersConfirmedAt.Equal(c.now) {
-		m.echoSent = m.peerSent
-	}
-	return m.echoSent
-}
-
 // markAlive notes that a member is alive. Stored jobs are verified anew after a
 // silence in which another instance may have become their home.
 func (c *Control) markAlive(m *member) {
@@ -352,12 +344,12 @@
 	if !m.listed {
 		c.membership.nextScan = c.now
 	}
+	c.resendDrops(id) // before anything that confirms the other runs
 	c.send(id, c.heartbeatTo(m, c.ownWaiting()))
 	m.advertAt, m.advertSentVersion, m.capacitySentSequence, m.listSentSequence = time.Time{}, 0, 0, 0
 	c.holder.advertDue, c.holder.advertChanged = c.now, true
 	c.sendInitialList(m)
 	c.resendPlaceRequests(id)
-	c.resendDrops(id)
 }
 
 func (c *Control) handlePeerDown(id instance.ID) {
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -243,7 +243,8 @@
 	Address  netip.AddrPort
 	Token    workload.Token
 	Renew    bool
-	// RenewUntil is the latest time to which the lease may be renewed; zero means any.
+	// RenewUntil is the latest time to which the lease may be renewed. It is zero while
+	// nothing runs at the endpoint, and then no lease is renewed.
 	RenewUntil time.Time
 	// ExplicitAcks makes the watch acknowledge ended runs to the endpoint only on an
 	// Acknowledge. Otherwise it acknowledges every ended run that it has delivered.
@@ -253,11 +254,8 @@
 // LeaseEnd returns the time to which a request that is sent now renews a lease of the
 // given length, or false if it renews none.
 func (w *Watch) LeaseEnd(now time.Time, lease time.Duration) (time.Time, bool) {
-	end := now.Add(lease)
-	if !w.RenewUntil.IsZero() && end.After(w.RenewUntil) {
-		end = w.RenewUntil
-	}
-	return end, w.Renew && end.After(now)
+	end := cappedLease(now.Add(lease), w.RenewUntil)
+	return end, w.Renew && !w.RenewUntil.IsZero() && end.After(now)
 }
 
 // Acknowledge makes a watch with ExplicitAcks acknowledge ended runs to its
--- a/pkg/placement/resubmitted_test.go
+++ b/pkg/placement/resubmitted_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"crocusseam/pkg/model"
+	"crocusseam/pkg/workload"
 )
 
 // homeFaults break the connections of the callers of an instance at one moment.
@@ -118,9 +119,7 @@
 					w.After(offset, func() { e.do(w, busy) })
 					h.do(w, w.Nodes[0])
 					w.Run(resendDelay)
-					for _, o := range w.open {
-						w.Resubmit(w.Nodes[len(w.Nodes)-1], o, w.route, 10*time.Second)
-					}
+					w.resendTo(w.Nodes[len(w.Nodes)-1])
 					w.Run(3 * time.Second)
 					assert.Check(t, cmp.Len(w.Breaches, 0), "the endpoint fault %v after the home's: %d tasks", offset, len(w.Breaches))
 				}
@@ -128,3 +127,72 @@
 		}
 	}
 }
+
+// fill occupies every endpoint with one-task jobs of an instance, all of one length.
+func (w *longJobs) fill(n *model.Node, length time.Duration) {
+	for _, x := range w.Endpoints {
+		x.SetSpeed(1)
+	}
+	l := load([]model.Kind{{Name: "long", Tasks: 1, Work: length, MilliCPU: 27000}}, 0)
+	for range 4 * len(w.Endpoints) {
+		j, _ := w.Draw(&l, &l.Kinds[0])
+		j.Steps[0] = workload.Step{Count: 1, Estimate: length, Need: workload.Resources{MilliCPU: 32000, MemoryMB: 64}}
+		w.Submit(n, j, w.route, 20*time.Second)
+	}
+}
+
+// Guards against two runs of a task at once: a queued run of a home that had just failed started
+// at an endpoint whose lease had been renewed for longer than the run may go on.
+func TestQueuedRunStartsUnderNoLongerLease(t *testing.T) {
+	const length = 1200 * time.Millisecond
+	for _, pause := range []bool{true, false} {
+		for lead := 300 * time.Millisecond; lead <= 360*time.Millisecond; lead += 20 * time.Millisecond {
+			for after := 5 * time.Millisecond; after <= 45*time.Millisecond; after += 20 * time.Millisecond {
+				t.Run(fmt.Sprint(pause, lead, after), func(t *testing.T) {
+					t.Parallel()
+					w := newLongJobs(uint64(lead + after))
+					w.fill(w.Nodes[1], length)
+					w.Run(100 * time.Millisecond)
+					w.submit(12)
+					w.Run(length - lead - 100*time.Millisecond) // the endpoints are free after lead
+					w.Nodes[0].Kill()
+					w.After(lead+after, func() {
+						if pause {
+							w.pauseHolders(3 * time.Second)
+							return
+						}
+						for _, x := range w.Endpoints[:36] {
+							for _, n := range w.Nodes {
+								w.Cut(x.Info.ID.Name, n.ID.Instance, true)
+							}
+						}
+					})
+					w.Run(resendDelay)
+					w.resendTo(w.Nodes[len(w.Nodes)-1])
+					w.Run(3 * time.Second)
+					assert.Check(t, cmp.Len(w.Breaches, 0))
+				})
+			}
+		}
+	}
+}
+
+// Guards against leases that end although callers wait: an instance that runs in short bursts
+// confirmed nothing to the holders of its runs.
+func TestInstanceThatRunsInBurstsKeepsItsRuns(t *testing.T) {
+	for _, off := range []time.Duration{100, 140, 160, 250, 300} {
+		t.Run(fmt.Sprint(int64(off)), func(t *testing.T) {
+			w := newLongJobs(7)
+			w.submit(8)
+			w.Run(300 * time.Millisecond)
+			for at := time.Duration(0); at < 6*time.Second; at += off*time.Millisecond + 45*time.Millisecond {
+				w.After(at, func() { w.Nodes[0].Pause(off * time.Millisecond) })
+			}
+			w.Run(9 * time.Second)
+			for _, n := range w.Nodes {
+				k := n.Control.Overview().Counters
+				assert.Check(t, k.Lapsed == 0 && k.Orphans == 0, "%s: %d lapsed, %d stopped as their home could not be relied on", n.ID.Instance, k.Lapsed, k.Orphans)
+			}
+		})
+	}
+}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -133,7 +133,7 @@
 // callerUnknown reports whether a run is of an ephemeral job of this instance whose caller may
 // have left during a pause.
 func (c *Control) callerUnknown(r *run) bool {
-	return r.home == c.self && !r.request.Stored && c.now.Before(c.home.callersKnownAt)
+	return r.home == c.self && !r.request.Stored && c.now.Before(c.home.callers.placeAfter)
 }
 
 // bestEndpoint returns the best endpoint with enough free capacity for a run, or nil.
@@ -144,10 +144,14 @@
 	d := demand{need: p.Need, estimate: p.Estimate, untilObjective: r.objective.Sub(c.now), rack: p.Rack}
 	var best *endpoint
 	var bestFit fit
+	limit := c.leaseLimitOf(r)
 	for name, e := range c.holder.endpoints.All() {
 		if e.info.Service != p.Service || !p.Need.Fits(e.free()) || !e.info.HasLabel(p.Label) || !c.usable(e) || slices.Contains(r.avoid, name) {
 			continue
 		}
+		if c.grantedLease(e).After(limit) {
+			continue
+		}
 		f := rateFit(c.demandAt(d, &e.info), &FreeCapacity{Free: e.free(), Speed: e.speed.value()}, false)
 		if best == nil || f.betterThan(bestFit) {
 			best, bestFit = e, f
@@ -176,6 +180,7 @@
 func (c *Control) orderStart(r *run) {
 	e := r.endpoint
 	c.updateLeaseLimit(e)
+	e.leaseGranted = later(e.leaseGranted, c.leaseEnd(e))
 	r.startsSent++
 	e.leaseRenewedAt = c.now
 	answerTimeout := c.config.Timing.FirstStartTimeout
@@ -240,9 +245,9 @@
 }
 
 // retryStart repeats an unanswered start order. After StartRetries repeats, while the lease
-// is withheld, or after a pause it stops the run instead.
+// is not renewed, or after a pause it stops the run instead.
 func (c *Control) retryStart(r *run) {
-	if r.startsSent > c.config.Timing.StartRetries || r.endpoint.leaseWithheld || c.callerUnknown(r) {
+	if r.startsSent > c.config.Timing.StartRetries || !r.endpoint.renewsLease() || c.callerUnknown(r) {
 		c.stopRun(r, "its start is not answered")
 		return
 	}
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -361,7 +361,7 @@
 	b := newBench(t)
 	starts := b.submit(1, 1000)
 	limit := b.renewUntil(time.Time{})
-	assert.Equal(t, limit, b.now.Add(b.control.config.Timing.confirmationTerm()))
+	assert.Equal(t, limit, b.now.Add(b.control.config.Timing.maxUnconfirmed()))
 	b.answerStart(&starts[0], Accepted)
 	b.advanceBy(300 * time.Millisecond)
 	assert.Equal(t, b.renewUntil(limit), limit, "the lease is extended before callers are checked")
--- a/pkg/settings/gate.go
+++ b/pkg/settings/gate.go
@@ -69,8 +69,8 @@
 		return &ErrSetting{"LinkMbps", fmt.Sprint(s.LinkMbps), "more than 0"}
 	case s.Lease <= 0:
 		return &ErrSetting{"Lease", fmt.Sprint(s.Lease), "more than 0"}
-	case s.ResubmitAfter != 0 && s.ResubmitAfter < s.Lease:
-		return &ErrSetting{"ResubmitAfter", fmt.Sprint(s.ResubmitAfter), "0, or the Lease or more"}
+	case s.ResubmitAfter != 0 && s.ResubmitAfter < s.Lease*5/4:
+		return &ErrSetting{"ResubmitAfter", fmt.Sprint(s.ResubmitAfter), "0, or 1.25 times the Lease or more"}
 	case s.FarFactor < 1:
 		return &ErrSetting{"FarFactor", fmt.Sprint(s.FarFactor), "1 or more"}
 	case s.Retention <= 0:
