--- a/pkg/timer/timer.go
+++ b/pkg/timer/timer.go
@@ -34,7 +34,6 @@
 type Service struct {
 	mu      sync.Mutex
 	pending subscriptionHeap
-	alarmAt time.Time // until which Run sleeps
 	changed chan struct{}
 }
 
@@ -87,8 +86,7 @@
 	return &Subscription{C: make(chan time.Time, 1), service: s, index: -1}
 }
 
-// WakeAt sets the time of the subscription's next wake-up. A later time than before leaves
-// Run asleep, because some subscribers postpone their wake-up thousands of times a second.
+// WakeAt sets the time of the subscription's next wake-up.
 func (u *Subscription) WakeAt(due time.Time) {
 	s := u.service
 	s.mu.Lock()
@@ -99,7 +97,7 @@
 	} else {
 		heap.Push(&s.pending, u)
 	}
-	if s.pending[0] == u && due.Before(s.alarmAt) {
+	if s.pending[0] == u {
 		s.notify()
 	}
 }
@@ -144,7 +142,6 @@
 	for len(s.pending) > 0 {
 		u := s.pending[0]
 		if wait := u.due.Sub(now); wait > 0 {
-			s.alarmAt = u.due
 			return wait
 		}
 		heap.Pop(&s.pending)
@@ -157,7 +154,6 @@
 			heap.Push(&s.pending, u)
 		}
 	}
-	s.alarmAt = now.Add(time.Hour)
 	return time.Hour
 }
 
