--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -134,6 +134,14 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + pid%64), byte(pid / 64), byte(gate + 1)}), port)
 }
 
+// buildGate builds the program and returns its path.
+func buildGate(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "crocus-gate")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return binary
+}
+
 func newSoak(t *testing.T, seed uint64, binary string) *soak {
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
@@ -670,9 +678,7 @@
 // TestSoak runs a few fixed seeds and the regression seeds. If SOAK_SEEDS is set, it runs
 // that many seeds from SOAK_FIRST on instead.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "crocus-gate")
-	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
-	assert.NilError(t, err, string(out))
+	binary := buildGate(t)
 	seeds := append([]uint64{1, 2}, regressionSeeds...)
 	if n, err := strconv.Atoi(os.Getenv("SOAK_SEEDS")); err == nil {
 		first, err := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
