--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -153,6 +153,14 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + pid%64), byte(pid / 64), byte(gate + 1)}), port)
 }
 
+// buildGate builds the program and returns its path.
+func buildGate(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "crocus-gate")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return binary
+}
+
 func newSoak(t *testing.T, p profile, seed uint64, binary string) *soak {
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
@@ -593,9 +601,7 @@
 			seeds = append(seeds, first+uint64(i))
 		}
 	}
-	binary := filepath.Join(t.TempDir(), "crocus-gate")
-	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
-	assert.NilError(t, err, string(out))
+	binary := buildGate(t)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, p, seed, binary) })
 	}
