Acknowledge no ends of an endpoint's next life that nobody has seen

Cause: a report request names the endpoint's id, which a next life may keep, and acknowledges ends up to a number that each life counts from 1. Every request of a watch repeated the last acknowledgement, also the one that followed an unanswered one. When the endpoint had restarted and the new life had carried out a late start, the first request that reached it made it forget the end of that run. The `born` of its answer, if anybody still waited for it, ended the hold, and the next holder found nothing.

Change: a request acknowledges only what no answered one has acknowledged, and only if the request before it was answered by this life. Nothing is acknowledged while the start of a stored job's run is not confirmed, unless the report is truncated. The stand-in logs each start it carries out and each end it forgets, with the life and the token (workers.log of the soak). In package model a lost answer of a report request now loses the report. Before, the report was delivered, and the retry ran beside the next request; with acknowledgements that are sent once, the requests of a simulation with lost answers multiplied without end (TestHazards).

PROTOCOL.md: "N starts at 1 in each incarnation", "a worker may start again under the id that it had", "any other incarnation responds with 421". Against a header of id and born speaks that the header names the id; against a short request for each acknowledgement, with starts that wait for it, one more call for each report with ends.

--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -21,9 +21,12 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"crocusseam/pkg/logbook"
 	"crocusseam/pkg/model"
 	"crocusseam/pkg/standin"
 	"crocusseam/pkg/workload"
@@ -142,7 +145,10 @@
 		stored: make(map[workload.JobID]*storedJob), refused: make(map[workload.JobID]*model.Outcome),
 		changes: newChanges(seed),
 	}
-	config := standin.WorkersConfig{Service: soakService, Lease: time.Second}
+	log, err := os.Create(filepath.Join(s.dir, "workers.log"))
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, log.Close()) })
+	config := standin.WorkersConfig{Service: soakService, Lease: time.Second, Logger: zap.New(zapcore.NewCore(logbook.NewEncoder(), zapcore.Lock(log), zapcore.InfoLevel))}
 	for i := range soakDomains {
 		d := model.Domain{Name: fmt.Sprintf("domain-%d", i)}
 		for j := range soakWorkers / soakDomains {
@@ -150,7 +156,6 @@
 		}
 		config.Domains = append(config.Domains, d)
 	}
-	var err error
 	s.workers, err = standin.NewWorkers(config)
 	assert.NilError(t, err)
 	s.store, err = standin.NewPlatform(netip.MustParseAddrPort("127.0.0.1:0"), nil)
--- a/pkg/logbook/logbook.go
+++ b/pkg/logbook/logbook.go
@@ -98,7 +98,7 @@
 		return
 	}
 	entry := zapcore.Entry{Level: zapcore.WarnLevel, Time: time.Now(), Message: "lines left out"}
-	line, err := newEncoder().EncodeEntry(entry, []zapcore.Field{zap.Int64("Lines", dropped-w.reported), zap.Int64("Total", dropped)})
+	line, err := NewEncoder().EncodeEntry(entry, []zapcore.Field{zap.Int64("Lines", dropped-w.reported), zap.Int64("Total", dropped)})
 	if err != nil {
 		return
 	}
@@ -122,7 +122,8 @@
 	}
 }
 
-func newEncoder() zapcore.Encoder {
+// NewEncoder returns an encoder of lines as the logs have them.
+func NewEncoder() zapcore.Encoder {
 	return zapcore.NewJSONEncoder(zapcore.EncoderConfig{
 		TimeKey: "Time", LevelKey: "Level", NameKey: "Layer", MessageKey: "Event",
 		EncodeTime: zapcore.RFC3339NanoTimeEncoder, EncodeLevel: zapcore.LowercaseLevelEncoder,
@@ -134,12 +135,12 @@
 func (w *AsyncWriter) Logger(level zapcore.LevelEnabler) *zap.Logger {
 	ordinary := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l < zapcore.WarnLevel && level.Enabled(l) })
 	warnings := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= zapcore.WarnLevel && level.Enabled(l) })
-	core := zapcore.NewCore(newEncoder(), lineQueue{w, maxQueuedInfoLines}, ordinary)
+	core := zapcore.NewCore(NewEncoder(), lineQueue{w, maxQueuedInfoLines}, ordinary)
 	sampled := zapcore.NewSamplerWithOptions(core, time.Second, maxEqualLinesPerSec, 0, zapcore.SamplerHook(
 		func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 			if d&zapcore.LogDropped != 0 {
 				w.dropped.Add(1)
 			}
 		}))
-	return zap.New(zapcore.NewTee(sampled, zapcore.NewCore(newEncoder(), lineQueue{w, maxQueuedLines}, warnings)))
+	return zap.New(zapcore.NewTee(sampled, zapcore.NewCore(NewEncoder(), lineQueue{w, maxQueuedLines}, warnings)))
 }
--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -284,7 +284,14 @@
 	if !x.checkFence(token) {
 		return placement.Fenced
 	}
-	for len(x.ended) > 0 && x.ended[0].Sequence <= acknowledged {
+	forgotten := 0
+	for forgotten < len(x.ended) && x.ended[forgotten].Sequence <= acknowledged {
+		forgotten++
+	}
+	if forgotten > 0 && x.world.Config.Acknowledged != nil {
+		x.world.Config.Acknowledged(x, token, x.ended[:forgotten])
+	}
+	for range forgotten {
 		x.world.recordAcknowledged(&x.ended[0], x.lapsedAt.After(x.endedAt[x.ended[0].Sequence]))
 		delete(x.endedAt, x.ended[0].Sequence)
 		x.ended = x.ended[1:]
--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -47,7 +47,8 @@
 // watch is the watch of an endpoint by an instance, with the state of its reports.
 type watch struct {
 	placement.Watch
-	ackSequence   int64         // sent with the next report request
+	ackSequence   int64         // sent with the next report request; 0 acknowledges nothing
+	confirmedAck  int64         // the last one that was sent with an answered request
 	acknowledged  int64         // by the control state
 	endpointClock time.Duration // in the last report
 	clockReadAt   time.Time     // when that report came
@@ -389,7 +390,18 @@
 		until = x.endpointClock + sent.Sub(x.clockReadAt) + w.Config.Timing.Lease
 	}
 	var report workload.Report
-	answered, gaveUp := false, false
+	var reportReady, accepted, answered, gaveUp bool
+	receive := func() {
+		if x.cancelled || gaveUp {
+			return
+		}
+		answered = true
+		x.endpointClock, x.clockReadAt = report.Clock, w.Now
+		x.confirmedAck = max(x.confirmedAck, x.ackSequence)
+		x.ackSequence = 0
+		n.deliver(placement.Reported{Endpoint: x.Endpoint, Token: x.Token, Sent: sent, Received: w.Now, Report: report})
+		n.pollAgain(x, report.Ended)
+	}
 	n.order(x.Endpoint, w.Config.Timing.AnswerTimeout, func(e *Endpoint) placement.OrderOutcome {
 		outcome := e.AcknowledgeAndRenew(x.Token, x.ackSequence, until)
 		if outcome != placement.Accepted {
@@ -401,15 +413,10 @@
 			if !w.reaches(n.location(), e.location()) || !e.Up {
 				return
 			}
-			n.later(delay, func() {
-				if x.cancelled || gaveUp {
-					return
-				}
-				answered = true
-				x.endpointClock, x.clockReadAt = report.Clock, w.Now
-				n.deliver(placement.Reported{Endpoint: x.Endpoint, Token: x.Token, Sent: sent, Received: w.Now, Report: report})
-				n.pollAgain(x, report.Ended)
-			})
+			reportReady = true
+			if accepted {
+				n.later(delay, receive)
+			}
 		})
 		return outcome
 	}, func(o placement.OrderOutcome) {
@@ -417,6 +424,11 @@
 			return
 		}
 		if o == placement.Accepted {
+			accepted = true
+			if reportReady {
+				receive()
+				return
+			}
 			n.later(wait+w.Config.Timing.AnswerTimeout, func() {
 				if !answered && !x.cancelled {
 					gaveUp = true
@@ -430,14 +442,14 @@
 	})
 }
 
-// pollAgain requests the next report and acknowledges ended runs with it: all of
-// the last report, or on a watch with confirmation those that the control state has
+// pollAgain requests the next report and acknowledges ended runs with it that are not
+// acknowledged yet: all of the last report, or on a watch with confirmation those that the control state has
 // acknowledged. In that case it waits confirmWait, so that a report with ended runs
 // isn't requested again at once.
 func (n *Node) pollAgain(x *watch, ended []workload.EndedRun) {
 	if !x.ExplicitAcks {
 		for _, end := range ended {
-			x.ackSequence = max(x.ackSequence, end.Sequence)
+			x.acknowledge(end.Sequence)
 		}
 		n.pollReport(x, reportWait)
 		return
@@ -447,14 +459,24 @@
 		pause = confirmWait
 	}
 	n.later(pause, func() {
-		x.ackSequence = max(x.ackSequence, x.acknowledged)
+		x.acknowledge(x.acknowledged)
 		n.pollReport(x, reportWait)
 	})
 }
 
+// acknowledge lets the next report request acknowledge ended runs, unless an answered one has
+// done so.
+func (x *watch) acknowledge(upto int64) {
+	if upto > x.confirmedAck {
+		x.ackSequence = max(x.ackSequence, upto)
+	}
+}
+
 // handleNoReport notifies the control state of a failed report request and retries
-// it, unless the endpoint has another holder or incarnation.
+// it, unless the endpoint has another holder or incarnation. The next incarnation may answer
+// the retry, so it acknowledges nothing.
 func (n *Node) handleNoReport(x *watch, o placement.OrderOutcome) {
+	x.ackSequence = 0
 	n.deliver(placement.Silent{Endpoint: x.Endpoint, Token: x.Token, Outcome: o})
 	if o == placement.Fenced || o == placement.OtherLife {
 		x.cancelled = true
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -36,6 +36,9 @@
 	Log func(*Node, placement.LogEvent)
 	// Started, if set, is called with each start order that an endpoint carries out.
 	Started func(*Endpoint, *placement.Start)
+	// Acknowledged, if set, is called with the ended runs that an endpoint forgets, as a
+	// request with this token has acknowledged them.
+	Acknowledged func(*Endpoint, workload.Token, []workload.EndedRun)
 }
 
 // Domain is a failure domain with its instances and endpoints.
--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -148,8 +148,14 @@
 }
 
 // acknowledgeSettled lets the endpoint's watch acknowledge all ended runs before the
-// first one whose outcome is kept.
+// first one whose outcome is kept. It waits while the endpoint has not confirmed the start of a
+// stored job's run: its next incarnation may carry out the start and then an acknowledgement,
+// which would cover the end of that run. It does not wait after a truncated report, as only
+// acknowledgements make room for the end of such a run.
 func (c *Control) acknowledgeSettled(e *endpoint) {
+	if e.hasUnconfirmedStart() && !e.reportTruncated {
+		return
+	}
 	upto := int64(0)
 	for len(e.unacknowledged) > 0 && !c.keptOutcomes.outcomes.Has(e.unacknowledged[0].Run) {
 		upto = e.unacknowledged[0].Sequence
@@ -160,6 +166,17 @@
 	}
 }
 
+// hasUnconfirmedStart reports whether the endpoint may not have started a run of a stored job
+// yet, although its start was ordered.
+func (e *endpoint) hasUnconfirmedStart() bool {
+	for _, r := range e.runs.All() {
+		if r.request.Stored && r.confirmedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // keepOutcome keeps the outcome of a run until it is recorded.
 func (c *Control) keepOutcome(e *endpoint, message *RunEnded) {
 	message.Kept = true
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -638,3 +638,53 @@
 	assert.Equal(t, len(effectsOf[Acknowledge](b)), 0)
 	assert.Assert(t, b.control.keptOutcomes.outcomes.Has(starts[0].Run))
 }
+
+// Guards against a stored job's task that runs again after it is done: a request for a report
+// that is sent while a start is not confirmed may be carried out by the endpoint's next
+// incarnation after that start, and acknowledge its end unseen.
+func TestNothingIsAcknowledgedWhileAStartIsNotConfirmed(t *testing.T) {
+	b := newBench(t)
+	b.control.keptOutcomes.storedJobsExist = true
+	first := b.placeStored("0a")
+	b.answerStart(&first, Accepted)
+	second := b.placeStored("0b")
+	ended := []workload.EndedRun{{Sequence: 1, Run: first.Run, How: workload.Done}}
+	b.report(nil, ended)
+	b.step(b.receivedFrom(benchPeer, &OutcomesRecorded{Runs: []workload.Run{first.Run}}))
+	assert.Equal(t, len(effectsOf[Acknowledge](b)), 0)
+	b.report(nil, ended)
+	assert.Equal(t, len(effectsOf[Acknowledge](b)), 0)
+	b.answerStart(&second, Accepted)
+	b.report([]workload.RunningRun{{Run: second.Run}}, ended)
+	acknowledged := effectsOf[Acknowledge](b)
+	assert.Equal(t, len(acknowledged), 1)
+	assert.Equal(t, acknowledged[0].Upto, int64(1))
+}
+
+// Guards against ends that are never acknowledged: as long as a report shows its limit of ends,
+// it shows neither the end of a run whose start is not confirmed nor that there is none.
+func TestTruncatedReportIsAcknowledgedAlthoughAStartIsNotConfirmed(t *testing.T) {
+	b := newBench(t)
+	b.control.keptOutcomes.storedJobsExist = true
+	b.placeStored("0a")
+	var ended []workload.EndedRun
+	for i := range workload.MaxReportedEnds {
+		ended = append(ended, workload.EndedRun{Sequence: int64(i + 1), Run: workload.Run{Task: workload.TaskID{Job: "0b", Index: i}, Number: 1}, How: workload.Stopped})
+	}
+	b.report(nil, ended)
+	acknowledged := effectsOf[Acknowledge](b)
+	assert.Equal(t, len(acknowledged), 1)
+	assert.Equal(t, acknowledged[0].Upto, int64(workload.MaxReportedEnds))
+}
+
+// placeStored places a run of a stored job and returns its start order.
+func (b *bench) placeStored(job workload.JobID) Start {
+	b.control.handlePlaceRequest(b.control.self, &PlaceRequest{
+		Sequence: 1, Job: job, Service: "s", Need: workload.Resources{MilliCPU: 1000}, Estimate: time.Second, Stored: true,
+		Objective: time.Second, Expiry: 3 * time.Second, CallerTimeout: 3 * time.Second, Tasks: []PlacedTask{{Number: 1}},
+	})
+	b.step()
+	starts := effectsOf[Start](b)
+	assert.Equal(b.t, len(starts), 1)
+	return starts[0]
+}
--- a/pkg/standin/workers.go
+++ b/pkg/standin/workers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"crocusseam/pkg/model"
@@ -26,6 +27,8 @@
 	Service string
 	Lease   time.Duration
 	Domains []model.Domain
+	// Logger, if set, logs the starts that workers carry out and the ends that they forget.
+	Logger *zap.Logger
 }
 
 // Workers are stand-ins of endpoints with a capacity: the simulated endpoints of
@@ -46,7 +49,11 @@
 func NewWorkers(config WorkersConfig) (*Workers, error) {
 	timing := placement.DefaultTiming()
 	timing.Lease = config.Lease
-	w := &Workers{began: time.Now(), entries: make(map[string]storage.Row), world: model.New(model.Config{Service: config.Service, Timing: timing})}
+	world := model.Config{Service: config.Service, Timing: timing}
+	if config.Logger != nil {
+		logWorkers(&world, config.Logger)
+	}
+	w := &Workers{began: time.Now(), entries: make(map[string]storage.Row), world: model.New(world)}
 	for _, d := range config.Domains {
 		for _, e := range d.Endpoints {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -61,6 +68,22 @@
 	return w, nil
 }
 
+// logWorkers logs what the workers of a world start and forget, with their incarnations, which
+// requests do not name.
+func logWorkers(config *model.Config, logger *zap.Logger) {
+	config.Started = func(x *model.Endpoint, m *placement.Start) {
+		logger.Info("run started", zap.String("Endpoint", x.Info.ID.Name), zap.Int64("Born", x.Info.ID.Born), zap.Uint64("Token", uint64(m.Token)),
+			zap.String("Job", string(m.Run.Task.Job)), zap.String("Task", m.Run.Task.Name()), zap.Int("Run", m.Run.Number))
+	}
+	config.Acknowledged = func(x *model.Endpoint, token workload.Token, ended []workload.EndedRun) {
+		for i := range ended {
+			id := ended[i].Run
+			logger.Info("end acknowledged", zap.String("Endpoint", x.Info.ID.Name), zap.Int64("Born", x.Info.ID.Born), zap.Uint64("Token", uint64(token)),
+				zap.String("Job", string(id.Task.Job)), zap.String("Task", id.Task.Name()), zap.Int("Run", id.Number), zap.Int64("Sequence", ended[i].Sequence), zap.Stringer("How", ended[i].How))
+		}
+	}
+}
+
 // Run serves calls until the context ends.
 func (w *Workers) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/service/gate/watch.go
+++ b/service/gate/watch.go
@@ -64,12 +64,13 @@
 // lastToAcknowledge returns the sequence of the last ended run that may be
 // acknowledged after a report. With explicit acknowledgements it waits briefly for
 // one, because the endpoint answers immediately while it has unacknowledged runs.
-func (s *Server) lastToAcknowledge(ctx context.Context, w *watch, before int64, ended []workload.EndedRun) int64 {
+func (s *Server) lastToAcknowledge(ctx context.Context, w *watch, ended []workload.EndedRun) int64 {
 	if !w.explicitAcks.Load() {
+		last := int64(0)
 		for _, e := range ended {
-			before = max(before, e.Sequence)
+			last = max(last, e.Sequence)
 		}
-		return before
+		return last
 	}
 	if len(ended) > 0 {
 		short, cancel := context.WithTimeout(ctx, explicitAckWait)
@@ -79,7 +80,7 @@
 		case <-short.Done():
 		}
 	}
-	return max(before, w.acknowledged.Load())
+	return w.acknowledged.Load()
 }
 
 func (s *Server) endWatch(endpoint string) {
@@ -90,12 +91,14 @@
 }
 
 // runWatch requests reports until the watch is cancelled or the endpoint answers
-// that this instance no longer holds it. Each request acknowledges the last ended
-// run that may be acknowledged.
+// that this instance no longer holds it. A request acknowledges ended runs only if the one
+// before it was answered, and each ended run until one that does so is answered: each
+// incarnation numbers its ended runs anew, and the next one may answer a request for this one.
 func (s *Server) runWatch(ctx context.Context, w *watch) {
 	q := platform.ReportRequest{Endpoint: w.target.Endpoint, Address: w.target.Address, Token: w.target.Token}
 	var clock time.Duration // of the endpoint, at clockAt
 	var clockAt time.Time
+	confirmed := int64(0) // sequence of the last ended run that an answered request has acknowledged
 	for ctx.Err() == nil {
 		sent := s.timers.SinceBoot()
 		q.Until = 0
@@ -113,13 +116,17 @@
 			if outcome == placement.Fenced || outcome == placement.OtherLife || outcome == placement.Misdirected || !s.timers.Sleep(ctx, reportRetry) {
 				return
 			}
-			q.Wait = 0
+			q.Wait, q.Acknowledged = 0, 0
 			continue
 		}
 		clock, clockAt = report.Clock, received
 		q.Wait = reportWait
 		s.deliver(placement.Reported{Endpoint: q.Endpoint, Token: q.Token, Sent: sent, Received: received, Report: report})
-		q.Acknowledged = s.lastToAcknowledge(ctx, w, q.Acknowledged, report.Ended)
+		confirmed = max(confirmed, q.Acknowledged)
+		q.Acknowledged = s.lastToAcknowledge(ctx, w, report.Ended)
+		if q.Acknowledged <= confirmed {
+			q.Acknowledged = 0
+		}
 	}
 }
 
