--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -332,7 +332,14 @@
 	if !x.checkFence(token) {
 		return placement.Fenced
 	}
-	for len(x.ended) > 0 && x.ended[0].Sequence <= acknowledged {
+	forgotten := 0
+	for forgotten < len(x.ended) && x.ended[forgotten].Sequence <= acknowledged {
+		forgotten++
+	}
+	if forgotten > 0 && x.world.Config.Acknowledged != nil {
+		x.world.Config.Acknowledged(x, token, x.ended[:forgotten])
+	}
+	for range forgotten {
 		r := x.endedRuns[x.ended[0].Sequence]
 		r.acknowledged, r.acknowledgedToken = x.world.Now, token
 		x.world.recordAcknowledged(&x.ended[0], r, x.lapsedAt.After(r.ended))
