Test of starts after a pause: the pause has its own name now

Cause: callerCheckTime was both the pause before tasks are placed after the process stood still (50 ms) and the check of callers, which is 20 ms now. The test meant the former. Change: it waits for placePause, 50 ms as before; its checks are the same.

--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -596,7 +596,7 @@
 	assert.Equal(t, len(effectsOf[Start](b)), 0)
 	b.step(Abandon{Handle: Handle(left)})
 	assert.Equal(t, len(effectsOf[Start](b)), 0)
-	b.now = b.now.Add(callerCheckTime)
+	b.now = b.now.Add(placePause)
 	b.report(nil, nil)
 	starts := effectsOf[Start](b)
 	assert.Equal(t, len(starts), 1)
