Soak: history of faults beside the logs; two red seeds of the site profile

Cause: a red seed's logs did not tell which faults were in progress.

Change: faults.log in the folder of the logs has each fault with its times.

--- a/cmd/crocus-gate/soak_faults_test.go
+++ b/cmd/crocus-gate/soak_faults_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
 
 	"crocusseam/pkg/model"
 	"crocusseam/pkg/standin"
@@ -165,6 +169,8 @@
 // overlap.
 func (s *soak) runFaults(binary string) {
 	var running errgroup.Group
+	history, err := os.Create(filepath.Join(s.dir, "faults.log"))
+	assert.NilError(s.t, err)
 	for end := time.Now().Add(s.profile.duration); time.Now().Before(end) && s.ctx.Err() == nil; {
 		f := s.profile.faults[s.random.IntN(len(s.profile.faults))]
 		span := time.Duration(300+s.random.IntN(3200)) * time.Millisecond
@@ -172,11 +178,14 @@
 		s.count(f.name)
 		s.lastFault.Store(time.Now().UnixNano())
 		running.Go(func() error {
+			began := time.Now()
 			f.run(s, own, span, binary)
 			s.lastFault.Store(time.Now().UnixNano())
-			return nil
+			_, err := fmt.Fprintf(history, "%s to %s %s\n", began.UTC().Format(model.StampFormat), time.Now().UTC().Format(model.StampFormat), f.name)
+			return err
 		})
 		sleepOrDone(s.ctx, time.Duration(s.random.Int64N(int64(2*time.Second)/int64(s.profile.overlappingFaults))))
 	}
-	_ = running.Wait() // faults return no errors
+	assert.Check(s.t, running.Wait())
+	assert.Check(s.t, history.Close())
 }
--- a/cmd/crocus-gate/soak_site_test.go
+++ b/cmd/crocus-gate/soak_site_test.go
@@ -19,10 +19,15 @@
 	duration: 34 * time.Second, overlappingFaults: 4, giveUpShare: 0.25, faults: slices.Concat(faults, siteFaults),
 }
 
-// siteSeeds are the seeds of siteProfile that CI plays.
-var siteSeeds = []uint64{91000}
+// siteSeeds are the seeds of siteProfile that CI plays: a passing one, and those that have
+// failed, each with what was seen.
+var siteSeeds = []uint64{
+	91003,
+	91000, // configurations late on narrow links, on a busy machine (KNOWN-RED.txt)
+	91004, // a request read after its caller had left over a path that stood still (KNOWN-RED.txt)
+}
 
-// TestSoakOfASite runs a fixed seed of a profile that is as rough as a users' site.
+// TestSoakOfASite runs a few fixed seeds of a profile that is as rough as a users' site.
 func TestSoakOfASite(t *testing.T) { soakSeeds(t, "site", siteProfile, siteSeeds) }
 
 const (
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -328,12 +328,15 @@
 	}
 }
 
+// StampFormat is the format of wall-clock times in messages.
+const StampFormat = "15:04:05.0000"
+
 // stamp returns a time as messages give it.
 func (w *World) stamp(t time.Time) string {
 	if w.Began.IsZero() {
 		return t.Sub(epoch).String()
 	}
-	return w.Began.Add(t.Sub(epoch)).UTC().Format("15:04:05.0000")
+	return w.Began.Add(t.Sub(epoch)).UTC().Format(StampFormat)
 }
 
 func (w *World) breach(text string) { w.Breaches = append(w.Breaches, text) }
