--- a/cmd/crocus-gate/soak_site_test.go
+++ b/cmd/crocus-gate/soak_site_test.go
@@ -23,7 +23,7 @@
 // failed, each with what was seen.
 var siteSeeds = []uint64{
 	91003,
-	91000, // configurations late on narrow links, on a busy machine (KNOWN-RED.txt)
+	91000, // a large configuration late on narrow links (KNOWN-RED.txt)
 	91004, // a request read after its caller had left over a path that stood still (KNOWN-RED.txt)
 }
 
