After an unusual silence, start tasks only for callers that still wait (TWICE)

Cause: the path from callers to an instance stood still for 2 s and more. Callers gave up and submitted their jobs elsewhere 1.3 s later. When the path was back the instance read the old requests and, 2 to 3 ms behind them, the callers' closed connections; in between it started the tasks. Instances that get few requests are not affected, as silence is usual there. Not covered: a path of some callers only.

--- a/pkg/placement/abandoned_test.go
+++ b/pkg/placement/abandoned_test.go
@@ -107,3 +107,28 @@
 		assert.Check(t, w.open[0].AllDone(), "the job whose caller waits is not done")
 	})
 }
+
+// Guards against two runs of a task at once: requests that had waited on a path which stood
+// still were started, although their callers had left and submitted them elsewhere.
+func TestRequestsReadAfterASilenceStartOnlyForCallersThatWait(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := newLongJobs(seed)
+		for range 20 {
+			w.submit(1)
+			w.Run(30 * time.Millisecond)
+		}
+		w.disconnect(w.Nodes[0])
+		w.open = nil
+		w.Run(1500 * time.Millisecond)
+		w.submit(8)
+		for _, o := range w.open[1:] {
+			w.After(3*time.Millisecond, func() { w.Nodes[0].DisconnectCaller(o) })
+		}
+		w.Run(time.Second)
+		for _, o := range w.open[1:] {
+			assert.Check(t, !o.Started, "job %s was started", o.Job.ID)
+		}
+		w.Run(9 * time.Second)
+		assert.Check(t, w.open[0].AllDone(), "the job whose caller waits is not done")
+	})
+}
--- a/pkg/placement/callers.go
+++ b/pkg/placement/callers.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
 
 const (
 	// callerCheckTime is how long the process has to run, after it stood still, to notice which
@@ -11,13 +15,21 @@
 	// maxStepGap is the longest time between two steps after which callers count as known.
 	// Without inputs a step comes each 50 ms.
 	maxStepGap = 75 * time.Millisecond
+
+	unusualSilence  = 8  // multiple of the usual time between requests
+	requestsInMean  = 16 // over which that time is averaged
+	minRequestsSeen = 16 // before a silence can be unusual
 )
 
 // callerCheck is what this instance knows of whether its callers still wait. A process that
 // has stood still reads first what has come for it, and notices broken connections later.
 type callerCheck struct {
-	// placeAfter is when tasks may be placed again after a long pause.
+	// placeAfter is when tasks may be placed again after a long pause of this instance, or of
+	// the path to its callers.
 	placeAfter time.Time
+	requestAt  time.Time     // when a job was last submitted
+	requests   int           // submitted so far
+	usualGap   time.Duration // mean time between two of them
 	// confirmedAt is the latest time for which it is known which callers had left.
 	confirmedAt time.Time
 	// pendingAt is the time that will be confirmed when the process has run for callerCheckTime
@@ -50,6 +62,22 @@
 	}
 }
 
+// noteRequest notes that a job was submitted. After a silence of all callers that is unusual for
+// their rate, and so long that they may have submitted the job elsewhere meanwhile, it may have
+// waited on a path that stood still. Its caller's closed connection is then right behind it.
+func (c *Control) noteRequest() {
+	k := &c.home.callers
+	gap := c.now.Sub(k.requestAt)
+	if k.requests >= minRequestsSeen && gap > c.config.Timing.Lease && gap > unusualSilence*k.usualGap {
+		c.logWarning("requests after a silence", zap.Duration("Silence", gap), zap.Duration("Usual", k.usualGap))
+		k.placeAfter = later(k.placeAfter, c.now.Add(callerCheckTime))
+	} else if k.requests > 0 {
+		k.usualGap += (gap - k.usualGap) / requestsInMean
+	}
+	k.requestAt = c.now
+	k.requests++
+}
+
 func (c *Control) beginCallerCheck() {
 	k := &c.home.callers
 	k.pendingAt, k.ran, k.gaps = c.now, 0, false
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -104,6 +104,7 @@
 // submit accepts a job from a caller or refuses it. If the job is open here already,
 // the caller waits for the same answer; joinStored answers it if the job is a stored one.
 func (c *Control) submit(m Submit) {
+	c.noteRequest()
 	if j, ok := c.home.jobs.Get(m.Job.ID); ok {
 		if j.stored != nil {
 			c.joinStored(j, m)
