--- a/pkg/placement/callers.go
+++ b/pkg/placement/callers.go
@@ -68,7 +68,7 @@
 func (c *Control) noteRequest() {
 	k := &c.home.callers
 	gap := c.now.Sub(k.requestAt)
-	if k.requests >= minRequestsSeen && gap > c.config.Timing.Lease && gap > unusualSilence*k.usualGap {
+	if c.stop == serving && k.requests >= minRequestsSeen && gap > c.config.Timing.Lease && gap > unusualSilence*k.usualGap {
 		c.logWarning("requests after a silence", zap.Duration("Silence", gap), zap.Duration("Usual", k.usualGap))
 		k.placeAfter = later(k.placeAfter, c.now.Add(callerCheckTime))
 	} else if k.requests > 0 {
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -87,6 +87,7 @@
 	maxHeaderBytes   = 16 << 10
 	maxBodyBytes     = 256 << 10
 	shutdownTimeout  = 300 * time.Millisecond // for answers still being sent at the end of a planned stop
+	lastRequestsTime = 100 * time.Millisecond // to read what has arrived before that end
 	orderConnections = 8                      // to one endpoint, for concurrent reports and orders
 	overviewPeriod   = 100 * time.Millisecond
 	orderTimeout     = time.Second // the control state repeats an order sooner, and accepts a late answer
@@ -189,6 +190,9 @@
 	case <-ctx.Done():
 		_ = s.http.Close()
 	case <-s.stopped:
+		// Shutdown closes idle connections, also those with a request that has not been read. A
+		// process that was short of processor time reads it first, and refuses it.
+		s.timers.Sleep(ctx, lastRequestsTime)
 		last, cancel := context.WithTimeout(ctx, shutdownTimeout)
 		defer cancel()
 		if err := s.http.Shutdown(last); err != nil {
