--- a/cmd/crocus-gate/proxy_test.go
+++ b/cmd/crocus-gate/proxy_test.go
@@ -33,15 +33,17 @@
 // proxyState holds the faults that a proxy applies; the zero value forwards everything.
 type proxyState struct {
 	Delay             time.Duration
-	BlockedToTarget   bool // bytes to the target wait
-	BlockedFromTarget bool // bytes from the target wait
-	Unreachable       bool // connections are reset
+	BlockedToTarget   bool          // bytes to the target wait
+	BlockedFromTarget bool          // bytes from the target wait
+	Unreachable       bool          // connections are reset
+	CloseDelay        time.Duration // of a close, after the bytes before it
 }
 
 // and returns the faults of both states together.
 func (s proxyState) and(o proxyState) proxyState {
 	return proxyState{
 		max(s.Delay, o.Delay), s.BlockedToTarget || o.BlockedToTarget, s.BlockedFromTarget || o.BlockedFromTarget, s.Unreachable || o.Unreachable,
+		max(s.CloseDelay, o.CloseDelay),
 	}
 }
 
@@ -239,6 +241,10 @@
 				return err
 			}
 		}
+		if err != nil {
+			s, _ := l.current(d)
+			time.Sleep(s.CloseDelay)
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
