Stop unanswered starts at each life of an endpoint that may carry them out (TWICE)

Cause: a holder repeated the stop of such a start only as long as its hold and the run lasted.

Change: a table of the holder keeps each start of which some copy is not answered for lateOrderWindow, also after its hold was lost, yielded or fenced, or the endpoint has left the list. stopLateStarts is the one place that keeps the invariant: until the life that could still carry it out has accepted a stop, refuses the id (421) or knows a higher token, it is sent stops at StopRetry. A planned stop waits for that within MaxLeaveTime, where the endpoint is listed. A run with an unanswered copy whose endpoint starts anew is Unknown, not Lapsed.

--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -376,7 +376,7 @@
 	c.logEvent("planned stop begins", zap.Int("OpenJobs", c.home.jobs.Len()), zap.Int("Runs", c.holder.runs.Len()))
 }
 
-// runStop ends a planned stop when no job or run is left and MinLeaveTime, in which
+// runStop ends a planned stop when no job, run or late start is left and MinLeaveTime, in which
 // other instances take over, has passed, and otherwise after MaxLeaveTime. It then
 // times out the jobs that are not stored, and leaves stored ones as they are.
 func (c *Control) runStop() {
@@ -384,7 +384,7 @@
 		return
 	}
 	elapsed := c.now.Sub(c.stopStartedAt)
-	open := c.home.jobs.Len() > 0 || c.holder.runs.Len() > 0
+	open := c.home.jobs.Len() > 0 || c.holder.runs.Len() > 0 || c.lateStartsOpen()
 	if elapsed < c.config.Timing.MinLeaveTime || (open && elapsed < c.config.Timing.MaxLeaveTime) {
 		return
 	}
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -100,6 +100,8 @@
 	endpoints          *table.Table[string, *endpoint]
 	runs               *runTable // that have not ended yet
 	ended              *runTable // kept for endedRunRetention, to answer repeated placement requests
+	lateStarts         *lateStartTable
+	lateStartsDue      time.Time // when they are next examined
 	queue              []*run
 	queueChanged       bool               // the queue or free capacity has changed since startQueued ran
 	held               int                // endpoints held
@@ -144,7 +146,7 @@
 func newHolder(config hold.Config) holder {
 	return holder{
 		registry: hold.New(config), listed: table.New[string, *workload.Endpoint](), missingSince: make(map[string]time.Time),
-		endpoints: table.New[string, *endpoint](), runs: table.New[workload.Run, *run](), ended: table.New[workload.Run, *run](),
+		endpoints: table.New[string, *endpoint](), runs: table.New[workload.Run, *run](), ended: table.New[workload.Run, *run](), lateStarts: table.New[lateStartKey, *lateStart](),
 		rowsRead: make(map[string]bool), capacityStale: true, fastSpeeds: make(map[string]float64),
 		advertisedCapacity: table.NewTrackedTable[string](func(a, b FreeCapacity) bool { return a == b }, maxRemovedEntries),
 	}
@@ -203,7 +205,7 @@
 			e.info = *info
 		}
 	}
-	h.capacityStale, h.queueChanged = true, true
+	h.capacityStale, h.queueChanged, h.lateStartsDue = true, true, c.now
 }
 
 // isOutdated reports whether an entry of an endpoint is older than the one that is known. This
@@ -377,18 +379,16 @@
 func (c *Control) loseEndpoint(e *endpoint, how workload.How, cause string) {
 	c.logWarning("endpoint lost", e.logFields(zap.Int64("Born", e.info.ID.Born), zap.Stringer("Runs", how), zap.Int("Count", e.runs.Len()), zap.String("Cause", cause))...)
 	c.emit(Unwatch{Endpoint: e.info.ID})
+	c.noteLostStarts(e, how == workload.Lapsed)
+	c.holder.endpoints.Delete(e.info.ID.Name)
 	for _, r := range e.runs.All() {
-		if how == workload.Lapsed && r.confirmedAt.IsZero() {
-			// The endpoint's next incarnation may execute an unanswered start order.
-			c.orderStop(e, r.id)
-			r.mayStartLater = true
+		if r.mayStartLater = c.mayStartLater(r); r.mayStartLater {
 			c.endRun(r, workload.Unknown, cause)
 			continue
 		}
 		c.endRun(r, how, cause)
 	}
-	c.holder.endpoints.Delete(e.info.ID.Name)
-	c.holder.checkDue = c.now
+	c.holder.checkDue, c.holder.lateStartsDue = c.now, c.now
 	c.holder.capacityStale, c.holder.advertChanged = true, true
 }
 
@@ -409,7 +409,7 @@
 
 // loseIncarnation ends the hold of an endpoint whose process was replaced by a new
 // incarnation under the same name. The new one executes any order that reaches it, so
-// no order is sent before discovery lists it and it has reported.
+// none but stops is sent before discovery lists it and it has reported.
 func (c *Control) loseIncarnation(e *endpoint) {
 	c.holder.registry.IncarnationEnded(e.info.ID.Name)
 	c.loseEndpoint(e, workload.Lapsed, "another life of it answers")
@@ -420,6 +420,8 @@
 	c.counters.FencedOrders++
 	c.holder.registry.Fenced(e.info.ID.Name)
 	c.holder.planDue = c.now
+	c.noteLostStarts(e, false)
+	c.excludeFormerStarts(e.info.ID, e.token+1)
 	c.loseEndpoint(e, workload.Unknown, "another instance holds it")
 }
 
@@ -487,6 +489,9 @@
 	if !ok {
 		return
 	}
+	if e.reportReceivedAt.IsZero() {
+		c.excludeFormerStarts(e.info.ID, e.token)
+	}
 	if !m.Received.Before(e.reportReceivedAt) {
 		e.reportReceivedAt, e.clock, e.reportTruncated = m.Received, m.Report.Clock, m.Report.Truncated()
 	}
@@ -535,6 +540,7 @@
 		}
 		if r.confirmedAt.IsZero() {
 			r.confirmedAt = m.Received
+			c.noteStartSeen(r)
 		}
 		if rr.Percent != r.percent {
 			r.percent, r.percentAt = rr.Percent, m.Received
@@ -777,6 +783,7 @@
 	for _, r := range h.runs.All() {
 		c.checkRun(r)
 	}
+	c.stopLateStarts()
 }
 
 // updateFastSpeeds computes the speeds of the fast endpoints of each service anew, unless it
--- /dev/null
+++ b/pkg/placement/late_orders_test.go
@@ -0,0 +1,158 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/workload"
+)
+
+// listLife lists an incarnation of the endpoint.
+func (b *bench) listLife(born int64) workload.EndpointID {
+	life := benchEndpoint
+	life.ID.Born = born
+	b.step(Listed{Endpoints: []workload.Endpoint{life}})
+	return life.ID
+}
+
+// countStops counts the stop orders for a run that an incarnation of the endpoint is sent in a
+// span, none of which is answered.
+func (b *bench) countStops(span time.Duration, id workload.Run, life workload.EndpointID) int {
+	n := 0
+	for end := b.now.Add(span); b.now.Before(end); b.advanceBy(10 * time.Millisecond) {
+		for _, s := range effectsOf[StopRun](b) {
+			if s.Run == id && s.Endpoint == life {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (b *bench) answerStop(id workload.Run, life workload.EndpointID, outcome OrderOutcome) {
+	b.step(StopDone{Endpoint: life, Token: benchToken, Run: id, Outcome: outcome})
+}
+
+// Guards against two runs of a task at once: of the stops of a start that nobody had answered, the
+// endpoint's next incarnation was sent one, and it was lost.
+func TestUnansweredStartIsStoppedUntilTheNextLifeAcceptsIt(t *testing.T) {
+	for _, outcome := range []OrderOutcome{Accepted, OtherLife, Fenced, Misdirected} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			b := newBench(t)
+			starts := b.submit(1, 1000)
+			run := starts[0].Run
+			b.answerStart(&starts[0], Unanswered)
+			next := b.listLife(benchEndpoint.ID.Born + 1)
+			stops := b.countStops(2*time.Second, run, next)
+			assert.Assert(t, stops >= 8 && stops <= 11, "%d stops in 2 s", stops)
+			b.answerStop(run, next, Unanswered)
+			assert.Assert(t, b.countStops(time.Second, run, next) > 0)
+			b.answerStop(run, next, outcome)
+			assert.Equal(t, b.countStops(time.Second, run, next), 0)
+			last := b.listLife(next.Born + 1)
+			assert.Assert(t, b.countStops(time.Second, run, last) > 0, "this incarnation knows of no stop")
+			b.countStops(lateOrderWindow, run, last)
+			assert.Equal(t, b.countStops(time.Second, run, last), 0, "no order is as late as that")
+			assert.Equal(t, b.control.holder.lateStarts.Len(), 0)
+		})
+	}
+}
+
+// Guards against two runs of a task at once: the hold of an endpoint had ended while a copy of a
+// start was not answered, in its former life or since, and its next incarnation carried that out.
+func TestStartUnansweredUnderAFormerHoldIsStoppedInTheNextLife(t *testing.T) {
+	for name, endHold := range map[string]func(b *bench, id workload.Run){
+		"its run was done and it was yielded": func(b *bench, id workload.Run) {
+			b.report(nil, []workload.EndedRun{{Sequence: 1, Run: id, How: workload.Done}})
+			b.connectMembers(MemberRow{Instance: "b", Incarnation: 1, Domain: "east", Share: 1})
+			b.step(Stop{})
+			b.step(b.receivedFrom(benchPeer, &Yield{Endpoints: []string{"e-1"}}))
+		},
+		"it was fenced": func(b *bench, _ workload.Run) {
+			b.step(Silent{Endpoint: benchEndpoint.ID, Token: benchToken, Outcome: Fenced})
+		},
+		"it left the list": func(b *bench, _ workload.Run) {
+			b.step(Listed{})
+			for range 30 {
+				b.advanceBy(100 * time.Millisecond)
+				b.step(Listed{})
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			starts := b.submit(1, 1000)
+			b.answerStart(&starts[0], Unanswered)
+			again := effectsOf[Start](b)
+			assert.Equal(t, len(again), 1)
+			b.answerStart(&again[0], Accepted)
+			endHold(b, starts[0].Run)
+			b.advanceBy(10 * time.Millisecond)
+			assert.Equal(t, b.control.holder.endpoints.Len(), 0)
+			next := b.listLife(benchEndpoint.ID.Born + 1)
+			assert.Assert(t, b.countStops(time.Second, starts[0].Run, next) >= 4)
+		})
+	}
+}
+
+// Guards against a task that runs again after it is done (soak seed 93100): a next life had answered,
+// and was sent no stop of a start whose run had ended before, as the list did not name it yet.
+func TestNextLifeThatAnswersIsSentStopsBeforeItIsListed(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], Unanswered)
+	again := effectsOf[Start](b)
+	b.answerStart(&again[0], Accepted)
+	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Done}})
+	assert.Equal(t, b.countStops(time.Second, starts[0].Run, benchEndpoint.ID), 0)
+	b.step(Silent{Endpoint: benchEndpoint.ID, Token: benchToken, Outcome: OtherLife})
+	assert.Assert(t, b.countStops(time.Second, starts[0].Run, benchEndpoint.ID) >= 4)
+	b.answerStop(starts[0].Run, benchEndpoint.ID, OtherLife)
+	assert.Equal(t, b.countStops(time.Second, starts[0].Run, benchEndpoint.ID), 0)
+}
+
+// Guards against stops that only cost: a start whose copies were all answered, or whose only copy
+// has shown its run, cannot come later.
+func TestAnsweredStartIsNotStoppedInTheNextLife(t *testing.T) {
+	for name, answer := range map[string]func(b *bench, first, second *Start){
+		"both copies answered": func(b *bench, first, second *Start) {
+			b.answerStart(second, Accepted)
+			b.answerStart(first, Accepted)
+		},
+		"one copy, its run listed": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			starts := b.submit(1, 1000)
+			if answer != nil {
+				b.answerStart(&starts[0], Unanswered)
+				again := effectsOf[Start](b)
+				answer(b, &starts[0], &again[0])
+			} else {
+				b.report([]workload.RunningRun{{Run: starts[0].Run}}, nil)
+				b.answerStart(&starts[0], Unanswered)
+			}
+			next := b.listLife(benchEndpoint.ID.Born + 1)
+			assert.Equal(t, b.countStops(time.Second, starts[0].Run, next), 0)
+		})
+	}
+}
+
+// Guards against two runs of a task at once: an instance that was stopped in plan left a start that
+// the endpoint's next incarnation might carry out.
+func TestPlannedStopWaitsForTheStopOfALateStart(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], Unanswered)
+	b.step(Abandon{Handle: Handle(b.jobs)})
+	next := b.listLife(benchEndpoint.ID.Born + 1)
+	b.step(Stop{})
+	for end := b.now.Add(b.control.config.Timing.MinLeaveTime + 500*time.Millisecond); b.now.Before(end); {
+		b.advanceBy(10 * time.Millisecond)
+		assert.Equal(t, len(effectsOf[Stopped](b)), 0)
+	}
+	b.answerStop(starts[0].Run, next, Accepted)
+	assert.Equal(t, len(effectsOf[Stopped](b)), 1)
+}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -182,6 +182,7 @@
 	c.updateLeaseLimit(e)
 	e.leaseGranted = later(e.leaseGranted, c.leaseEnd(e))
 	r.startsSent++
+	c.noteCopy(r)
 	e.leaseRenewedAt = c.now
 	answerTimeout := c.config.Timing.FirstStartTimeout
 	if r.startsSent > 1 {
@@ -203,6 +204,7 @@
 // for a repeated order counts as accepted, as an earlier copy has arrived. Any other
 // refusal ends the run if one copy was sent, and stops it if an earlier one may act.
 func (c *Control) startDone(m StartDone) {
+	c.noteStartAnswer(&m)
 	e, ok := c.heldEndpoint(m.Endpoint, m.Token)
 	if !ok {
 		return
@@ -214,6 +216,9 @@
 	if c.endHoldIfLost(e, m.Outcome) {
 		return
 	}
+	if m.Outcome == Unanswered {
+		c.noteUnanswered(r, m.Copy)
+	}
 	if m.Outcome == Accepted || (m.Outcome == TooOld && r.startsSent > 1) {
 		if r.state == starting {
 			r.state = running
@@ -276,6 +281,7 @@
 // stopDone processes the outcome of a stop order. An accepted stop does not end the run:
 // a later report that no longer lists the run as running does.
 func (c *Control) stopDone(m StopDone) {
+	c.noteStopAnswer(&m)
 	e, ok := c.heldEndpoint(m.Endpoint, m.Token)
 	if !ok {
 		return
@@ -299,6 +305,7 @@
 	case starting:
 		if !c.now.Before(r.answerDue) {
 			c.logEvent("start not answered in time", r.logFields(zap.Int("Copy", r.startsSent))...)
+			c.noteUnanswered(r, r.startsSent)
 			c.retryStart(r)
 		}
 	case stopping:
@@ -397,6 +404,9 @@
 	if e := r.endpoint; e != nil {
 		ended.Endpoint = e.info.ID.Name
 		ended.Elapsed = c.now.Sub(r.orderedAt)
+		if how != workload.Unknown {
+			c.noteStartSeen(r)
+		}
 		if r.request.Stored && (how == workload.Done || how == workload.Failed) {
 			c.keepOutcome(e, ended)
 		}
