--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -77,9 +77,18 @@
 // droppedRuns are the runs of one job that their holders were asked to stop.
 type droppedRuns struct {
 	runs *table.Table[workload.Run, instance.ID] // run -> its holder
+	// late holds the runs that ended with their hold, but that may start later.
+	late *table.Table[workload.Run, lateDrop]
 	at   time.Time
 }
 
+// lateDrop is a dropped run that the next incarnation of an endpoint may still start.
+type lateDrop struct {
+	holder   instance.ID
+	endpoint string    // empty once it may not any more
+	endedBy  time.Time // time by which the run has ended, unless it starts later
+}
+
 func newHome() home {
 	return home{
 		jobs: table.New[workload.JobID, *job](), byHandle: make(map[Handle]workload.JobID),
@@ -245,14 +254,29 @@
 	}
 	c.home.droppedRuns.Delete(j.ID)
 	for r, holder := range former.runs.All() {
-		if r.Task.Step >= len(j.steps) || r.Task.Index >= len(j.steps[r.Task.Step]) {
-			continue
+		if t := c.resumeFormerRun(j, r, holder); t != nil {
+			t.phase, t.placed = placed, c.now
+		}
+	}
+	for r, late := range former.late.All() {
+		if t := c.resumeFormerRun(j, r, late.holder); t != nil {
+			j.markLost(t, late.endedBy)
+			t.lateStartEndpoint, t.lateStartUntil = late.endpoint, former.at.Add(lateOrderWindow)
 		}
-		t := &j.steps[r.Task.Step][r.Task.Index]
-		t.phase, t.holder, t.runNumber, t.placed = placed, holder, r.Number, c.now
-		c.logWarning("task waits for the end of a former run", runFields(r, zap.Stringer("Holder", holder))...)
 	}
-	return former.runs.Len()
+	return former.runs.Len() + former.late.Len()
+}
+
+// resumeFormerRun makes a former run the current one of its task, and returns the task, or nil
+// if the job has none of that name.
+func (c *Control) resumeFormerRun(j *job, r workload.Run, holder instance.ID) *task {
+	if r.Task.Step >= len(j.steps) || r.Task.Index >= len(j.steps[r.Task.Step]) {
+		return nil
+	}
+	t := &j.steps[r.Task.Step][r.Task.Index]
+	t.holder, t.runNumber = holder, r.Number
+	c.logWarning("task waits for the end of a former run", runFields(r, zap.Stringer("Holder", holder))...)
+	return t
 }
 
 // forgetDroppedRuns forgets dropped runs after the time within which a late order
@@ -358,11 +382,14 @@
 // submitted again before. It returns these runs.
 func (c *Control) dropRuns(j *job) []droppedRun {
 	var dropped []droppedRun
-	former := droppedRuns{runs: table.New[workload.Run, instance.ID](), at: c.now}
+	former := droppedRuns{runs: table.New[workload.Run, instance.ID](), late: table.New[workload.Run, lateDrop](), at: c.now}
 	drops := table.New[instance.ID, *Drop]()
 	for s := range j.steps {
 		for i := range j.steps[s] {
 			t := &j.steps[s][i]
+			if t.phase == lost && t.lateStartEndpoint != "" {
+				former.late.Put(j.run(s, i), lateDrop{t.holder, t.lateStartEndpoint, t.endedBy})
+			}
 			if t.phase != placed {
 				continue
 			}
@@ -377,7 +404,7 @@
 			dropped = append(dropped, droppedRun{j.run(s, i), t.holder})
 		}
 	}
-	if former.runs.Len() > 0 {
+	if former.runs.Len()+former.late.Len() > 0 {
 		c.home.droppedRuns.Put(j.ID, former)
 	}
 	for holder, d := range drops.All() {
@@ -561,8 +588,9 @@
 func (c *Control) handleRunEnded(from instance.ID, m *RunEnded) {
 	j, t, ok := c.placedTask(from, m.Run)
 	if !ok {
-		if former, known := c.home.droppedRuns.Get(m.Run.Task.Job); known {
-			former.runs.Delete(m.Run)
+		c.noteFormerRunEnded(from, m)
+		if t != nil {
+			c.endLateStart(from, j, t, m)
 		}
 		c.endedElsewhere(from, m)
 		return
@@ -612,6 +640,31 @@
 	c.placeStep(j, m.Run.Task.Step)
 }
 
+// noteFormerRunEnded notes the end of a run of a job that was closed before. One that may start
+// later has not ended.
+func (c *Control) noteFormerRunEnded(from instance.ID, m *RunEnded) {
+	former, known := c.home.droppedRuns.Get(m.Run.Task.Job)
+	if !known {
+		return
+	}
+	if former.runs.Delete(m.Run) && m.MayStartLater {
+		former.late.Put(m.Run, lateDrop{from, m.Endpoint, c.now.Add(c.config.Timing.leaseExpiry())})
+		return
+	}
+	if late, ok := former.late.Get(m.Run); ok && late.holder == from && !m.MayStartLater {
+		former.late.Put(m.Run, lateDrop{holder: from, endedBy: later(late.endedBy, c.now.Add(stopTime))})
+	}
+}
+
+// endLateStart lets a lost task of an ephemeral job be placed again, as its holder reports that
+// the endpoint carries out the start of its last run no more, or has been told to stop it. An end
+// of a stored job's run may be kept there: it waits for the report of the endpoint's next holder.
+func (c *Control) endLateStart(from instance.ID, j *job, t *task, m *RunEnded) {
+	if j.stored == nil && t.phase == lost && t.holder == from && t.runNumber == m.Run.Number && t.lateStartEndpoint == m.Endpoint && !m.MayStartLater {
+		t.lateStartEndpoint, t.endedBy = "", later(t.endedBy, c.now.Add(stopTime))
+	}
+}
+
 // countFailure counts a failed run of a task, and closes the job once too many have failed.
 //
 // This keeps an invariant: each failed run counts once, by its number, however often its
--- a/pkg/placement/late_orders_test.go
+++ b/pkg/placement/late_orders_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -140,6 +141,70 @@
 	}
 }
 
+// Guards against a task that waits although nothing can start it any more: its home learned only
+// by a report of the endpoint's next holder that a start could not come late.
+func TestTaskGoesOnWhenTheNextLifeHasAcceptedTheStop(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], OtherLife)
+	next, other := benchEndpoint, benchEndpoint
+	next.ID.Born++
+	other.ID = workload.EndpointID{Name: "e-2", Born: 1}
+	b.step(Listed{Endpoints: []workload.Endpoint{next, other}})
+	startsWithin := func(span time.Duration) (n int) {
+		for end := b.now.Add(span); b.now.Before(end); {
+			b.serveStore()
+			b.advanceBy(10 * time.Millisecond)
+			n += b.countFirstCopies()
+			b.serveStore()
+			b.step(Reported{Endpoint: other.ID, Token: benchToken, Sent: b.now, Received: b.now, Report: workload.Report{Clock: time.Minute}})
+			n += b.countFirstCopies()
+		}
+		return n
+	}
+	assert.Equal(t, startsWithin(1500*time.Millisecond), 0)
+	b.answerStop(starts[0].Run, next.ID, Accepted)
+	assert.Equal(t, startsWithin(200*time.Millisecond), 1)
+}
+
+// Guards against two runs of a task at once: a job was submitted again to its home, which had
+// forgotten a run of it, with the end of the hold or of the job, although a next life might start it.
+func TestJobHandedInAgainWaitsForALateStart(t *testing.T) {
+	for _, leavesFirst := range []bool{true, false} {
+		t.Run(fmt.Sprint(leavesFirst), func(t *testing.T) {
+			b := newBench(t)
+			starts := b.submit(1, 1000)
+			b.answerStart(&starts[0], Unanswered)
+			next, second := benchEndpoint, benchEndpoint
+			next.ID.Born++
+			second.ID.Name = benchPeerEndpoint
+			b.connectPeer()
+			if leavesFirst {
+				b.step(Abandon{Handle: Handle(b.jobs)})
+			}
+			b.step(Listed{Endpoints: []workload.Endpoint{next, second}})
+			if !leavesFirst {
+				b.step(Abandon{Handle: Handle(b.jobs)})
+			}
+			b.jobs--
+			b.submit(1, 1000)
+			assert.Equal(t, len(b.placedNumbers()), 0)
+			placedWithin := func(span time.Duration) (numbers []int) {
+				for end := b.now.Add(span); b.now.Before(end); {
+					b.now = b.now.Add(10 * time.Millisecond)
+					b.step(b.receivedFrom(benchPeer, &Heartbeat{Configuration: 1}))
+					numbers = append(numbers, b.placedNumbers()...)
+				}
+				return numbers
+			}
+			assert.Equal(t, len(placedWithin(1500*time.Millisecond)), 0)
+			b.answerStop(starts[0].Run, next.ID, Accepted)
+			numbers := placedWithin(200 * time.Millisecond)
+			assert.Assert(t, len(numbers) == 1 && numbers[0] > starts[0].Run.Number, "%v", numbers)
+		})
+	}
+}
+
 // Guards against two runs of a task at once: an instance that was stopped in plan left a start that
 // the endpoint's next incarnation might carry out.
 func TestPlannedStopWaitsForTheStopOfALateStart(t *testing.T) {
--- a/pkg/placement/late_starts.go
+++ b/pkg/placement/late_starts.go
@@ -27,6 +27,7 @@
 	endpoint   workload.EndpointID // in its last known life
 	address    netip.AddrPort
 	home       instance.ID
+	ephemeral  bool
 	unanswered map[int]bool // copies
 	orderedAt  time.Time    // when the last copy was sent
 	// excludedIn is the life in which the endpoint does not carry it out any more: the run is
@@ -34,6 +35,7 @@
 	excludedIn workload.EndpointID
 	stopSentAt time.Time
 	stoppedIn  workload.EndpointID // the life in which it was last stopped
+	homeWaits  bool                // its home was told that it may start later
 }
 
 // noteUnanswered records that a copy of a run's start order is not answered. Where the run was
@@ -42,7 +44,7 @@
 	l := c.lateStartOf(r)
 	if l == nil {
 		e := r.endpoint
-		l = &lateStart{endpoint: e.info.ID, address: e.info.Address, home: r.home, unanswered: make(map[int]bool), orderedAt: r.orderedAt}
+		l = &lateStart{endpoint: e.info.ID, address: e.info.Address, home: r.home, ephemeral: !r.request.Stored, unanswered: make(map[int]bool), orderedAt: r.orderedAt}
 		if !r.confirmedAt.IsZero() {
 			if r.startsSent == 1 {
 				return
@@ -112,7 +114,9 @@
 	}
 }
 
-// excludeLateStart records that the endpoint does not carry out a late start in one of its lives.
+// excludeLateStart records that the endpoint does not carry out a late start in one of its lives,
+// and tells the home if it waits for that. After a refusal for a higher token the run may be
+// there: the home goes on when the holder with that token has a report.
 func (c *Control) excludeLateStart(id workload.Run, l *lateStart, life workload.EndpointID, outcome OrderOutcome) {
 	if l.excludedIn == life {
 		return
@@ -122,6 +126,10 @@
 		return
 	}
 	c.logWarning("late start excluded", runFields(id, zap.Stringer("Home", l.home), zap.String("Endpoint", life.Name), zap.Int64("Born", life.Born), zap.Stringer("Outcome", outcome), zap.Duration("Elapsed", c.now.Sub(l.orderedAt)))...)
+	if l.homeWaits && outcome != Fenced {
+		l.homeWaits = false
+		c.send(l.home, &RunEnded{Run: id, How: workload.Unknown, Endpoint: life.Name, Detail: "its start cannot be carried out late any more"})
+	}
 }
 
 // excludeFormerStarts records that an endpoint knows a token: it carries out no start with a
@@ -154,10 +162,14 @@
 }
 
 // mayStartLater reports whether the endpoint may still carry out the start of a run whose hold
-// ends.
+// ends. The home of an ephemeral job is told when it may not any more.
 func (c *Control) mayStartLater(r *run) bool {
 	l := c.lateStartOf(r)
-	return l != nil && l.excludedIn != r.endpoint.info.ID
+	if l == nil || l.excludedIn == r.endpoint.info.ID {
+		return false
+	}
+	l.homeWaits = l.ephemeral
+	return true
 }
 
 // lifeOf returns the last known life of the endpoint of a late start.
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -414,7 +414,8 @@
 	// Kept says that the holder keeps the outcome until it gets OutcomesRecorded.
 	Kept bool
 	// MayStartLater says that the endpoint's next incarnation may still execute the
-	// start order, until that incarnation has received the token of its next holder.
+	// start order, until that incarnation has received the token of its next holder, or
+	// a second RunEnded without it follows.
 	MayStartLater bool
 }
 
