Give an endpoint that was asked for up when its life has ended

The holder, the only one of its domain, was in a planned stop, in which nothing is taken. Another instance had asked for the endpoint since 1.0 s before and was to wait for its runs; when the life ended with them, it was not told, and its next request, 0.2 s later, met peers that were slow and then silent. The holder's next process took the endpoint.

Change: the end of a life gives the endpoint up to the instance that has asked for it, as the end of its last run does. A request is left if the endpoint is assigned to this instance again.

What remains: while the paths between the instances are cut as well, only the repeated stops help. A holder that takes nothing in its planned stop is meant.

--- a/pkg/hold/hold_test.go
+++ b/pkg/hold/hold_test.go
@@ -109,6 +109,25 @@
 	assert.Equal(t, len(a.Held()), 3)
 }
 
+// Guards against an endpoint that is given up to a member that has left since it asked.
+func TestRequestThatTheDivisionNoLongerSupportsIsLeft(t *testing.T) {
+	table := storage.NewMemory()
+	a, b := newRegistry("a", 1), newRegistry("b", 2)
+	a.Settle()
+	executeTakes(t, a, table, start)
+	a.SetMembers([]Member{memberOf(b)})
+	asked := ""
+	for _, name := range a.Held() {
+		if a.YieldRequested(b.config.Self, name) {
+			asked = name
+		}
+	}
+	assert.Assert(t, asked != "")
+	a.SetMembers(nil)
+	_, yes := a.Yield(asked, start)
+	assert.Assert(t, !yes)
+}
+
 func TestHolderKeepsWhatTheDivisionGivesIt(t *testing.T) {
 	table := storage.NewMemory()
 	a, b := newRegistry("a", 1), newRegistry("b", 2)
--- a/pkg/hold/plan.go
+++ b/pkg/hold/plan.go
@@ -226,10 +226,14 @@
 }
 
 // Yield gives an endpoint up to the member that requested it, and returns that
-// member. The caller must make sure that this instance has no runs there.
+// member, unless it is assigned to this instance again. The caller must make sure that
+// this instance has no runs there.
 func (r *Registry) Yield(endpoint string, now time.Time) (to instance.ID, ok bool) {
+	if r.assignmentStale {
+		r.assign()
+	}
 	e, found := r.entries.Get(endpoint)
-	if !found || e.yieldTo == (instance.ID{}) || (e.state != yielding && e.state != notHeld) {
+	if !found || r.assignment[endpoint] == r.config.Self.Instance || e.yieldTo == (instance.ID{}) || (e.state != yielding && e.state != notHeld) {
 		return instance.ID{}, false
 	}
 	to = e.yieldTo
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -390,6 +390,9 @@
 	}
 	c.holder.checkDue, c.holder.lateStartsDue = c.now, c.now
 	c.holder.capacityStale, c.holder.advertChanged = true, true
+	if how == workload.Lapsed {
+		c.yieldEndpoint(e.info.ID.Name) // nothing of this instance is at the next life
+	}
 }
 
 // endHoldIfLost ends the hold of an endpoint if the outcome of an order or report
--- a/pkg/placement/late_orders_test.go
+++ b/pkg/placement/late_orders_test.go
@@ -221,3 +221,22 @@
 	b.answerStop(starts[0].Run, next, Accepted)
 	assert.Equal(t, len(effectsOf[Stopped](b)), 1)
 }
+
+// Guards against a next life that knows no higher token for seconds: its endpoint's holder, in a
+// planned stop, had been asked for it while runs were there, and left it when its life had ended.
+func TestEndpointThatWasAskedForIsYieldedWithItsLife(t *testing.T) {
+	b := newBench(t)
+	b.connectMembers(MemberRow{Instance: "b", Incarnation: 1, Domain: "east", Share: 1})
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], Accepted)
+	b.step(Stop{})
+	b.step(b.receivedFrom(benchPeer, &Yield{Endpoints: []string{"e-1"}}))
+	b.listLife(benchEndpoint.ID.Born + 1)
+	yielded := 0
+	for _, s := range effectsOf[Send](b) {
+		if m, ok := s.Message.(*Yielded); ok && s.Peer == benchPeer && m.Endpoint == "e-1" {
+			yielded++
+		}
+	}
+	assert.Equal(t, yielded, 1)
+}
--- a/pkg/placement/late_starts_test.go
+++ b/pkg/placement/late_starts_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"crocusseam/pkg/model"
+	"crocusseam/pkg/placement"
 )
 
 // lateWorld is a world in which the endpoints of the first domain carry out start orders late.
@@ -104,3 +105,51 @@
 		})
 	}
 }
+
+// Guards against a next life that knows no higher token for seconds: its former holder, in a planned
+// stop, had been asked for the endpoint while runs were there, and let the other wait until it asked
+// again.
+func TestNextLifeGetsAHolderAtOnceInAPlannedStop(t *testing.T) {
+	const bound = 300 * time.Millisecond // a missed report of the former life, and a commit
+	for phase := time.Duration(0); phase < 700*time.Millisecond; phase += 50 * time.Millisecond {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			t.Parallel()
+			config := deployment(1)
+			var w *model.World
+			listed, inUse := make(map[string]time.Time), make(map[string]time.Time)
+			config.Log = func(_ *model.Node, e placement.LogEvent) {
+				times := map[string]map[string]time.Time{"endpoint listed": listed, "endpoint in use": inUse}[e.Event]
+				for _, f := range e.Fields {
+					if _, known := times[f.String]; f.Key == "Endpoint" && times != nil && !known && w != nil {
+						times[f.String] = w.Now
+					}
+				}
+			}
+			w = model.New(config)
+			offerMix(w, 0.8, 10*time.Second)
+			w.Run(2*time.Second + phase)
+			leaving := w.Nodes[4] // the only one of its domain
+			leaving.BeginPlannedStop()
+			w.Run(30 * time.Millisecond)
+			var reborn []*model.Endpoint
+			for _, x := range w.Endpoints {
+				if x.Info.Domain == leaving.Domain {
+					reborn = append(reborn, x)
+					x.Crash()
+				}
+			}
+			w.Run(300 * time.Millisecond)
+			clear(listed)
+			clear(inUse)
+			for _, x := range reborn {
+				x.Restart()
+			}
+			w.Run(2 * time.Second)
+			for _, x := range reborn {
+				name := x.Info.ID.Name
+				after := inUse[name].Sub(listed[name])
+				assert.Check(t, !inUse[name].IsZero() && after < bound, "%s: %v after it was listed", name, after)
+			}
+		})
+	}
+}
