The model's paused instances ask for reports as soon as they run again

Cause: the model's watch of an endpoint looked every 50 ms whether its instance still stood still. An instance that runs 45 ms at a time could miss each of these moments for longer than a lease. The calls of a real process go on as soon as it runs.

Change: what came due during a pause is done when it ends.

--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -41,7 +41,8 @@
 	sessions   map[instance.ID]bool
 	watches    map[string]*watch
 	up, down   link
-	generation int // incremented at each start and kill, so that older timers do nothing
+	onWake     []func() // what came due during a pause
+	generation int      // incremented at each start and kill, so that older timers do nothing
 }
 
 // watch is the watch of an endpoint by an instance, with the state of its reports.
@@ -122,6 +123,11 @@
 	n.Paused = true
 	n.world.After(span, func() {
 		n.Paused = false
+		due := n.onWake
+		n.onWake = nil
+		for _, do := range due {
+			do()
+		}
 		n.schedule()
 	})
 }
@@ -384,7 +390,12 @@
 		return
 	}
 	if n.Paused {
-		n.later(redialDelay, func() { n.pollReport(x, wait) })
+		generation := n.generation
+		n.onWake = append(n.onWake, func() {
+			if n.generation == generation {
+				n.pollReport(x, wait)
+			}
+		})
 		return
 	}
 	sent := w.Now
