A closed job's runs count until they have certainly ended

Callers saw: a job that was submitted again to the home that had closed it started beside a run of it that might go on, or was not started at all.

Cause: a home remembers the runs of a closed job that it has dropped, so that a submission of the job waits for their ends. It did not remember runs that were lost at that moment (their holder had given them up while they might go on), and forgot a dropped run when its holder gave it up. A dropped run whose holder had restarted was waited for until the caller's time was over.

Change: such runs count until the time at which they have certainly ended: a lease after the holder's report, or holderLossTimeout after the holder was last heard. What has certainly ended is forgotten at once.

--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -69,30 +69,30 @@
 	waitingFloors  map[string]waitingFloor   // by route
 	// droppedRuns holds the runs of jobs that were closed before the holders reported the
 	// ends of these runs.
-	droppedRuns *table.Table[workload.JobID, droppedRuns]
+	droppedRuns *table.Table[workload.JobID, *droppedRuns]
 	own         member // this instance as a holder, in the same form as the other members
 	callers     callerCheck
 }
 
-// droppedRuns are the runs of one job that their holders were asked to stop.
+// droppedRuns are the runs of one closed job that may be going on.
 type droppedRuns struct {
-	runs *table.Table[workload.Run, instance.ID] // run -> its holder
-	// late holds the runs that ended with their hold, but that may start later.
-	late *table.Table[workload.Run, lateDrop]
+	runs *table.Table[workload.Run, openRun]
 	at   time.Time
 }
 
-// lateDrop is a dropped run that the next incarnation of an endpoint may still start.
-type lateDrop struct {
-	holder   instance.ID
-	endpoint string    // empty once it may not any more
-	endedBy  time.Time // time by which the run has ended, unless it starts later
+// openRun is a run of a closed job. Its holder was asked to stop it and reports its end,
+// unless it has certainly ended at endedBy.
+type openRun struct {
+	holder  instance.ID
+	endedBy time.Time // zero while the holder's report is awaited
+	// lateStartEndpoint names an endpoint whose next incarnation may still start the run.
+	lateStartEndpoint string
 }
 
 func newHome() home {
 	return home{
 		jobs: table.New[workload.JobID, *job](), byHandle: make(map[Handle]workload.JobID),
-		droppedRuns: table.New[workload.JobID, droppedRuns](), timeouts: make(map[string]*timeoutCounts),
+		droppedRuns: table.New[workload.JobID, *droppedRuns](), timeouts: make(map[string]*timeoutCounts),
 		waitingFloors: make(map[string]waitingFloor),
 	}
 }
@@ -253,43 +253,85 @@
 		return 0
 	}
 	c.home.droppedRuns.Delete(j.ID)
-	for r, holder := range former.runs.All() {
-		if t := c.resumeFormerRun(j, r, holder); t != nil {
-			t.phase, t.placed = placed, c.now
+	for r, open := range former.runs.All() {
+		if r.Task.Step >= len(j.steps) || r.Task.Index >= len(j.steps[r.Task.Step]) {
+			continue
+		}
+		t := &j.steps[r.Task.Step][r.Task.Index]
+		t.phase, t.holder, t.runNumber, t.placed = placed, open.holder, r.Number, c.now
+		if !open.endedBy.IsZero() {
+			j.markLost(t, open.endedBy)
+			t.lateStartEndpoint, t.lateStartUntil = open.lateStartEndpoint, former.at.Add(lateOrderWindow)
 		}
+		c.logWarning("task waits for the end of a former run", runFields(r, zap.Stringer("Holder", open.holder))...)
 	}
-	for r, late := range former.late.All() {
-		if t := c.resumeFormerRun(j, r, late.holder); t != nil {
-			j.markLost(t, late.endedBy)
-			t.lateStartEndpoint, t.lateStartUntil = late.endpoint, former.at.Add(lateOrderWindow)
+	return former.runs.Len()
+}
+
+// forgetDroppedRuns forgets dropped runs that have certainly ended, and the others after the
+// time within which a late order can still take effect.
+func (c *Control) forgetDroppedRuns() {
+	for id, former := range c.home.droppedRuns.All() {
+		for r, open := range former.runs.All() {
+			if c.now.Sub(former.at) >= lateOrderWindow || c.certainlyEnded(open, former.at) {
+				former.runs.Delete(r)
+			}
+		}
+		if former.runs.Len() == 0 {
+			c.home.droppedRuns.Delete(id)
 		}
 	}
-	return former.runs.Len() + former.late.Len()
 }
 
-// resumeFormerRun makes a former run the current one of its task, and returns the task, or nil
-// if the job has none of that name.
-func (c *Control) resumeFormerRun(j *job, r workload.Run, holder instance.ID) *task {
-	if r.Task.Step >= len(j.steps) || r.Task.Index >= len(j.steps[r.Task.Step]) {
-		return nil
+// certainlyEnded reports whether a run that was dropped at some time has ended and cannot start
+// later, although its holder has not said so.
+func (c *Control) certainlyEnded(open openRun, dropped time.Time) bool {
+	switch {
+	case open.lateStartEndpoint != "":
+		return false
+	case !open.endedBy.IsZero():
+		return !c.now.Before(open.endedBy)
 	}
-	t := &j.steps[r.Task.Step][r.Task.Index]
-	t.holder, t.runNumber = holder, r.Number
-	c.logWarning("task waits for the end of a former run", runFields(r, zap.Stringer("Holder", holder))...)
-	return t
+	m, ok := c.membership.members.Get(open.holder.Instance)
+	return ok && m.id == open.holder && !c.reachable(m.id) && c.now.Sub(later(m.lastSeenAt, dropped)) > c.config.Timing.holderLossTimeout()
 }
 
-// forgetDroppedRuns forgets dropped runs after the time within which a late order
-// can still take effect. The table is ordered by the time of the drop.
-func (c *Control) forgetDroppedRuns() {
-	for id, former := range c.home.droppedRuns.All() {
-		if c.now.Sub(former.at) < lateOrderWindow {
-			return
+// markDroppedRunsLost notes by when the dropped runs at a holder that is gone have ended.
+func (c *Control) markDroppedRunsLost(holder instance.ID, heardAt time.Time) {
+	for _, former := range c.home.droppedRuns.All() {
+		for r, open := range former.runs.All() {
+			if open.holder == holder && open.endedBy.IsZero() {
+				open.endedBy = later(heardAt, former.at).Add(c.config.Timing.holderLossTimeout())
+				former.runs.Put(r, open)
+			}
 		}
-		c.home.droppedRuns.Delete(id)
 	}
 }
 
+// droppedRunEnded handles the outcome of a run of a closed job. After Unknown it may go on for
+// the rest of its lease, and start later unless a second outcome says that it may not.
+func (c *Control) droppedRunEnded(from instance.ID, former *droppedRuns, m *RunEnded) {
+	open, ok := former.runs.Get(m.Run)
+	if !ok || open.holder != from {
+		return
+	}
+	if m.How != workload.Unknown {
+		former.runs.Delete(m.Run)
+		return
+	}
+	switch {
+	case open.endedBy.IsZero():
+		open.endedBy = c.now.Add(c.config.Timing.leaseExpiry())
+	case open.lateStartEndpoint != "":
+		open.endedBy = later(open.endedBy, c.now.Add(stopTime))
+	}
+	open.lateStartEndpoint = ""
+	if m.MayStartLater {
+		open.lateStartEndpoint = m.Endpoint
+	}
+	former.runs.Put(m.Run, open)
+}
+
 // admissible reports whether this instance can serve a job, and otherwise why not.
 func (c *Control) admissible(j *job) (reason string, ok bool) {
 	switch {
@@ -377,18 +419,18 @@
 		zap.Uint64("Configuration", c.configurationVersion()))
 }
 
-// dropRuns asks the holders to stop the runs of a job's placed tasks. It remembers them until
-// they have ended: a holder is asked again if the session with it ends, and the job may be
-// submitted again before. It returns these runs.
+// dropRuns asks the holders to stop the runs of a job's placed tasks. It remembers them, and the
+// runs of lost tasks, until they have ended: a holder is asked again if the session with it ends,
+// and the job may be submitted again before. It returns the runs that it dropped.
 func (c *Control) dropRuns(j *job) []droppedRun {
 	var dropped []droppedRun
-	former := droppedRuns{runs: table.New[workload.Run, instance.ID](), late: table.New[workload.Run, lateDrop](), at: c.now}
+	former := &droppedRuns{runs: table.New[workload.Run, openRun](), at: c.now}
 	drops := table.New[instance.ID, *Drop]()
 	for s := range j.steps {
 		for i := range j.steps[s] {
 			t := &j.steps[s][i]
-			if t.phase == lost && t.lateStartEndpoint != "" {
-				former.late.Put(j.run(s, i), lateDrop{t.holder, t.lateStartEndpoint, t.endedBy})
+			if t.phase == lost {
+				former.runs.Put(j.run(s, i), openRun{t.holder, t.endedBy, t.lateStartEndpoint})
 			}
 			if t.phase != placed {
 				continue
@@ -400,11 +442,11 @@
 				drops.Put(t.holder, d)
 			}
 			d.Runs = append(d.Runs, j.run(s, i))
-			former.runs.Put(j.run(s, i), t.holder)
+			former.runs.Put(j.run(s, i), openRun{holder: t.holder})
 			dropped = append(dropped, droppedRun{j.run(s, i), t.holder})
 		}
 	}
-	if former.runs.Len()+former.late.Len() > 0 {
+	if former.runs.Len() > 0 {
 		c.home.droppedRuns.Put(j.ID, former)
 	}
 	for holder, d := range drops.All() {
@@ -418,8 +460,8 @@
 func (c *Control) resendDrops(holder instance.ID) {
 	drop := &Drop{}
 	for _, former := range c.home.droppedRuns.All() {
-		for r, h := range former.runs.All() {
-			if h == holder {
+		for r, open := range former.runs.All() {
+			if open.holder == holder && open.endedBy.IsZero() {
 				drop.Runs = append(drop.Runs, r)
 			}
 		}
@@ -588,7 +630,9 @@
 func (c *Control) handleRunEnded(from instance.ID, m *RunEnded) {
 	j, t, ok := c.placedTask(from, m.Run)
 	if !ok {
-		c.noteFormerRunEnded(from, m)
+		if former, known := c.home.droppedRuns.Get(m.Run.Task.Job); known {
+			c.droppedRunEnded(from, former, m)
+		}
 		if t != nil {
 			c.endLateStart(from, j, t, m)
 		}
@@ -640,22 +684,6 @@
 	c.placeStep(j, m.Run.Task.Step)
 }
 
-// noteFormerRunEnded notes the end of a run of a job that was closed before. One that may start
-// later has not ended.
-func (c *Control) noteFormerRunEnded(from instance.ID, m *RunEnded) {
-	former, known := c.home.droppedRuns.Get(m.Run.Task.Job)
-	if !known {
-		return
-	}
-	if former.runs.Delete(m.Run) && m.MayStartLater {
-		former.late.Put(m.Run, lateDrop{from, m.Endpoint, c.now.Add(c.config.Timing.leaseExpiry())})
-		return
-	}
-	if late, ok := former.late.Get(m.Run); ok && late.holder == from && !m.MayStartLater {
-		former.late.Put(m.Run, lateDrop{holder: from, endedBy: later(late.endedBy, c.now.Add(stopTime))})
-	}
-}
-
 // endLateStart lets a lost task of an ephemeral job be placed again, as its holder reports that
 // the endpoint carries out the start of its last run no more, or has been told to stop it. An end
 // of a stored job's run may be kept there: it waits for the report of the endpoint's next holder.
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -585,4 +585,5 @@
 	c.scheduleAdoption()
 	c.orphanRunsOfHome(id, "its home has restarted")
 	c.markRunsLost(id, lastSeenAt)
+	c.markDroppedRunsLost(id, lastSeenAt)
 }
