A directory knows the home of each ephemeral job, so that one home at a time begins it

A caller that had given up and come back elsewhere had left a request on a path that stood still. Its first instance read the request up to seconds later, and before the close behind it, and started the job beside the second one.

Cause: a home's belief that its caller waits is its own. Two homes worked on one job and neither knew.

While another instance has the job, it waits; that one is recalled, and releases the job when it has ended and none of its runs can be going on. Then the next one begins, or answers its callers if the job is completed. An instance that has read an old request thus waits until it reads the close. requestCallerCheck does nothing yet.

--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -422,6 +422,15 @@
 	n.deliver(placement.Submit{Handle: h, Job: o.Job, Route: route, CallerTimeout: timeout})
 }
 
+// SubmitLate delivers to an instance a submission of a job that its caller has given up, and some
+// time later that the connection was closed. No one waits for the answer.
+func (w *World) SubmitLate(n *Node, o *Outcome, route workload.Route, timeout, closed time.Duration) {
+	n.lastHandle++
+	h := placement.Handle(n.lastHandle)
+	n.deliver(placement.Submit{Handle: h, Job: o.Job, Route: route, CallerTimeout: timeout})
+	n.later(closed, func() { n.deliver(placement.Abandon{Handle: h}) })
+}
+
 // State asks an instance for the state of a job.
 func (w *World) State(n *Node, id workload.JobID, answer func(placement.Answer)) {
 	n.lastHandle++
--- a/pkg/placement/callers.go
+++ b/pkg/placement/callers.go
@@ -78,6 +78,9 @@
 	k.requests++
 }
 
+// requestCallerCheck makes the process look at the connections of its callers.
+func (c *Control) requestCallerCheck() {}
+
 func (c *Control) beginCallerCheck() {
 	k := &c.home.callers
 	k.pendingAt, k.ran, k.gaps = c.now, 0, false
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -139,6 +139,7 @@
 	home          home
 	holder        holder
 	membership    membership
+	directory     directory
 	recorder      recorder
 	adoption      adoption
 	keptOutcomes  keptOutcomes
@@ -153,7 +154,7 @@
 // disabledRules says which rules tests have disabled, to check that some test fails
 // without each of them.
 type disabledRules struct {
-	orphans, keptRefusals, storedMark bool
+	orphans, keptRefusals, storedMark, directory bool
 }
 
 type stopState int
@@ -179,6 +180,7 @@
 		YieldRequestPeriod: yieldRequestInterval, YieldTerm: yieldTimeout,
 	})
 	c.membership = newMembership()
+	c.directory = newDirectory()
 	c.recorder = newRecorder()
 	c.keptOutcomes = newKeptOutcomes()
 	c.endpointList = newEndpointList()
@@ -207,6 +209,7 @@
 	c.runEndpointList()
 	c.runHolds()
 	c.runHolder()
+	c.runDirectory()
 	c.runHome()
 	c.runAdoption()
 	c.runKeptOutcomes()
@@ -220,7 +223,11 @@
 	if c.home.jobs.Len() == 0 && c.holder.runs.Len() == 0 {
 		tick = c.config.Timing.HeartbeatInterval / idleStepsPerHeartbeat
 	}
-	return effects, now.Add(tick)
+	next := now.Add(tick)
+	if due := c.home.registerDue; !due.IsZero() && due.Before(next) {
+		next = due
+	}
+	return effects, next
 }
 
 // handlePause re-evaluates the state after the process was paused: what it knows of
@@ -232,6 +239,7 @@
 	c.reverifyStored("this instance stood still")
 	c.membership.nextMemberCheck = c.now
 	c.checkMembers()
+	c.registerAgain(func(_ workload.JobID, r *registration) bool { return !r.begun })
 }
 
 // The number of steps per heartbeat interval when no input arrives.
@@ -310,6 +318,16 @@
 		c.holder.planDue = c.now
 	case *CancelJob:
 		c.cancelLocal(m.ID)
+	case *Register:
+		c.handleRegister(from, m)
+	case *Registered:
+		c.handleRegistered(from, m)
+	case *Occupied:
+		c.handleOccupied(from, m)
+	case *Recall:
+		c.handleRecall(from, m)
+	case *Release:
+		c.handleRelease(from, m)
 	case *OutcomesRecorded:
 		c.handleOutcomesRecorded(m)
 	case *Inquire:
@@ -447,6 +465,10 @@
 	SilentEndpoints   int64 // endpoints that stopped reporting
 	UnknownRuns       int64 // runs found at an endpoint that this instance did not start
 	FailedCommits     int64 // failed commits of holds, members and stored jobs
+	Unconfirmed       int64 // jobs begun although the directory did not answer in time
+	Occupied          int64 // registrations of jobs that had another home
+	Recalled          int64 // recalls of jobs for which other instances waited
+	PassedOn          int64 // jobs that the directory passed on to an instance that waited
 	StragglersStopped int64 // runs stopped because they made no progress
 	Looks             int64 // reports requested in addition to the watches
 	Adopted           int64 // stored jobs taken over from homes that have failed
--- a/pkg/placement/export_test.go
+++ b/pkg/placement/export_test.go
@@ -3,10 +3,11 @@
 // Rule names a rule that tests can disable.
 type Rule string
 
-// Rules without which the hazards test fails.
+// Rules without which the hazards test fails, or another one for RuleDirectory.
 const (
 	RuleOrphans      Rule = "Orphans"      // a holder stops the runs of an unresponsive home
 	RuleKeptRefusals Rule = "KeptRefusals" // a holder repeats its refusal of a run
+	RuleDirectory    Rule = "Directory"    // a home asks the directory before it begins a job
 	RuleStoredMark   Rule = "StoredMark"   // a holder keeps outcomes until it knows whether stored jobs exist
 )
 
@@ -17,6 +18,8 @@
 		c.disabledRules.orphans = true
 	case RuleKeptRefusals:
 		c.disabledRules.keptRefusals = true
+	case RuleDirectory:
+		c.disabledRules.directory = true
 	case RuleStoredMark:
 		c.disabledRules.storedMark = true
 	}
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -26,6 +26,8 @@
 	started   bool         // some run of the job has started
 	stored    *storedState // nil for an ephemeral job
 	deferred  bool         // accepted before this instance knew of any capacity; not examined yet
+	// registration is the job's registration with the directory of homes, if it is ephemeral.
+	registration registration
 }
 
 // phase is the progress of a task as its home knows it.
@@ -72,12 +74,20 @@
 	droppedRuns *table.Table[workload.JobID, *droppedRuns]
 	own         member // this instance as a holder, in the same form as the other members
 	callers     callerCheck
+
+	registrations uint64    // with the directory so far
+	registerDue   time.Time // when the next registration is not answered in time; zero without any
+	releases      *table.Table[instance.ID, []ReleasedJob]
+	releasesDue   time.Time
 }
 
 // droppedRuns are the runs of one closed job that may be going on.
 type droppedRuns struct {
 	runs *table.Table[workload.Run, openRun]
 	at   time.Time
+	// registration is the job's. It is released when all runs have ended.
+	registration registration
+	completed    bool // the job
 }
 
 // openRun is a run of a closed job. Its holder was asked to stop it and reports its end,
@@ -93,7 +103,7 @@
 	return home{
 		jobs: table.New[workload.JobID, *job](), byHandle: make(map[Handle]workload.JobID),
 		droppedRuns: table.New[workload.JobID, *droppedRuns](), timeouts: make(map[string]*timeoutCounts),
-		waitingFloors: make(map[string]waitingFloor),
+		waitingFloors: make(map[string]waitingFloor), releases: table.New[instance.ID, []ReleasedJob](),
 	}
 }
 
@@ -174,12 +184,21 @@
 }
 
 // beginPlacement unblocks the steps of a job that can run now and places their
-// tasks.
+// tasks. An ephemeral job waits for the directory first.
 func (c *Control) beginPlacement(j *job) {
 	for s := range j.steps {
 		c.unblock(j, s)
 	}
-	c.placeReady(j)
+	if j.stored != nil {
+		c.placeReady(j)
+		return
+	}
+	if c.disabledRules.directory {
+		j.registration.state = registered
+		c.placeReady(j)
+		return
+	}
+	c.register(j.ID, &j.registration, j.deadline.Sub(c.now))
 }
 
 // newJob returns the job of a submission. An ephemeral job expires at a multiple of its
@@ -253,6 +272,7 @@
 		return 0
 	}
 	c.home.droppedRuns.Delete(j.ID)
+	j.registration.recalledBy = former.registration.recalledBy
 	for r, open := range former.runs.All() {
 		if r.Task.Step >= len(j.steps) || r.Task.Index >= len(j.steps[r.Task.Step]) {
 			continue
@@ -279,6 +299,7 @@
 		}
 		if former.runs.Len() == 0 {
 			c.home.droppedRuns.Delete(id)
+			c.release(id, &former.registration, former.completed)
 		}
 	}
 }
@@ -316,7 +337,7 @@
 		return
 	}
 	if m.How != workload.Unknown {
-		former.runs.Delete(m.Run)
+		former.runs.Delete(m.Run) // forgetDroppedRuns releases the job
 		return
 	}
 	switch {
@@ -409,6 +430,7 @@
 	j.handles = nil
 	dropped := c.dropRuns(j)
 	c.home.jobs.Delete(j.ID)
+	c.endRegistration(j, a.Status == Completed)
 	elapsed := c.now.Sub(j.arrived)
 	if a.Status == Completed && c.now.After(j.objective) {
 		c.counters.Late++
@@ -507,7 +529,7 @@
 	if j.stored != nil && !(c.anyReady(j, step) && c.verified(j)) {
 		return
 	}
-	if j.stored == nil && c.now.Before(c.home.callers.placeAfter) {
+	if j.stored == nil && (c.now.Before(c.home.callers.placeAfter) || !j.registration.mayPlace()) {
 		return
 	}
 	requests := table.New[instance.ID, *PlaceRequest]()
@@ -537,6 +559,9 @@
 		t.runNumber++
 		p.Tasks = append(p.Tasks, PlacedTask{Index: i, Number: t.runNumber, Avoid: t.avoid})
 	}
+	if requests.Len() > 0 {
+		j.registration.begun = true
+	}
 	for holder, p := range requests.All() {
 		c.sendPlaceRequest(holder, p)
 	}
@@ -761,6 +786,7 @@
 	if move {
 		c.home.moveDue = c.now.Add(movePeriod)
 	}
+	c.home.registerDue = time.Time{}
 	for _, j := range c.home.jobs.All() {
 		c.advanceWithRecovery(j, move)
 	}
@@ -786,6 +812,7 @@
 		c.admitDeferred(j)
 		return
 	}
+	c.checkRegistration(j)
 	c.checkLost(j)
 	c.placeReady(j)
 	if move {
@@ -825,7 +852,11 @@
 // to help while some of its tasks still wait.
 func (c *Control) timeOut(j *job) {
 	if !j.mayHaveStarted() {
-		c.refuse(j, "no endpoint had room for it in time")
+		reason := "no endpoint had room for it in time"
+		if j.registration.state == occupied {
+			reason = "another instance is still running it"
+		}
+		c.refuse(j, reason)
 		return
 	}
 	c.counters.TimedOut++
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -15,6 +15,7 @@
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/storage"
 	"crocusseam/pkg/table"
+	"crocusseam/pkg/workload"
 )
 
 // MemberPrefix is the key prefix of the rows of the instances.
@@ -174,7 +175,7 @@
 func (c *Control) heartbeatTo(m *member, waiting map[string]int) *Heartbeat {
 	return &Heartbeat{
 		Leaving: c.stop != serving, Configuration: c.configurationVersion(), ConfigurationBytes: len(c.configuration.raw), Uptime: c.now.Sub(c.began),
-		ReceiverSuspected: !m.suspectedSince.IsZero(), Waiting: waiting,
+		ReceiverSuspected: !m.suspectedSince.IsZero(), Waiting: waiting, KeepsDirectory: true,
 	}
 }
 
@@ -350,6 +351,7 @@
 	c.holder.advertDue, c.holder.advertChanged = c.now, true
 	c.sendInitialList(m)
 	c.resendPlaceRequests(id)
+	c.registerAgain(func(_ workload.JobID, r *registration) bool { return r.directory == id })
 }
 
 func (c *Control) handlePeerDown(id instance.ID) {
@@ -386,10 +388,15 @@
 	if m.heartbeatAt.IsZero() {
 		return false
 	}
-	uptime := m.heartbeat.Uptime + c.now.Sub(m.heartbeatAt)
+	uptime := c.uptimeOf(m)
 	return uptime >= c.config.Timing.Established || uptime+c.config.Timing.Settle >= c.now.Sub(c.began)
 }
 
+// uptimeOf returns how long a member has been running, by its last heartbeat.
+func (c *Control) uptimeOf(m *member) time.Duration {
+	return m.heartbeat.Uptime + c.now.Sub(m.heartbeatAt)
+}
+
 // registryMembers returns the members as the registry of holds needs them.
 func (c *Control) registryMembers() []hold.Member {
 	var list []hold.Member
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -481,6 +481,8 @@
 	ConfigurationBytes int
 	// Uptime is how long the sender has been running.
 	Uptime time.Duration
+	// KeepsDirectory says that the sender answers a Register. Earlier versions do not.
+	KeepsDirectory bool
 	// ReceiverSuspected says that the sender has received nothing from the receiver
 	// for so long that it suspects it.
 	ReceiverSuspected bool
@@ -522,6 +524,54 @@
 // CancelJob asks the receiver to cancel a job if it is the job's home.
 type CancelJob struct{ ID workload.JobID }
 
+// Register asks the directory member of an ephemeral job's id whether the sender may be the
+// job's home.
+type Register struct {
+	Job    workload.JobID
+	Number uint64        // counts the sender's registrations
+	Left   time.Duration // until the caller stops waiting
+	// Occupant is the home that the sender waits for, if another member has named one.
+	Occupant instance.ID
+}
+
+// Registered answers a Register, at once or when the former home has released the job.
+type Registered struct {
+	Job       workload.JobID
+	Number    uint64 // of the Register
+	Completed bool   // the former home has completed the job
+	// Former is the former home, if the sender does not reach it.
+	Former instance.ID
+}
+
+// Occupied answers a Register while another instance is the job's home.
+type Occupied struct {
+	Job    workload.JobID
+	Number uint64 // of the Register
+	Home   instance.ID
+}
+
+// Recall asks the home of a job to release it as soon as it can.
+type Recall struct {
+	Job    workload.JobID
+	Number uint64 // of the home's Register
+}
+
+// Release tells the directory that the sender is not the home of jobs any more and none of its
+// runs of them can be going on, or that it does not wait for them any more.
+type Release struct{ Jobs []ReleasedJob }
+
+// ReleasedJob is a job of a Release.
+type ReleasedJob struct {
+	Job       workload.JobID
+	Number    uint64 // of the last Register
+	Completed bool
+}
+
+func (*Register) isMessage()             {}
+func (*Registered) isMessage()           {}
+func (*Occupied) isMessage()             {}
+func (*Recall) isMessage()               {}
+func (*Release) isMessage()              {}
 func (*PlaceRequest) isMessage()         {}
 func (*Drop) isMessage()                 {}
 func (*RunEnded) isMessage()             {}
--- a/service/peer/dispatch.go
+++ b/service/peer/dispatch.go
@@ -26,14 +26,15 @@
 func (e *ErrInvalidMessage) Unwrap() error { return e.Cause }
 
 var (
-	errKind    = errors.New("the kind is unknown")
-	errAttempt = errors.New("the attempt is missing")
-	errLengths = errors.New("the lists of endpoints and of occupied slots differ in length")
-	errHolder  = errors.New("the holder is missing")
-	errOutcome = errors.New("the outcome is unknown")
-	errSpeed   = errors.New("the speed is not a positive number")
-	errUptime  = errors.New("the uptime is longer than an instance can run")
-	errReply   = errors.New("the reply has neither an answer nor a refusal")
+	errKind     = errors.New("the kind is unknown")
+	errAttempt  = errors.New("the attempt is missing")
+	errLengths  = errors.New("the lists of endpoints and of occupied slots differ in length")
+	errHolder   = errors.New("the holder is missing")
+	errInstance = errors.New("it names no instance")
+	errOutcome  = errors.New("the outcome is unknown")
+	errSpeed    = errors.New("the speed is not a positive number")
+	errUptime   = errors.New("the uptime is longer than an instance can run")
+	errReply    = errors.New("the reply has neither an answer nor a refusal")
 )
 
 func toAttempt(a routing.Attempt) *wire.Attempt {
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"crocusseam/pkg/instance"
 	"crocusseam/pkg/placement"
 	"crocusseam/pkg/storage"
 	"crocusseam/pkg/table"
@@ -64,7 +65,7 @@
 	case *placement.Heartbeat:
 		return &wire.Message{Kind: &wire.Message_SignOfLife{SignOfLife: &wire.SignOfLife{
 			Leaving: m.Leaving, Configuration: m.Configuration, ConfigurationBytes: uint32(m.ConfigurationBytes),
-			UptimeNanos: int64(m.Uptime), Waiting: countsToWire(m.Waiting), Unheard: m.ReceiverSuspected,
+			UptimeNanos: int64(m.Uptime), Waiting: countsToWire(m.Waiting), Unheard: m.ReceiverSuspected, KeepsDirectory: m.KeepsDirectory,
 		}}}
 	case *placement.ConfigurationRequest:
 		return &wire.Message{Kind: &wire.Message_SettingsRequest{SettingsRequest: &wire.SettingsRequest{Version: m.Version, Offset: uint32(m.Offset), Limit: uint32(m.Limit)}}}
@@ -78,10 +79,36 @@
 		return &wire.Message{Kind: &wire.Message_Yielded{Yielded: &wire.Yielded{Endpoint: m.Endpoint, Version: uint64(m.Version)}}}
 	case *placement.CancelJob:
 		return &wire.Message{Kind: &wire.Message_CancelById{CancelById: &wire.CancelByID{Job: string(m.ID)}}}
+	case *placement.Register:
+		return &wire.Message{Kind: &wire.Message_Register{Register: &wire.Register{Job: string(m.Job), Number: m.Number, LeftNanos: int64(m.Left), Occupant: optionalInstanceToWire(m.Occupant)}}}
+	case *placement.Registered:
+		return &wire.Message{Kind: &wire.Message_Registered{Registered: &wire.Registered{Job: string(m.Job), Number: m.Number, Completed: m.Completed, Former: optionalInstanceToWire(m.Former)}}}
+	case *placement.Occupied:
+		return &wire.Message{Kind: &wire.Message_Occupied{Occupied: &wire.Occupied{Job: string(m.Job), Number: m.Number, Home: optionalInstanceToWire(m.Home)}}}
+	case *placement.Recall:
+		return &wire.Message{Kind: &wire.Message_Recall{Recall: &wire.Recall{Job: string(m.Job), Number: m.Number}}}
+	case *placement.Release:
+		jobs := make([]*wire.ReleasedJob, len(m.Jobs))
+		for i, r := range m.Jobs {
+			jobs[i] = &wire.ReleasedJob{Job: string(r.Job), Number: r.Number, Completed: r.Completed}
+		}
+		return &wire.Message{Kind: &wire.Message_Release{Release: &wire.Release{Jobs: jobs}}}
 	}
 	panic("no wire form for this message of package placement")
 }
 
+// optionalInstanceToWire returns nil for the zero identity.
+func optionalInstanceToWire(id instance.ID) *wire.Instance {
+	if id == (instance.ID{}) {
+		return nil
+	}
+	return &wire.Instance{Name: id.Instance, Incarnation: id.Incarnation}
+}
+
+func optionalInstanceFromWire(i *wire.Instance) instance.ID {
+	return instance.ID{Instance: i.GetName(), Incarnation: i.GetIncarnation()}
+}
+
 func resourcesToWire(r workload.Resources) *wire.Resources {
 	return &wire.Resources{MilliCpu: int64(r.MilliCPU), MemoryMb: int64(r.MemoryMB), Accelerators: int64(r.Accelerators)}
 }
@@ -265,7 +292,7 @@
 	case *wire.Message_SignOfLife:
 		return &placement.Heartbeat{
 			Leaving: k.SignOfLife.GetLeaving(), Configuration: k.SignOfLife.GetConfiguration(), ConfigurationBytes: int(k.SignOfLife.GetConfigurationBytes()), Uptime: time.Duration(k.SignOfLife.GetUptimeNanos()),
-			Waiting: countsFromWire(k.SignOfLife.GetWaiting()), ReceiverSuspected: k.SignOfLife.GetUnheard(),
+			Waiting: countsFromWire(k.SignOfLife.GetWaiting()), ReceiverSuspected: k.SignOfLife.GetUnheard(), KeepsDirectory: k.SignOfLife.GetKeepsDirectory(),
 		}, nil
 	case *wire.Message_Settings:
 		return &placement.ConfigurationPart{Version: k.Settings.GetVersion(), Offset: int(k.Settings.GetOffset()), Size: int(k.Settings.GetSize()), Data: k.Settings.GetRaw()}, nil
@@ -285,6 +312,27 @@
 		return &placement.Yielded{Endpoint: k.Yielded.GetEndpoint(), Version: storage.Version(k.Yielded.GetVersion())}, nil
 	case *wire.Message_CancelById:
 		return &placement.CancelJob{ID: workload.JobID(k.CancelById.GetJob())}, nil
+	case *wire.Message_Register:
+		return &placement.Register{
+			Job: workload.JobID(k.Register.GetJob()), Number: k.Register.GetNumber(), Left: time.Duration(k.Register.GetLeftNanos()), Occupant: optionalInstanceFromWire(k.Register.GetOccupant()),
+		}, nil
+	case *wire.Message_Registered:
+		return &placement.Registered{
+			Job: workload.JobID(k.Registered.GetJob()), Number: k.Registered.GetNumber(), Completed: k.Registered.GetCompleted(), Former: optionalInstanceFromWire(k.Registered.GetFormer()),
+		}, nil
+	case *wire.Message_Occupied:
+		if k.Occupied.GetHome().GetName() == "" {
+			return nil, &ErrInvalidMessage{Kind: "Occupied", Cause: errInstance}
+		}
+		return &placement.Occupied{Job: workload.JobID(k.Occupied.GetJob()), Number: k.Occupied.GetNumber(), Home: optionalInstanceFromWire(k.Occupied.GetHome())}, nil
+	case *wire.Message_Recall:
+		return &placement.Recall{Job: workload.JobID(k.Recall.GetJob()), Number: k.Recall.GetNumber()}, nil
+	case *wire.Message_Release:
+		m := &placement.Release{}
+		for _, r := range k.Release.GetJobs() {
+			m.Jobs = append(m.Jobs, placement.ReleasedJob{Job: workload.JobID(r.GetJob()), Number: r.GetNumber(), Completed: r.GetCompleted()})
+		}
+		return m, nil
 	}
 	return nil, &ErrInvalidMessage{Kind: "unknown", Cause: errKind}
 }
--- a/service/peer/placement_test.go
+++ b/service/peer/placement_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"crocusseam/pkg/instance"
 	"crocusseam/pkg/placement"
 	"crocusseam/pkg/table"
 	"crocusseam/pkg/workload"
@@ -35,7 +36,7 @@
 		&placement.InquiryAnswer{Sequence: 4, Live: []workload.Run{run}, Covered: []string{"e"}},
 		&placement.Waiting{Run: run, ExpectedWait: time.Second},
 		&placement.Advert{LastRequest: 4, ChangedCapacity: table.Difference[string, placement.FreeCapacity]{Base: 2, Sequence: 3, Rows: []placement.FreeCapacity{{Endpoint: "e", Free: need, Speed: 1.5}}, Gone: []string{"f"}}, Waits: placement.Waits{{Priority: 1, Wait: time.Second}}, Total: need},
-		&placement.Heartbeat{Leaving: true, Configuration: 9, Uptime: time.Minute, Waiting: map[string]int{"r": 3}, ReceiverSuspected: true},
+		&placement.Heartbeat{Leaving: true, Configuration: 9, Uptime: time.Minute, Waiting: map[string]int{"r": 3}, ReceiverSuspected: true, KeepsDirectory: true},
 		&placement.ConfigurationRequest{Version: 9, Offset: 3, Limit: 4096},
 		&placement.ConfigurationPart{Version: 9, Offset: 3, Size: 5, Data: []byte("{}")},
 		&placement.EndpointList{Difference: table.Difference[string, workload.Endpoint]{Sequence: 7, Base: 6, Gone: []string{"g"}, Rows: []workload.Endpoint{{
@@ -45,6 +46,11 @@
 		&placement.Yield{Endpoints: []string{"e"}},
 		&placement.Yielded{Endpoint: "e", Version: 5},
 		&placement.CancelJob{ID: "j"},
+		&placement.Register{Job: "j", Number: 4, Left: time.Second, Occupant: instance.ID{Instance: "b", Incarnation: 3}},
+		&placement.Registered{Job: "j", Number: 4, Completed: true, Former: instance.ID{Instance: "b", Incarnation: 3}},
+		&placement.Occupied{Job: "j", Number: 4, Home: instance.ID{Instance: "b", Incarnation: 3}},
+		&placement.Recall{Job: "j", Number: 4},
+		&placement.Release{Jobs: []placement.ReleasedJob{{Job: "j", Number: 4, Completed: true}}},
 	} {
 		stamped := placement.Envelope{Message: m, Sent: 90 * time.Second, LastReceived: 30 * time.Second}
 		raw, err := proto.Marshal(codec.Encode(stamped))
@@ -64,6 +70,7 @@
 		{Kind: &wire.Message_RunEnded{RunEnded: &wire.RunEnded{How: 99}}},
 		{Kind: &wire.Message_Advert{Advert: &wire.Advert{Rooms: []*wire.Room{{Speed: 0}}}}},
 		{Kind: &wire.Message_EndpointList{EndpointList: &wire.EndpointList{Endpoints: []*wire.ListedEndpoint{{Name: "e", Address: "x"}}}}},
+		{Kind: &wire.Message_Occupied{Occupied: &wire.Occupied{Job: "j"}}},
 		{Kind: &wire.Message_Beat{Beat: &wire.Beat{}}},
 		{Kind: &wire.Message_SignOfLife{SignOfLife: &wire.SignOfLife{}}, HeardMillis: math.MaxUint64},
 	} {
