A second home waits no longer than the runs of the first one can last

Callers would have seen: a job that nobody serves for 15 s. Its first home had ordered its tasks at endpoints that do not answer, and released the job only when their holders had reported the ends, or no order could come late any more. Cause: the home waited for each dropped run's end to be reported. A holder that gets no answer from an endpoint cannot report one. Change: a job is released holderLossTimeout after its runs were dropped: their holders have stopped them or let the leases expire by then, and a start that arrives later is refused, as its lease has expired. Only a start that a next life of its endpoint may carry out holds the job back for longer. The home itself remembers the runs as before, for a submission to it.

--- a/pkg/placement/directory.go
+++ b/pkg/placement/directory.go
@@ -305,7 +305,7 @@
 func (c *Control) handleRegistered(from instance.ID, m *Registered) {
 	j, ok := c.home.jobs.Get(m.Job)
 	if !ok || j.registration.number == 0 {
-		if !c.home.droppedRuns.Has(m.Job) {
+		if _, going := c.registeredRuns(m.Job); !going {
 			c.send(from, &Release{Jobs: []ReleasedJob{{Job: m.Job, Number: m.Number}}})
 		}
 		return
@@ -350,7 +350,7 @@
 	c.counters.Recalled++
 	j, ok := c.home.jobs.Get(m.Job)
 	ok = ok && j.registration.number > 0
-	former, dropped := c.home.droppedRuns.Get(m.Job)
+	former, dropped := c.registeredRuns(m.Job)
 	c.logWarning("job recalled", jobField(m.Job), zap.Stringer("Directory", from), zap.Bool("Open", ok), zap.Bool("RunsOpen", dropped))
 	switch {
 	case ok && j.registration.directory != from && !j.registration.mayPlace():
@@ -366,6 +366,12 @@
 	}
 }
 
+// registeredRuns returns the runs of a closed job that is not released yet.
+func (c *Control) registeredRuns(job workload.JobID) (*droppedRuns, bool) {
+	former, ok := c.home.droppedRuns.Get(job)
+	return former, ok && former.registration.number > 0
+}
+
 func (r *registration) recall(by instance.ID) {
 	if !slices.Contains(r.recalledBy, by) {
 		r.recalledBy = append(r.recalledBy, by)
@@ -386,12 +392,13 @@
 
 // release tells the directory that this instance is not the home of a job any more: at once if
 // another instance waits for the job or this one has waited for it, otherwise together with
-// other jobs.
+// other jobs. It does nothing for a job that is released.
 func (c *Control) release(job workload.JobID, r *registration, completed bool) {
 	if r.number == 0 {
 		return
 	}
 	released := ReleasedJob{Job: job, Number: r.number, Completed: completed}
+	r.number = 0
 	for _, id := range r.recalledBy {
 		c.send(id, &Release{Jobs: []ReleasedJob{released}})
 	}
--- a/pkg/placement/directory_test.go
+++ b/pkg/placement/directory_test.go
@@ -274,3 +274,37 @@
 		}
 	}
 }
+
+// Guards against jobs that are not served although they could be: a second home waited for runs at
+// endpoints that did not answer, until the first home's orders could not come late any more.
+func TestSecondHomeDoesNotWaitForEndpointsThatAreSilent(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := newLongJobs(seed)
+		first, second := w.Nodes[0], w.Nodes[len(w.Nodes)-1]
+		for _, x := range w.Endpoints {
+			if x.Info.Domain == first.Domain {
+				for _, n := range w.Nodes {
+					w.Cut(x.Info.ID.Name, n.ID.Instance, true)
+				}
+			}
+		}
+		jobs := w.submitTo(first, 8, time.Second)
+		w.Run(200 * time.Millisecond)
+		for _, o := range jobs {
+			first.DisconnectCaller(o)
+		}
+		w.Run(resendDelay)
+		for _, o := range jobs {
+			w.Resubmit(second, o, w.route, 10*time.Second)
+		}
+		w.Run(1200 * time.Millisecond)
+		for _, o := range jobs {
+			assert.Check(t, o.Started, "job %s has not started 2.5 s after its callers left", o.Job.ID)
+		}
+		w.Run(8 * time.Second)
+		assert.Check(t, cmp.Len(w.Breaches, 0))
+		for _, o := range jobs {
+			assert.Check(t, o.AllDone() && o.Answer.Status == placement.Completed, "job %s: %s", o.Job.ID, o.Answer.Status)
+		}
+	})
+}
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -289,21 +289,35 @@
 }
 
 // forgetDroppedRuns forgets dropped runs that have certainly ended, and the others after the
-// time within which a late order can still take effect.
+// time within which a late order can still take effect. A job is released when none of its runs
+// can be going on.
 func (c *Control) forgetDroppedRuns() {
 	for id, former := range c.home.droppedRuns.All() {
+		goingOn := false
 		for r, open := range former.runs.All() {
 			if c.now.Sub(former.at) >= lateOrderWindow || c.certainlyEnded(open, former.at) {
 				former.runs.Delete(r)
+				continue
 			}
+			goingOn = goingOn || c.mayGoOn(open, former.at)
+		}
+		if !goingOn {
+			c.release(id, &former.registration, former.completed)
 		}
 		if former.runs.Len() == 0 {
 			c.home.droppedRuns.Delete(id)
-			c.release(id, &former.registration, former.completed)
 		}
 	}
 }
 
+// mayGoOn reports whether a run that was dropped at some time may be going on, or start later. Its
+// holder has stopped it or lets its lease expire within holderLossTimeout, also where its endpoint
+// does not answer. A start that arrives later is refused, as its lease has expired, unless the
+// endpoint has begun another life with a new clock.
+func (c *Control) mayGoOn(open openRun, dropped time.Time) bool {
+	return open.lateStartEndpoint != "" || c.now.Sub(dropped) <= c.config.Timing.holderLossTimeout()
+}
+
 // certainlyEnded reports whether a run that was dropped at some time has ended and cannot start
 // later, although its holder has not said so.
 func (c *Control) certainlyEnded(open openRun, dropped time.Time) bool {
