Say when callers were known, and how long a stopped run's lease may last

Cause: the logs of an incident with two homes of a job do not tell whether a home had taken its callers for known too early: only the moments of `job answered` and of the next start are there. Change: `callers known again` after a time without steps, with its length, how long the check took and how many jobs were abandoned meanwhile; `CallersKnown` in `job answered` of a cancelled job; `LeaseLeft` in `stop ordered`. No decision is changed.

--- a/pkg/placement/callers.go
+++ b/pkg/placement/callers.go
@@ -38,6 +38,10 @@
 	pendingAt time.Time
 	ran       time.Duration
 	gaps      bool
+	// gap is the time between two steps that began the check, and abandonedBefore how many jobs
+	// had been abandoned then.
+	gap             time.Duration
+	abandonedBefore int64
 }
 
 // noteGap notes the time since the step before, and confirms that callers wait when it is known.
@@ -45,7 +49,7 @@
 	k := &c.home.callers
 	switch {
 	case gap > maxStepGap && k.pendingAt.IsZero():
-		c.beginCallerCheck()
+		c.beginCallerCheck(gap)
 	case gap > maxStepGap:
 		k.gaps = true
 	default:
@@ -81,9 +85,10 @@
 // requestCallerCheck makes the process look at the connections of its callers.
 func (c *Control) requestCallerCheck() {}
 
-func (c *Control) beginCallerCheck() {
+func (c *Control) beginCallerCheck(gap time.Duration) {
 	k := &c.home.callers
 	k.pendingAt, k.ran, k.gaps = c.now, 0, false
+	k.gap, k.abandonedBefore = gap, c.counters.Abandoned
 	for _, m := range c.membership.members.All() {
 		m.echoPending = m.peerSent
 	}
@@ -94,12 +99,13 @@
 // its callers late, but does.
 func (c *Control) endCallerCheck() {
 	k := &c.home.callers
+	c.logEvent("callers known again", zap.Duration("Gap", k.gap), zap.Duration("Took", c.now.Sub(k.pendingAt)), zap.Int64("Abandoned", c.counters.Abandoned-k.abandonedBefore))
 	k.confirmedAt, k.pendingAt = k.pendingAt, time.Time{}
 	for _, m := range c.membership.members.All() {
 		m.echoSent = m.echoPending
 	}
 	if k.gaps {
-		c.beginCallerCheck()
+		c.beginCallerCheck(k.gap)
 	}
 	c.membership.nextHeartbeat = c.now // with the confirmations that were held back
 }
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -450,9 +450,15 @@
 		c.counters.Late++
 	}
 	c.emit(Finished{Route: j.route.Name, Status: a.Status, Elapsed: elapsed})
-	c.logJobEnd("job answered", dropped, jobField(j.ID), zap.String("Route", j.route.Name), zap.Stringer("Status", a.Status), zap.String("Reason", a.Reason),
+	fields := []zap.Field{
+		jobField(j.ID), zap.String("Route", j.route.Name), zap.Stringer("Status", a.Status), zap.String("Reason", a.Reason),
 		zap.Duration("Elapsed", elapsed), zap.Duration("Objective", j.objective.Sub(j.arrived)), zap.Int("TasksLeft", j.remaining),
-		zap.Uint64("Configuration", c.configurationVersion()))
+		zap.Uint64("Configuration", c.configurationVersion()),
+	}
+	if a.Status == Cancelled {
+		fields = append(fields, zap.Duration("CallersKnown", c.now.Sub(c.home.callers.confirmedAt)))
+	}
+	c.logJobEnd("job answered", dropped, fields...)
 }
 
 // dropRuns asks the holders to stop the runs of a job's placed tasks. It remembers them, and the
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -268,7 +268,7 @@
 		r.stopCause = cause
 	}
 	c.counters.Stops++
-	c.logWarning("stop ordered", r.logFields(zap.String("Cause", cause))...)
+	c.logWarning("stop ordered", r.logFields(zap.String("Cause", cause), zap.Duration("LeaseLeft", c.grantedLease(e).Sub(c.now)))...)
 	c.orderStop(e, r.id)
 }
 
