Let a modelled instance read late that a caller has closed its connection

Cause: in the model an instance reads a close in its first step after a pause, so no test shows what it does before that. Change: Node.CloseDelay, for which the process has to run without a pause before it reads a close; zero is as before. Result: no test uses it yet.

--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -28,6 +28,9 @@
 	FeedSilent bool
 	// ConfiguredAt holds the times at which configurations reached the instance, by version.
 	ConfiguredAt map[uint64]time.Time
+	// CloseDelay is how long the process runs before it reads that a caller has closed its
+	// connection. A pause begins it anew.
+	CloseDelay time.Duration
 	// ReceivedConfigurations counts the bytes of configurations received from peers.
 	ReceivedConfigurations int64
 
@@ -37,6 +40,8 @@
 	wakeAt     time.Time
 	lastHandle uint64
 	callers    map[placement.Handle]*Outcome
+	closed     []placement.Handle // callers' requests whose close has not been read
+	pauses     int                // so that timers of before a pause do nothing
 	answers    map[placement.Handle]func(placement.Answer)
 	sessions   map[instance.ID]bool
 	watches    map[string]*watch
@@ -72,7 +77,7 @@
 	n.generation++
 	n.ID.Incarnation = uint64(n.world.Now.UnixNano())
 	n.Up, n.Paused, n.inputs, n.stepping = true, false, nil, false
-	n.callers = make(map[placement.Handle]*Outcome)
+	n.callers, n.closed = make(map[placement.Handle]*Outcome), nil
 	n.answers = make(map[placement.Handle]func(placement.Answer))
 	n.sessions = make(map[instance.ID]bool)
 	n.watches = make(map[string]*watch)
@@ -113,14 +118,43 @@
 		if waiting == o {
 			delete(n.callers, h)
 			o.CallerDisconnected = true
-			n.deliver(placement.Abandon{Handle: h})
+			n.closed = append(n.closed, h)
 		}
 	}
+	n.readClosesLater()
+}
+
+// readClosesLater reads after CloseDelay which callers have left, unless the process is paused
+// before then.
+func (n *Node) readClosesLater() {
+	if n.CloseDelay == 0 {
+		n.readCloses()
+		return
+	}
+	if n.Paused || len(n.closed) == 0 {
+		return
+	}
+	pauses := n.pauses
+	n.later(n.CloseDelay, func() {
+		if n.pauses == pauses {
+			n.readCloses()
+		}
+	})
+}
+
+// readCloses tells the control state of all callers that have closed their connections.
+func (n *Node) readCloses() {
+	closed := n.closed
+	n.closed = nil
+	for _, h := range closed {
+		n.deliver(placement.Abandon{Handle: h})
+	}
 }
 
 // Pause pauses the instance's process for a while. Its sessions stay open.
 func (n *Node) Pause(span time.Duration) {
 	n.Paused = true
+	n.pauses++
 	n.world.After(span, func() {
 		n.Paused = false
 		due := n.onWake
@@ -129,6 +163,7 @@
 			do()
 		}
 		n.schedule()
+		n.readClosesLater()
 	})
 }
 
