--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -280,6 +280,9 @@
 		n.later(2*w.Config.BetweenDomains, func() { n.deliver(placement.ProbeDone{Endpoint: m.Endpoint.Name, Reachable: reachable}) })
 	case placement.OfferConfiguration:
 		n.offered(m)
+	case placement.CheckCallers:
+		n.readCloses()
+		n.deliver(placement.CallersChecked{At: w.Now})
 	case placement.Commit:
 		w.Store.commit(n, m)
 	case placement.Scan:
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -107,6 +107,10 @@
 	return time.Duration(float64(t.ResubmitAfter)/(1+clockDrift)-clockDrift*float64(t.MaxReportAge)) - messageTime
 }
 
+// returnSlack returns the longest pause of a home after which it may place tasks at once: callers
+// that left meanwhile come back when leases that are granted now have expired.
+func (t Timing) returnSlack() time.Duration { return t.maxUnconfirmed() - t.Lease }
+
 // messageTime is allowed for a message or an order on its way.
 const messageTime = 30 * time.Millisecond
 
@@ -217,6 +221,7 @@
 	c.runRecorder()
 	c.sendAdverts()
 	c.runStop()
+	c.runCallerCheck()
 	effects := c.effects
 	c.effects = nil
 	tick := c.config.Timing.HeartbeatInterval / busyStepsPerHeartbeat
@@ -227,6 +232,9 @@
 	if due := c.home.registerDue; !due.IsZero() && due.Before(next) {
 		next = due
 	}
+	if due := c.callerCheckDue(); due.Before(next) && !c.home.callers.pending {
+		next = due
+	}
 	return effects, next
 }
 
@@ -234,7 +242,7 @@
 // other instances and of callers is as old as the gap, and other homes have given up the
 // runs that they placed here.
 func (c *Control) handlePause(gap time.Duration) {
-	c.home.callers.placeAfter = c.now.Add(placePause)
+	c.home.callers.placeFrom = c.now.Add(placePause)
 	c.orphanForeignRuns(gap)
 	c.reverifyStored("this instance stood still")
 	c.membership.nextMemberCheck = c.now
@@ -261,6 +269,8 @@
 		c.reply(m.Handle, Answer{Status: Counted, Waiting: c.waitingJobs(m.Route)})
 	case Abandon:
 		c.abandon(m)
+	case CallersChecked:
+		c.callersChecked(m)
 	case Configured:
 		c.handleConfigured(m)
 	case Listed:
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -15,17 +15,18 @@
 // job is a job whose home is this instance.
 type job struct {
 	*workload.Job
-	route     workload.Route
-	handles   []Handle
-	arrived   time.Time
-	objective time.Time
-	expiry    time.Time // after this time an answer no longer helps the caller
-	deadline  time.Time
-	steps     [][]task
-	remaining int          // number of tasks that are not done
-	started   bool         // some run of the job has started
-	stored    *storedState // nil for an ephemeral job
-	deferred  bool         // accepted before this instance knew of any capacity; not examined yet
+	route      workload.Route
+	handles    []Handle
+	arrived    time.Time
+	objective  time.Time
+	expiry     time.Time // after this time an answer no longer helps the caller
+	deadline   time.Time
+	steps      [][]task
+	remaining  int          // number of tasks that are not done
+	started    bool         // some run of the job has started
+	stored     *storedState // nil for an ephemeral job
+	afterCheck uint64       // number of the check of callers after which an ephemeral job is placed
+	deferred   bool         // accepted before this instance knew of any capacity; not examined yet
 	// registration is the job's registration with the directory of homes, if it is ephemeral.
 	registration registration
 }
@@ -140,6 +141,7 @@
 		c.refuse(j, reason)
 		return
 	}
+	c.checkLateRequest(j)
 	c.home.jobs.Put(j.ID, j)
 	c.home.byHandle[m.Handle] = j.ID
 	formerRuns := 0
@@ -549,7 +551,7 @@
 	if j.stored != nil && !(c.anyReady(j, step) && c.verified(j)) {
 		return
 	}
-	if j.stored == nil && (c.now.Before(c.home.callers.placeAfter) || !j.registration.mayPlace()) {
+	if j.stored == nil && !(c.callerKnown(j) && j.registration.mayPlace()) {
 		return
 	}
 	requests := table.New[instance.ID, *PlaceRequest]()
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -132,7 +132,7 @@
 	c.writeOwnRow()
 	c.scanMembers()
 	c.settle()
-	if !c.now.Before(c.membership.nextHeartbeat) {
+	if c.heartbeatsDue() {
 		c.membership.nextHeartbeat = c.now.Add(c.config.Timing.HeartbeatInterval)
 		c.sendHeartbeats()
 	}
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -52,6 +52,10 @@
 // Abandon reports that the caller of a request no longer waits for its answer.
 type Abandon struct{ Handle Handle }
 
+// CallersChecked answers a CheckCallers: every caller that waits for an answer still waited at At.
+// Those that had left by then were abandoned before.
+type CallersChecked struct{ At time.Time }
+
 // Configured carries a configuration version that this instance now uses.
 type Configured struct {
 	Configuration *workload.Configuration
@@ -157,24 +161,25 @@
 // Stop requests a planned stop of the instance.
 type Stop struct{}
 
-func (Submit) isInput()     {}
-func (Ask) isInput()        {}
-func (Cancel) isInput()     {}
-func (Count) isInput()      {}
-func (Abandon) isInput()    {}
-func (Configured) isInput() {}
-func (Listed) isInput()     {}
-func (CommitDone) isInput() {}
-func (ScanDone) isInput()   {}
-func (Reported) isInput()   {}
-func (Silent) isInput()     {}
-func (StartDone) isInput()  {}
-func (StopDone) isInput()   {}
-func (ProbeDone) isInput()  {}
-func (PeerUp) isInput()     {}
-func (PeerDown) isInput()   {}
-func (Received) isInput()   {}
-func (Stop) isInput()       {}
+func (Submit) isInput()         {}
+func (Ask) isInput()            {}
+func (Cancel) isInput()         {}
+func (Count) isInput()          {}
+func (Abandon) isInput()        {}
+func (CallersChecked) isInput() {}
+func (Configured) isInput()     {}
+func (Listed) isInput()         {}
+func (CommitDone) isInput()     {}
+func (ScanDone) isInput()       {}
+func (Reported) isInput()       {}
+func (Silent) isInput()         {}
+func (StartDone) isInput()      {}
+func (StopDone) isInput()       {}
+func (ProbeDone) isInput()      {}
+func (PeerUp) isInput()         {}
+func (PeerDown) isInput()       {}
+func (Received) isInput()       {}
+func (Stop) isInput()           {}
 
 // Effect is an action that Control.Step returns for its caller to perform: a
 // network request, a storage access, a log line.
@@ -283,6 +288,10 @@
 	Address  netip.AddrPort
 }
 
+// CheckCallers looks at the connections of all callers that wait for an answer, abandons the
+// requests of those that have left, and is answered with CallersChecked.
+type CheckCallers struct{}
+
 // Commit writes rows to the store in one transaction.
 type Commit struct {
 	ID     uint64
@@ -340,6 +349,7 @@
 func (Acknowledge) isEffect()        {}
 func (Unwatch) isEffect()            {}
 func (Probe) isEffect()              {}
+func (CheckCallers) isEffect()       {}
 func (Commit) isEffect()             {}
 func (Scan) isEffect()               {}
 func (Send) isEffect()               {}
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -18,6 +18,9 @@
 	now     time.Time
 	effects []Effect
 	jobs    int
+	// holdChecks leaves checks of callers without an answer; by default the next step has it.
+	holdChecks bool
+	checkedAt  []time.Time // of checks without an answer
 }
 
 var benchEndpoint = workload.Endpoint{
@@ -43,7 +46,16 @@
 }
 
 func (b *bench) step(inputs ...Input) {
+	if !b.holdChecks {
+		for _, at := range b.checkedAt {
+			inputs = append(inputs, CallersChecked{At: at})
+		}
+		b.checkedAt = nil
+	}
 	b.effects, _ = b.control.Step(b.now, inputs)
+	for range effectsOf[CheckCallers](b) {
+		b.checkedAt = append(b.checkedAt, b.now)
+	}
 }
 
 func (b *bench) advanceBy(span time.Duration) {
@@ -591,6 +603,7 @@
 	b.answerStart(&full[0], Accepted)
 	left, waiting := b.jobs+1, b.jobs+2
 	assert.Equal(t, len(b.submit(1, 40000))+len(b.submit(1, 40000)), 0, "both wait for capacity")
+	b.holdChecks = true
 	b.now = b.now.Add(2 * time.Second)
 	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: full[0].Run, How: workload.Done}})
 	assert.Equal(t, len(effectsOf[Start](b)), 0)
@@ -598,6 +611,11 @@
 	assert.Equal(t, len(effectsOf[Start](b)), 0)
 	b.now = b.now.Add(placePause)
 	b.report(nil, nil)
+	assert.Equal(t, len(effectsOf[Start](b)), 0, "callers are not checked")
+	b.holdChecks = false
+	b.report(nil, nil)
+	assert.Equal(t, len(effectsOf[Start](b)), 0, "callers are checked as of the end of the pause")
+	b.report(nil, nil)
 	starts := effectsOf[Start](b)
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Run.Task.Job, workload.JobID(rune('a'+waiting)))
--- a/pkg/placement/resubmitted_test.go
+++ b/pkg/placement/resubmitted_test.go
@@ -128,6 +128,55 @@
 	}
 }
 
+// homePauses keep an instance from running for a while.
+var homePauses = []struct {
+	name string
+	do   func(w *longJobs, home *model.Node, span time.Duration)
+}{
+	{"one pause", func(_ *longJobs, home *model.Node, span time.Duration) { home.Pause(span) }},
+	{"bursts", func(w *longJobs, home *model.Node, span time.Duration) {
+		const off, on = 60 * time.Millisecond, 12 * time.Millisecond
+		for at := time.Duration(0); at < span; at += off + on {
+			w.After(at, func() { home.Pause(off) })
+		}
+	}},
+}
+
+// Guards against two runs of a task at once: a home that had stood still extended leases before
+// it had read that callers had left meanwhile, and the stops of their runs were not answered.
+func TestRunsEndBeforeCallersReturnToAHomeThatReadsLate(t *testing.T) {
+	const (
+		pauseStep, lastPause = 100 * time.Millisecond, 1300 * time.Millisecond
+		faultStep, lastFault = 30 * time.Millisecond, 120 * time.Millisecond
+		closeDelay           = 100 * time.Millisecond
+	)
+	for _, p := range homePauses {
+		for _, e := range endpointFaults[:4] {
+			t.Run(fmt.Sprint(p.name, ", ", e.name), func(t *testing.T) {
+				t.Parallel()
+				for pause := time.Duration(0); pause <= lastPause; pause += pauseStep {
+					for after := time.Duration(0); after <= lastFault; after += faultStep {
+						w := newLongJobs(uint64(pause + after))
+						home := w.Nodes[0]
+						home.CloseDelay = closeDelay
+						w.submit(8)
+						w.Run(300 * time.Millisecond)
+						busy := w.busyEndpoints()
+						w.After(pause+after, func() { e.do(w, busy) })
+						p.do(w, home, pause)
+						w.Run(5 * time.Millisecond)
+						w.disconnect(home)
+						w.Run(resendDelay)
+						w.resendTo(w.Nodes[len(w.Nodes)-1])
+						w.Run(3 * time.Second)
+						assert.Check(t, cmp.Len(w.Breaches, 0), "paused for %v, the endpoint fault %v later: %d tasks", pause, after, len(w.Breaches))
+					}
+				}
+			})
+		}
+	}
+}
+
 // fill occupies every endpoint with one-task jobs of an instance, all of one length.
 func (w *longJobs) fill(n *model.Node, length time.Duration) {
 	for _, x := range w.Endpoints {
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -133,7 +133,7 @@
 // callerUnknown reports whether a run is of an ephemeral job of this instance whose caller may
 // have left during a pause.
 func (c *Control) callerUnknown(r *run) bool {
-	return r.home == c.self && !r.request.Stored && c.now.Before(c.home.callers.placeAfter)
+	return r.home == c.self && !r.request.Stored && !c.mayPlace()
 }
 
 // bestEndpoint returns the best endpoint with enough free capacity for a run, or nil.
@@ -252,7 +252,11 @@
 // retryStart repeats an unanswered start order. After StartRetries repeats, while the lease
 // is not renewed, or after a pause it stops the run instead.
 func (c *Control) retryStart(r *run) {
-	if r.startsSent > c.config.Timing.StartRetries || !r.endpoint.renewsLease() || c.callerUnknown(r) {
+	unknown := c.callerUnknown(r)
+	if unknown && c.callersInDoubt() && c.home.callers.gap <= c.config.Timing.SuspectAfter {
+		return // until its caller is checked
+	}
+	if r.startsSent > c.config.Timing.StartRetries || !r.endpoint.renewsLease() || unknown {
 		c.stopRun(r, "its start is not answered")
 		return
 	}
--- a/service/gate/callers.go
+++ b/service/gate/callers.go
@@ -167,7 +167,8 @@
 // caller, or abandons the request when the caller disconnects.
 func (s *Server) exchange(c echo.Context, input func(placement.Handle) placement.Input) error {
 	h, answer := s.replies.Register()
-	s.deliver(input(h))
+	s.waiting.add(h, connectionOf(c.Request().Context()), func() { s.deliver(input(h)) })
+	defer s.waiting.remove(h)
 	select {
 	case a := <-answer:
 		return s.respond(c, platform.EncodeAnswer(a))
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -79,6 +79,7 @@
 	adoptMutex sync.Mutex
 	feedCall   atomic.Pointer[context.CancelCauseFunc] // ends the present call of the configuration feed
 	watches    map[string]*watch                       // owned by the control goroutine
+	waiting    *waitingCallers
 	replies    *mailbox.PendingRequests[placement.Handle, placement.Answer]
 }
 
@@ -97,7 +98,7 @@
 func New(config Config) (*Server, error) {
 	s := &Server{
 		config: config, mailbox: mailbox.New[placement.Input](), timers: config.Timers, stopped: make(chan struct{}), configured: make(chan struct{}),
-		logger: config.Logger, replies: mailbox.NewPendingRequests[placement.Handle, placement.Answer](), watches: make(map[string]*watch),
+		logger: config.Logger, waiting: newWaitingCallers(), replies: mailbox.NewPendingRequests[placement.Handle, placement.Answer](), watches: make(map[string]*watch),
 	}
 	s.metrics = newMetrics(s)
 	s.endpoints = platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: orderTimeout, ReportTimeout: config.Timing.AnswerTimeout, Traffic: s.metrics.countTraffic})
@@ -132,7 +133,7 @@
 		Self: config.Self, Domain: config.Domain, Address: advertised, Share: config.Share, FarFactor: config.FarFactor, Retention: config.Retention, LinkRate: config.LinkRate,
 		Seed: config.Self.Incarnation, Timing: config.Timing,
 	})
-	s.http = &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s.http = &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConnection}
 	return s, nil
 }
 
@@ -253,6 +254,8 @@
 		s.acknowledge(m)
 	case placement.Unwatch:
 		s.endWatch(m.Endpoint.Name)
+	case placement.CheckCallers:
+		s.checkCallers()
 	case placement.Finished:
 		s.metrics.recordLatency(m)
 	case placement.Stopped:
