--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -65,30 +65,32 @@
 
 // run is a run that a home has placed with this instance.
 type run struct {
-	id            workload.Run
-	home          instance.ID
-	otherHomes    []instance.ID // homes that requested a run of the same number later and wait for its end
-	request       *PlaceRequest
-	avoid         []string
-	state         runState
-	endpoint      *endpoint
-	arrivedAt     time.Time
-	objective     time.Time
-	expiry        time.Time
-	waitReported  bool // a Waiting message was sent to the home
-	orderedAt     time.Time
-	startsSent    int       // copies of the start order sent
-	answerDue     time.Time // when the last copy counts as unanswered
-	confirmedAt   time.Time // when the endpoint first confirmed the run
-	stopSentAt    time.Time
-	stopDone      time.Time // when the endpoint accepted the stop
-	unwantedAt    time.Time // when it was marked for a stop, as its home does not want it or cannot be relied on
-	mayStartLater bool      // the endpoint's next incarnation may still execute the start order
-	percent       int       // progress that the endpoint last reported
-	percentAt     time.Time
-	stopCause     string // why its stop was first ordered
-	endMessage    *RunEnded
-	endedAt       time.Time
+	id           workload.Run
+	home         instance.ID
+	otherHomes   []instance.ID // homes that requested a run of the same number later and wait for its end
+	request      *PlaceRequest
+	avoid        []string
+	state        runState
+	endpoint     *endpoint
+	arrivedAt    time.Time
+	objective    time.Time
+	expiry       time.Time
+	waitReported bool // a Waiting message was sent to the home
+	orderedAt    time.Time
+	startsSent   int       // copies of the start order sent
+	answerDue    time.Time // when the last copy counts as unanswered
+	confirmedAt  time.Time // when the endpoint first confirmed the run
+	stopSentAt   time.Time
+	stopDone     time.Time // when the endpoint accepted the stop
+	unwantedAt   time.Time // when it was marked for a stop, as its home does not want it or cannot be relied on
+	// lastLeaseLimit is to when its lease may be renewed once it is unwanted.
+	lastLeaseLimit time.Time
+	mayStartLater  bool // the endpoint's next incarnation may still execute the start order
+	percent        int  // progress that the endpoint last reported
+	percentAt      time.Time
+	stopCause      string // why its stop was first ordered
+	endMessage     *RunEnded
+	endedAt        time.Time
 }
 
 // holder is the state of the holder role: the held endpoints and their runs.
@@ -659,7 +661,8 @@
 // This keeps an invariant: a run whose callers have left ends before they submit its job again,
 // whatever fails after their home could know that they left. So no run is under a lease that
 // reaches beyond maxUnconfirmed after its home last knew that its callers wait, or beyond a
-// lease after it has become unwanted. A lease is of a whole endpoint and is never shortened:
+// lease after it has become unwanted. Once a run is unwanted its limit does not rise: that its
+// home knows the callers which still wait says nothing of those who have left. A lease is of a whole endpoint and is never shortened:
 // the limit is that of all runs there, and a run starts only where the lease that was granted
 // before does not exceed its own (bestEndpoint).
 func (c *Control) updateLeaseLimit(e *endpoint) {
@@ -683,15 +686,14 @@
 // leaseLimitOf returns to when the lease of a run may be renewed. No caller waits for a stored
 // job: its next home asks the holders before it starts anything.
 func (c *Control) leaseLimitOf(r *run) time.Time {
+	if !r.unwantedAt.IsZero() {
+		return r.lastLeaseLimit
+	}
 	confirmed := c.now
 	if !r.request.Stored {
 		confirmed = c.callersConfirmedBy(r.home)
 	}
-	limit := confirmed.Add(c.config.Timing.maxUnconfirmed())
-	if unwanted := r.unwantedAt.Add(c.config.Timing.Lease); !r.unwantedAt.IsZero() && unwanted.Before(limit) {
-		return unwanted
-	}
-	return limit
+	return confirmed.Add(c.config.Timing.maxUnconfirmed())
 }
 
 // callersConfirmedBy returns when a home is last known to have known its callers.
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -382,6 +382,7 @@
 		return
 	}
 	if r.unwantedAt.IsZero() {
+		r.lastLeaseLimit = earlier(c.leaseLimitOf(r), c.now.Add(c.config.Timing.Lease))
 		r.unwantedAt = c.now
 	}
 	switch r.state {
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -387,6 +387,45 @@
 	assert.Equal(t, starts[0].Until, e.clock+b.now.Add(b.control.config.Timing.Lease-100*time.Millisecond).Sub(e.reportReceivedAt))
 }
 
+// Guards against two runs of a task at once (soak seed 95000): a home had stood still while callers
+// left. It dropped their runs, then knew of the callers that still waited, and the leases of the
+// dropped runs were extended by that.
+func TestLeaseLimitOfADroppedRunDoesNotRise(t *testing.T) {
+	t.Run("of this instance", func(t *testing.T) {
+		b := newBench(t)
+		starts := b.submit(1, 1000)
+		limit := b.renewUntil(time.Time{})
+		b.answerStart(&starts[0], Accepted)
+		b.now = b.now.Add(400 * time.Millisecond)
+		b.step(Abandon{Handle: Handle(b.jobs)})
+		b.checkLimit(limit, func() {})
+	})
+	t.Run("of a peer", func(t *testing.T) {
+		b := newBench(t)
+		b.connectPeer()
+		b.step(b.receivedFrom(benchPeer, placeRequest(1)))
+		starts := effectsOf[Start](b)
+		assert.Equal(t, len(starts), 1)
+		limit := b.renewUntil(time.Time{})
+		b.answerStart(&starts[0], Accepted)
+		late := b.receivedFrom(benchPeer, &Drop{Runs: []workload.Run{starts[0].Run}})
+		b.now = b.now.Add(400 * time.Millisecond)
+		b.step(late)
+		b.checkLimit(limit, func() { b.step(b.receivedFrom(benchPeer, &Heartbeat{Configuration: 1})) })
+	})
+}
+
+// checkLimit checks for a while in which something is done again and again that the limit of the
+// endpoint's lease does not rise.
+func (b *bench) checkLimit(limit time.Time, do func()) {
+	for range 50 {
+		b.advanceBy(10 * time.Millisecond)
+		assert.Check(b.t, !b.renewUntil(limit).After(limit))
+		do()
+		assert.Check(b.t, !b.renewUntil(limit).After(limit))
+	}
+}
+
 // Guards against two runs of a task at once: an instance that had stood still confirmed messages
 // of the holders of its runs before it noticed that callers had left.
 func TestNothingIsConfirmedAfterAGapBeforeCallersAreChecked(t *testing.T) {
