--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -70,15 +70,26 @@
 	})
 }
 
+// Guards against jobs that are late on days without faults. A day has some 850 jobs, of which some
+// eight are late, and one day differs from the next by as many: the share is that of all days.
 func TestCalmDay(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64) {
-		w := model.New(deployment(seed))
-		offerMix(w, 0.6, 10*time.Second)
-		w.Run(10 * time.Second)
-		checkSettled(t, w)
-		t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
-		assert.Check(t, inTime(w) >= minFaultFreeInTime, "%.4f of the jobs were in time", inTime(w))
+	const days = 40
+	var worlds [days]*model.World
+	t.Run("days", func(t *testing.T) {
+		for d := range days {
+			t.Run(fmt.Sprint(d+1), func(t *testing.T) {
+				t.Parallel()
+				w := model.New(deployment(uint64(d + 1)))
+				offerMix(w, 0.6, 10*time.Second)
+				w.Run(10 * time.Second)
+				checkSettled(t, w)
+				t.Logf("credit %.4f of %d jobs", w.Credit(), len(w.Jobs))
+				worlds[d] = w
+			})
+		}
 	})
+	share := inTime(worlds[:]...)
+	assert.Check(t, share >= minFaultFreeInTime, "%.4f of the jobs were in time", share)
 }
 
 // minCreditWithFaults is the smallest credit that passes with faulty endpoints.
@@ -88,15 +99,18 @@
 // objective when no faults occur.
 const minFaultFreeInTime = 0.99
 
-// inTime returns the share of jobs that completed within their objective.
-func inTime(w *model.World) float64 {
-	n := 0
-	for _, o := range w.Jobs {
-		if o.InTime() {
-			n++
+// inTime returns the share of the jobs of all worlds that completed within their objective.
+func inTime(worlds ...*model.World) float64 {
+	n, all := 0, 0
+	for _, w := range worlds {
+		for _, o := range w.Jobs {
+			all++
+			if o.InTime() {
+				n++
+			}
 		}
 	}
-	return float64(n) / float64(len(w.Jobs))
+	return float64(n) / float64(all)
 }
 
 func TestHoldersKilled(t *testing.T) {
