A home that registers again is recalled again

Callers saw: a job that waited longer than needed for its former home.

Cause: the directory recalls a home once for each instance that begins to wait. If that recall was lost with the session, the home, which registers again over the next session, released the job with its next batch and did not look at its callers.

Change: the answer to a registration of a home for which others wait is followed by a recall.

--- a/pkg/placement/directory.go
+++ b/pkg/placement/directory.go
@@ -30,8 +30,10 @@
 type directory struct {
 	entries    *table.Table[workload.JobID, *directoryEntry]
 	entriesDue time.Time
-	// candidates are the members that share the directory, as of candidatesAt.
+	// candidates are the members that share the directory, as of candidatesAt. all and holders
+	// are the lists of which it is one.
 	candidates    []instance.ID
+	all, holders  []instance.ID
 	candidatesAt  time.Time
 	registeredFor []instance.ID // candidates for which the own registrations were last checked
 	checkDue      time.Time
@@ -101,11 +103,11 @@
 	grown := func(uptime time.Duration) bool {
 		return uptime >= c.config.Timing.Established || uptime+c.config.Timing.Settle >= oldest
 	}
-	var all, holders []instance.ID
+	d.all, d.holders = d.all[:0], d.holders[:0]
 	add := func(id instance.ID, share int) {
-		all = append(all, id)
+		d.all = append(d.all, id)
 		if share > 0 {
-			holders = append(holders, id)
+			d.holders = append(d.holders, id)
 		}
 	}
 	if c.stop == serving && grown(uptime) {
@@ -116,9 +118,9 @@
 			add(m.id, m.row.Share)
 		}
 	}
-	d.candidates = holders
-	if len(holders) == 0 {
-		d.candidates = all
+	d.candidates = d.holders
+	if len(d.holders) == 0 {
+		d.candidates = d.all
 	}
 }
 
@@ -176,6 +178,7 @@
 		e, ok = &directoryEntry{home: registrant{id: m.Occupant, expiry: asker.expiry}}, true
 		entries.Put(m.Job, e)
 	}
+	waited := false
 	switch {
 	case !ok:
 		entries.Put(m.Job, &directoryEntry{home: asker})
@@ -183,7 +186,7 @@
 		if m.Number < e.home.number {
 			return
 		}
-		e.home = asker
+		e.home, waited = asker, len(e.waiters) > 0
 	default:
 		e.addWaiter(asker)
 		home := e.home
@@ -192,6 +195,9 @@
 		return
 	}
 	c.send(from, &Registered{Job: m.Job, Number: m.Number, Former: former})
+	if waited {
+		c.send(from, &Recall{Job: m.Job, Number: m.Number}) // the last one may be lost with its session
+	}
 }
 
 func (e *directoryEntry) addWaiter(r registrant) {
--- a/pkg/placement/registration_test.go
+++ b/pkg/placement/registration_test.go
@@ -187,3 +187,16 @@
 	b.advanceBy(50 * time.Millisecond)
 	assert.Equal(t, b.control.directory.entries.Len(), 0)
 }
+
+// Guards against a home that holds the next one back for longer than needed: the recall of its job
+// was lost with a session.
+func TestHomeThatRegistersAgainIsRecalledAgain(t *testing.T) {
+	b := newBench(t)
+	first, second := b.connectDirectory()
+	b.step(b.receivedFrom(first, &Register{Job: "j", Number: 7, Left: time.Second}))
+	b.step(b.receivedFrom(second, &Register{Job: "j", Number: 1, Left: time.Second}))
+	assert.Equal(t, len(sentTo[*Recall](b, first)), 1)
+	b.step(PeerDown{Peer: first}, PeerUp{Peer: first}, b.receivedFrom(first, &Register{Job: "j", Number: 8, Left: time.Second}))
+	assert.Equal(t, len(sentTo[*Registered](b, first)), 1)
+	assert.Equal(t, len(sentTo[*Recall](b, first)), 1)
+}
