A job that another instance may be running is answered 504

Callers saw: 503 for a job that waited in vain for its former home. PROTOCOL.md: "A 429 or 503 response means that the job was not accepted and never runs"; the former home was running it.

Change: such a job times out (504), with the reason that another instance is still running it. Its caller may submit it again.

Result: TestJobThatWaitsForItsHomeInVainTimesOut: Refused before, TimedOut now.

--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -873,16 +873,17 @@
 // timeOut ends a job whose callers stop waiting, or whose answer would come too late
 // to help while some of its tasks still wait.
 func (c *Control) timeOut(j *job) {
-	if !j.mayHaveStarted() {
-		reason := "no endpoint had room for it in time"
-		if j.registration.state == occupied {
-			reason = "another instance is still running it"
-		}
-		c.refuse(j, reason)
+	reason := "it could not be finished in time; some of it may have run"
+	switch {
+	case j.mayHaveStarted():
+	case j.registration.occupant != (instance.ID{}):
+		reason = "another instance is still running it"
+	default:
+		c.refuse(j, "no endpoint had room for it in time")
 		return
 	}
 	c.counters.TimedOut++
-	c.close(j, Answer{Status: TimedOut, Reason: "it could not be finished in time; some of it may have run"})
+	c.close(j, Answer{Status: TimedOut, Reason: reason})
 }
 
 // checkLost marks tasks as lost whose holder has been unreachable for too long, and
