Wait 60 ms for the answer of the directory of homes

Seen: TestOrderForAFormerLifeStartsNothingBesideALaterHome, red in 2 of 9 runs beside other work: 27 tasks ran twice at once. The second home of 144 jobs that came within some ms went on without the directory after 10.1 ms; the answer, that the first home has runs that may start late, was sent 3.8 ms later and read 13.4 ms later. Cause: a member that is busy for 20 ms was taken for one that cannot answer. A member that is down has no session and is not asked, so a job waits that long only where its directory stands still or is cut off and not suspected yet (0.45 s).

--- a/pkg/placement/directory.go
+++ b/pkg/placement/directory.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	registerTimeout  = 10 * time.Millisecond // for the answer of the directory, after which a home goes on without it
+	registerTimeout  = 60 * time.Millisecond // for the answer of the directory, after which a home goes on without it
 	maxRegistration  = time.Hour             // longest wait of a caller that a registration is kept for
 	entryCheckPeriod = 50 * time.Millisecond // between checks for waiters whose home is gone, and for expired entries
 )
