--- a/service/gate/connections.go
+++ b/service/gate/connections.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 
@@ -48,29 +49,75 @@
 }
 
 // hasLeft reports whether the other end of a connection has closed it, also if the process has
-// not read that yet. It reads nothing: the HTTP server does.
+// not read that yet.
 func hasLeft(connection net.Conn) bool {
+	n, err := peek(connection)
+	return n <= 0 && !errors.Is(err, syscall.EAGAIN)
+}
+
+// hasUnread reports whether bytes have arrived on a connection that the process has not read yet.
+func hasUnread(connection net.Conn) bool {
+	n, _ := peek(connection)
+	return n > 0
+}
+
+// peek looks for a byte that has arrived on a connection. It reads nothing: the HTTP server does.
+// Without a byte the error is EAGAIN while the connection is open, as for one that cannot be
+// looked at.
+func peek(connection net.Conn) (int, error) {
 	c, ok := connection.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, syscall.EAGAIN
 	}
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	left := false
+	var n int
+	var peekErr error
 	err = raw.Control(func(descriptor uintptr) {
 		var next [1]byte
 		for {
-			n, _, err := syscall.Recvfrom(int(descriptor), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			if errors.Is(err, syscall.EINTR) {
-				continue
+			n, _, peekErr = syscall.Recvfrom(int(descriptor), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			if !errors.Is(peekErr, syscall.EINTR) {
+				return
 			}
-			left = n <= 0 && !errors.Is(err, syscall.EAGAIN)
-			return
 		}
 	})
-	return left || err != nil
+	return n, errors.Join(err, peekErr)
+}
+
+// idleConnections holds the callers' connections on which no request is being handled.
+type idleConnections struct {
+	mu          sync.Mutex
+	connections map[net.Conn]bool
+}
+
+func newIdleConnections() *idleConnections {
+	return &idleConnections{connections: make(map[net.Conn]bool)}
+}
+
+// note follows the state of a connection of an HTTP server.
+func (i *idleConnections) note(connection net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if state == http.StateNew || state == http.StateIdle {
+		i.connections[connection] = true
+		return
+	}
+	delete(i.connections, connection)
+}
+
+// anyUnread reports whether a request has arrived on one of them that the process has not read.
+func (i *idleConnections) anyUnread() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.connections {
+		if hasUnread(c) {
+			return true
+		}
+	}
+	return false
 }
 
 // connectionKey is the key of a caller's connection in the context of its requests.
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -80,6 +80,7 @@
 	feedCall   atomic.Pointer[context.CancelCauseFunc] // ends the present call of the configuration feed
 	watches    map[string]*watch                       // owned by the control goroutine
 	waiting    *waitingCallers
+	idle       *idleConnections
 	replies    *mailbox.PendingRequests[placement.Handle, placement.Answer]
 }
 
@@ -89,16 +90,20 @@
 	maxBodyBytes     = 256 << 10
 	shutdownTimeout  = 300 * time.Millisecond // for answers still being sent at the end of a planned stop
 	lastRequestsTime = 100 * time.Millisecond // to read what has arrived before that end
-	orderConnections = 8                      // to one endpoint, for concurrent reports and orders
-	overviewPeriod   = 100 * time.Millisecond
-	orderTimeout     = time.Second // the control state repeats an order sooner, and accepts a late answer
+	// maxUnreadTime is how much longer requests that have arrived are waited for, unreadCheckPeriod
+	// apart.
+	maxUnreadTime     = 300 * time.Millisecond
+	unreadCheckPeriod = 5 * time.Millisecond
+	orderConnections  = 8 // to one endpoint, for concurrent reports and orders
+	overviewPeriod    = 100 * time.Millisecond
+	orderTimeout      = time.Second // the control state repeats an order sooner, and accepts a late answer
 )
 
 // New creates an instance and binds its addresses.
 func New(config Config) (*Server, error) {
 	s := &Server{
 		config: config, mailbox: mailbox.New[placement.Input](), timers: config.Timers, stopped: make(chan struct{}), configured: make(chan struct{}),
-		logger: config.Logger, waiting: newWaitingCallers(), replies: mailbox.NewPendingRequests[placement.Handle, placement.Answer](), watches: make(map[string]*watch),
+		logger: config.Logger, waiting: newWaitingCallers(), idle: newIdleConnections(), replies: mailbox.NewPendingRequests[placement.Handle, placement.Answer](), watches: make(map[string]*watch),
 	}
 	s.metrics = newMetrics(s)
 	s.endpoints = platform.NewEndpoints(platform.EndpointsConfig{Connections: orderConnections, OrderTimeout: orderTimeout, ReportTimeout: config.Timing.AnswerTimeout, Traffic: s.metrics.countTraffic})
@@ -133,7 +138,7 @@
 		Self: config.Self, Domain: config.Domain, Address: advertised, Share: config.Share, FarFactor: config.FarFactor, Retention: config.Retention, LinkRate: config.LinkRate,
 		Seed: config.Self.Incarnation, Timing: config.Timing,
 	})
-	s.http = &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConnection}
+	s.http = &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConnection, ConnState: s.idle.note}
 	return s, nil
 }
 
@@ -194,6 +199,11 @@
 		// Shutdown closes idle connections, also those with a request that has not been read. A
 		// process that was short of processor time reads it first, and refuses it.
 		s.timers.Sleep(ctx, lastRequestsTime)
+		for end := s.timers.Now().Add(maxUnreadTime); s.idle.anyUnread() && s.timers.Now().Before(end); {
+			if !s.timers.Sleep(ctx, unreadCheckPeriod) {
+				break
+			}
+		}
 		last, cancel := context.WithTimeout(ctx, shutdownTimeout)
 		defer cancel()
 		if err := s.http.Shutdown(last); err != nil {
