--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -247,7 +247,10 @@
 	c.reverifyStored("this instance stood still")
 	c.membership.nextMemberCheck = c.now
 	c.checkMembers()
-	c.registerAgain(func(_ workload.JobID, r *registration) bool { return !r.begun })
+	c.registerAgain(func(_ workload.JobID, r *registration) bool {
+		r.begun = false // another instance may have begun the job meanwhile
+		return true
+	})
 }
 
 // The number of steps per heartbeat interval when no input arrives.
--- a/pkg/placement/directory.go
+++ b/pkg/placement/directory.go
@@ -43,6 +43,7 @@
 type directoryEntry struct {
 	home    registrant
 	waiters []registrant
+	lostAt  time.Time // when its home was last heard, while it cannot be reached
 }
 
 // registrant is an instance that has registered a job.
@@ -85,43 +86,60 @@
 }
 
 // refreshDirectory determines the members that share the directory: those that are reachable, are
-// not leaving, and hold endpoints, or all if none does. One that has just started is left out, so
-// that the others know it before it is asked.
+// not leaving unless all are, and hold endpoints, or all if none does. Of these, one that has just
+// started is left out, so that the others know it before it is asked. At least one member is left
+// unless this instance reaches none: without any, each would be a directory for itself.
 func (c *Control) refreshDirectory() {
 	d := &c.directory
 	if d.candidatesAt.Equal(c.now) {
 		return
 	}
 	d.candidatesAt = c.now
-	uptime := c.now.Sub(c.began)
-	oldest := uptime
+	c.listCandidates(false)
+	if len(d.all) == 0 {
+		c.listCandidates(true)
+	}
+	d.candidates = d.holders
+	if len(d.holders) == 0 {
+		d.candidates = d.all
+	}
+}
+
+// listCandidates lists the members that can share the directory, and those of them that hold
+// endpoints.
+func (c *Control) listCandidates(leaving bool) {
+	d := &c.directory
+	d.all, d.holders = d.all[:0], d.holders[:0]
+	var oldest time.Duration
+	eligible := func(m *member) bool {
+		return m.listed && c.reachable(m.id) && m.heartbeat.KeepsDirectory && (leaving || !m.heartbeat.Leaving)
+	}
+	self := leaving || c.stop == serving
+	if self {
+		oldest = c.now.Sub(c.began)
+	}
 	for _, m := range c.membership.members.All() {
-		if c.reachable(m.id) && !m.heartbeatAt.IsZero() {
+		if eligible(m) {
 			oldest = max(oldest, c.uptimeOf(m))
 		}
 	}
-	grown := func(uptime time.Duration) bool {
-		return uptime >= c.config.Timing.Established || uptime+c.config.Timing.Settle >= oldest
-	}
-	d.all, d.holders = d.all[:0], d.holders[:0]
-	add := func(id instance.ID, share int) {
+	add := func(id instance.ID, share int, uptime time.Duration) {
+		if uptime < c.config.Timing.Established && uptime+c.config.Timing.Settle < oldest {
+			return
+		}
 		d.all = append(d.all, id)
 		if share > 0 {
 			d.holders = append(d.holders, id)
 		}
 	}
-	if c.stop == serving && grown(uptime) {
-		add(c.self, c.config.Share)
+	if self {
+		add(c.self, c.config.Share, c.now.Sub(c.began))
 	}
 	for _, m := range c.membership.members.All() {
-		if m.listed && c.reachable(m.id) && m.heartbeat.KeepsDirectory && !m.heartbeat.Leaving && grown(c.uptimeOf(m)) {
-			add(m.id, m.row.Share)
+		if eligible(m) {
+			add(m.id, m.row.Share, c.uptimeOf(m))
 		}
 	}
-	d.candidates = d.holders
-	if len(d.holders) == 0 {
-		d.candidates = d.all
-	}
 }
 
 // directoryOf returns the member that knows the home of a job.
@@ -150,7 +168,7 @@
 	if !c.now.Before(d.entriesDue) {
 		d.entriesDue = c.now.Add(entryCheckPeriod)
 		for job, e := range d.entries.All() {
-			if c.now.After(e.home.expiry) || (len(e.waiters) > 0 && !c.reachable(e.home.id)) {
+			if c.now.After(e.home.expiry) || (len(e.waiters) > 0 && c.homeLost(e)) {
 				c.passOn(job, e, false)
 			}
 		}
@@ -158,27 +176,42 @@
 	c.sendDueReleases()
 }
 
+// homeLost reports whether a home cannot be reached and its runs have certainly ended. That it has
+// lost its session, or stands still, is no sign of that: its holders let their leases expire within
+// ResubmitAfter after they last heard of its callers.
+func (c *Control) homeLost(e *directoryEntry) bool {
+	if c.reachable(e.home.id) {
+		e.lostAt = time.Time{}
+		return false
+	}
+	if m, ok := c.membership.members.Get(e.home.id.Instance); ok && m.id == e.home.id {
+		e.lostAt = m.lastSeenAt
+	} else if e.lostAt.IsZero() {
+		e.lostAt = c.now
+	}
+	return c.now.Sub(e.lostAt) > c.config.Timing.ResubmitAfter
+}
+
 // handleRegister answers an instance that wants to be the home of a job.
 func (c *Control) handleRegister(from instance.ID, m *Register) {
 	if !c.reachable(from) {
 		return
 	}
 	entries := c.directory.entries
-	asker := registrant{from, m.Number, c.now.Add(min(max(m.Left, 0), maxRegistration) + c.config.Timing.holderLossTimeout())}
+	asker := registrant{from, m.Number, c.now.Add(min(max(m.Left, 0), maxRegistration) + lateOrderWindow)}
 	e, ok := entries.Get(m.Job)
 	var former instance.ID
-	if ok && !c.reachable(e.home.id) {
+	if ok && c.homeLost(e) {
 		former = e.home.id
 		c.passOn(m.Job, e, false)
 		e, ok = entries.Get(m.Job)
 	}
-	if !ok && m.Occupant != from && m.Occupant != (instance.ID{}) && c.reachable(m.Occupant) {
+	if !ok && former == (instance.ID{}) && m.Occupant != from && m.Occupant != (instance.ID{}) && !c.homeLost(&directoryEntry{home: registrant{id: m.Occupant}}) {
 		// Its home has registered it with another member, and has not noticed yet that this
 		// one is asked now.
 		e, ok = &directoryEntry{home: registrant{id: m.Occupant, expiry: asker.expiry}}, true
 		entries.Put(m.Job, e)
 	}
-	waited := false
 	switch {
 	case !ok:
 		entries.Put(m.Job, &directoryEntry{home: asker})
@@ -186,7 +219,7 @@
 		if m.Number < e.home.number {
 			return
 		}
-		e.home, waited = asker, len(e.waiters) > 0
+		e.home, e.lostAt = asker, time.Time{}
 	default:
 		e.addWaiter(asker)
 		home := e.home
@@ -195,9 +228,6 @@
 		return
 	}
 	c.send(from, &Registered{Job: m.Job, Number: m.Number, Former: former})
-	if waited {
-		c.send(from, &Recall{Job: m.Job, Number: m.Number}) // the last one may be lost with its session
-	}
 }
 
 func (e *directoryEntry) addWaiter(r registrant) {
@@ -220,7 +250,7 @@
 		if !c.reachable(next.id) || c.now.After(next.expiry) {
 			continue
 		}
-		e.home = next
+		e.home, e.lostAt = next, time.Time{}
 		more := len(e.waiters) > 0
 		answer := &Registered{Job: job, Number: next.number, Completed: completed}
 		if !c.reachable(former.id) {
@@ -237,6 +267,16 @@
 	c.directory.entries.Delete(job)
 }
 
+// recallAgain repeats the recalls of the jobs that a home has and others wait for, after a new
+// session with it.
+func (c *Control) recallAgain(home instance.ID) {
+	for job, e := range c.directory.entries.All() {
+		if e.home.id == home && len(e.waiters) > 0 {
+			c.send(home, &Recall{Job: job, Number: e.home.number})
+		}
+	}
+}
+
 // handleRelease notes that an instance is not the home of jobs any more, or does not wait for
 // them any more.
 func (c *Control) handleRelease(from instance.ID, m *Release) {
@@ -359,7 +399,7 @@
 	former, dropped := c.registeredRuns(m.Job)
 	c.logWarning("job recalled", jobField(m.Job), zap.Stringer("Directory", from), zap.Bool("Open", ok), zap.Bool("RunsOpen", dropped))
 	switch {
-	case ok && j.registration.directory != from && !j.registration.mayPlace():
+	case ok && j.registration.directory != from && !j.registration.mayPlace() && !j.mayHaveStarted():
 		// It waits for an answer of another member, which may wait for the one here.
 		c.send(from, &Release{Jobs: []ReleasedJob{{Job: m.Job, Number: j.registration.number}}})
 	case ok:
--- a/pkg/placement/directory_test.go
+++ b/pkg/placement/directory_test.go
@@ -308,3 +308,47 @@
 		}
 	})
 }
+
+// Guards against two runs of a task at once: a home that had lost its sessions, or stood still,
+// counted as gone although its runs went on, and the next one began.
+func TestWaitingHomeBeginsOnlyWhenTheRunsOfALostOneHaveEnded(t *testing.T) {
+	pause := func(span time.Duration) func(*longJobs, *model.Node) {
+		return func(_ *longJobs, first *model.Node) { first.Pause(span) }
+	}
+	reset := func(span time.Duration) func(*longJobs, *model.Node) {
+		return func(w *longJobs, first *model.Node) {
+			for _, cut := range []bool{true, false} {
+				for _, n := range w.Nodes[1:] {
+					w.Cut(first.ID.Instance, n.ID.Instance, cut)
+				}
+				w.Run(span)
+			}
+		}
+	}
+	for name, do := range map[string]func(*longJobs, *model.Node){
+		"killed": func(_ *longJobs, first *model.Node) { first.Kill() },
+		"restarted": func(w *longJobs, first *model.Node) {
+			first.Kill()
+			w.After(100*time.Millisecond, first.Start)
+		},
+		"paused for 0.6 s": pause(600 * time.Millisecond), "paused for 1.5 s": pause(1500 * time.Millisecond), "paused for 3 s": pause(3 * time.Second),
+		"sessions reset, 5 ms": reset(5 * time.Millisecond), "sessions reset, 300 ms": reset(300 * time.Millisecond),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for at := time.Duration(0); at < 400*time.Millisecond; at += 20 * time.Millisecond {
+				w := newLongJobs(uint64(at) + 3)
+				first, second := w.Nodes[0], w.Nodes[len(w.Nodes)-1]
+				jobs := w.submitTo(first, 8, 5*time.Second)
+				w.Run(300 * time.Millisecond)
+				for _, o := range jobs {
+					w.Resubmit(second, o, w.route, 10*time.Second)
+				}
+				w.Run(300*time.Millisecond + at)
+				do(w, first)
+				w.Run(5 * time.Second)
+				assert.Check(t, len(w.Breaches) == 0, "%v after the second submission: %d tasks ran twice at once", at, len(w.Breaches))
+			}
+		})
+	}
+}
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -352,6 +352,7 @@
 	c.sendInitialList(m)
 	c.resendPlaceRequests(id)
 	c.registerAgain(func(_ workload.JobID, r *registration) bool { return r.directory == id })
+	c.recallAgain(id)
 }
 
 func (c *Control) handlePeerDown(id instance.ID) {
--- a/pkg/placement/registration_test.go
+++ b/pkg/placement/registration_test.go
@@ -176,7 +176,7 @@
 	b.step(b.receivedFrom(second, &Release{Jobs: []ReleasedJob{{Job: "j", Number: 1}}}))
 	b.step(b.receivedFrom(second, &Register{Job: "k", Number: 2, Left: -1 << 63}), b.receivedFrom(second, &Register{Job: "l", Number: 3, Left: 1<<63 - 1}))
 	assert.Equal(t, b.control.directory.entries.Len(), 3)
-	for range 400 {
+	for range (lateOrderWindow + 2*time.Second) / (10 * time.Millisecond) {
 		b.now = b.now.Add(10 * time.Millisecond)
 		b.step(b.receivedFrom(first, &Heartbeat{Configuration: 1}), b.receivedFrom(second, &Heartbeat{Configuration: 1}))
 	}
@@ -200,3 +200,70 @@
 	assert.Equal(t, len(sentTo[*Registered](b, first)), 1)
 	assert.Equal(t, len(sentTo[*Recall](b, first)), 1)
 }
+
+// Guards against two runs of a task at once (soak seed 97102): the only instance that had run for
+// long was leaving, so each of the others, all just restarted, took itself for the directory.
+func TestDirectoryIsSharedByThoseThatStay(t *testing.T) {
+	for _, allLeave := range []bool{false, true} {
+		t.Run(fmt.Sprint(allLeave), func(t *testing.T) {
+			b := newBench(t)
+			oldest, other := benchPeer, instance.ID{Instance: "c", Incarnation: 1}
+			b.connectMembers(MemberRow{Instance: "b", Incarnation: 1, Domain: "east", Share: 1}, MemberRow{Instance: "c", Incarnation: 1, Domain: "east", Share: 1})
+			if allLeave {
+				b.step(Stop{})
+			}
+			b.step(
+				b.receivedFrom(oldest, &Heartbeat{Configuration: 1, Uptime: time.Minute, KeepsDirectory: true, Leaving: true}),
+				b.receivedFrom(other, &Heartbeat{Configuration: 1, Uptime: b.now.Sub(b.control.began), KeepsDirectory: true, Leaving: allLeave}),
+			)
+			b.advanceBy(20 * time.Millisecond)
+			want := []instance.ID{b.control.self, other}
+			if allLeave {
+				want = []instance.ID{oldest}
+			}
+			assert.DeepEqual(t, b.control.directory.candidates, want)
+		})
+	}
+}
+
+// Guards against two runs of a task at once: an entry ended although its home could be reached and
+// had not released the job, of which a start might still be carried out.
+func TestEntryLastsAsLongAsOrdersMayComeLate(t *testing.T) {
+	b := newBench(t)
+	first, second := b.connectDirectory()
+	b.step(b.receivedFrom(first, &Register{Job: "j", Number: 7, Left: time.Second}))
+	b.step(b.receivedFrom(second, &Register{Job: "j", Number: 1, Left: 10 * time.Second}))
+	assert.Equal(t, len(sentTo[*Occupied](b, second)), 1)
+	for range lateOrderWindow / (10 * time.Millisecond) {
+		b.now = b.now.Add(10 * time.Millisecond)
+		b.step(b.receivedFrom(first, &Heartbeat{Configuration: 1, Uptime: time.Minute, KeepsDirectory: true}), b.receivedFrom(second, &Heartbeat{Configuration: 1, Uptime: time.Minute, KeepsDirectory: true}))
+		assert.Assert(t, len(sentTo[*Registered](b, second)) == 0)
+	}
+}
+
+// Guards against jobs that are not served: the recall and the release of a job were lost with one
+// session.
+func TestRecallIsRepeatedInANewSession(t *testing.T) {
+	b := newBench(t)
+	first, second := b.connectDirectory()
+	b.step(b.receivedFrom(first, &Register{Job: "j", Number: 7, Left: 10 * time.Second}))
+	b.step(b.receivedFrom(second, &Register{Job: "j", Number: 1, Left: 10 * time.Second}))
+	assert.Equal(t, len(sentTo[*Recall](b, first)), 1)
+	b.step(PeerDown{Peer: first}, PeerUp{Peer: first})
+	assert.Equal(t, len(sentTo[*Recall](b, first)), 1)
+}
+
+// Guards against two runs of a task at once: a home that was recalled released a job of which runs
+// of its former time were going on here, as it waited for another answer.
+func TestRecallOfAJobWithFormerRunsIsNotAnsweredAtOnce(t *testing.T) {
+	b := newBench(t)
+	directory, other := b.connectDirectory()
+	r := b.register(directory)
+	b.step(b.receivedFrom(directory, &Registered{Job: r.Job, Number: r.Number}))
+	assert.Equal(t, len(effectsOf[Start](b)), 1)
+	b.step(Abandon{Handle: Handle(b.jobs)})
+	b.jobs--
+	b.submit(1, 1000)
+	b.step(b.receivedFrom(other, &Recall{Job: r.Job, Number: r.Number}))
+	assert.Equal(t, len(sentTo[*Release](b, other)), 0)
+}
