Release a job only when the stop of a late start has taken effect (TWICE)

An endpoint's next life had started a run late; its stop was accepted at 41.6783, the job was released at once, and the home that waited started the task 1 ms later; the first run ended at 41.7083. Cause: the release looked at the endpoint's name, which the accepted stop clears, and not at the stopTime that was noted with it. Change: a run that may start late holds its job until a time: the end of the window, or stopTime after the accepted stop. Result: TestJobIsReleasedWhenTheStopOfALateStartHasTakenEffect fails on the code before and passes now.

--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -97,8 +97,10 @@
 type openRun struct {
 	holder  instance.ID
 	endedBy time.Time // zero while the holder's report is awaited
-	// lateStartEndpoint names an endpoint whose next incarnation may still start the run.
+	// lateStartEndpoint names an endpoint whose next incarnation may still start the run, and
+	// lateUntil is when a run that it has started has ended at the latest, as far as is known.
 	lateStartEndpoint string
+	lateUntil         time.Time
 }
 
 func newHome() home {
@@ -318,7 +320,7 @@
 // (see updateLeaseLimit). A start that arrives later is refused, as that lease has expired, unless
 // the endpoint has begun another life with a new clock.
 func (c *Control) mayGoOn(open openRun, callersKnownAt time.Time) bool {
-	return open.lateStartEndpoint != "" || c.now.Before(callersKnownAt.Add(c.config.Timing.ResubmitAfter))
+	return c.now.Before(later(open.lateUntil, callersKnownAt.Add(c.config.Timing.ResubmitAfter)))
 }
 
 // certainlyEnded reports whether a run that was dropped at some time has ended and cannot start
@@ -361,11 +363,11 @@
 	case open.endedBy.IsZero():
 		open.endedBy = c.now.Add(c.config.Timing.leaseExpiry())
 	case open.lateStartEndpoint != "":
-		open.endedBy = later(open.endedBy, c.now.Add(stopTime))
+		open.endedBy, open.lateUntil = later(open.endedBy, c.now.Add(stopTime)), c.now.Add(stopTime)
 	}
 	open.lateStartEndpoint = ""
 	if m.MayStartLater {
-		open.lateStartEndpoint = m.Endpoint
+		open.lateStartEndpoint, open.lateUntil = m.Endpoint, c.now.Add(lateOrderWindow)
 	}
 	former.runs.Put(m.Run, open)
 }
@@ -475,7 +477,7 @@
 		for i := range j.steps[s] {
 			t := &j.steps[s][i]
 			if t.phase == lost {
-				former.runs.Put(j.run(s, i), openRun{t.holder, t.endedBy, t.lateStartEndpoint})
+				former.runs.Put(j.run(s, i), t.lostRun())
 			}
 			if t.phase != placed {
 				continue
@@ -500,6 +502,19 @@
 	return dropped
 }
 
+// lostRun returns the last run of a lost task, as one of a closed job.
+func (t *task) lostRun() openRun {
+	open := openRun{holder: t.holder, endedBy: t.endedBy, lateStartEndpoint: t.lateStartEndpoint}
+	switch {
+	case t.lateStartUntil.IsZero():
+	case t.lateStartEndpoint == "":
+		open.lateUntil = t.endedBy
+	default:
+		open.lateUntil = t.lateStartUntil
+	}
+	return open
+}
+
 // resendDrops repeats the drops of runs that a holder has not reported as ended, after a new
 // session with it.
 func (c *Control) resendDrops(holder instance.ID) {
--- a/pkg/placement/registration_test.go
+++ b/pkg/placement/registration_test.go
@@ -267,3 +267,34 @@
 	b.step(b.receivedFrom(other, &Recall{Job: r.Job, Number: r.Number}))
 	assert.Equal(t, len(sentTo[*Release](b, other)), 0)
 }
+
+// Guards against two runs of a task at once (soak seed 98106): a job was released when the stop of a
+// late start was accepted, and the run went on until the stop had taken effect.
+func TestJobIsReleasedWhenTheStopOfALateStartHasTakenEffect(t *testing.T) {
+	b := newBench(t)
+	directory, _ := b.connectDirectory()
+	r := b.register(directory)
+	b.step(b.receivedFrom(directory, &Registered{Job: r.Job, Number: r.Number}))
+	start := effectsOf[Start](b)[0]
+	b.answerStart(&start, Unanswered)
+	b.step(Abandon{Handle: Handle(b.jobs)})
+	next := b.listLife(benchEndpoint.ID.Born + 1)
+	b.step(b.receivedFrom(directory, &Recall{Job: r.Job, Number: r.Number}))
+	releasedWithin := func(span time.Duration) (released time.Duration, ok bool) {
+		began := b.now
+		for b.now.Sub(began) < span {
+			b.now = b.now.Add(10 * time.Millisecond)
+			b.step(b.receivedFrom(directory, &Heartbeat{Configuration: 1, Uptime: time.Minute, KeepsDirectory: true}))
+			if len(sentTo[*Release](b, directory)) > 0 {
+				return b.now.Sub(began), true
+			}
+		}
+		return 0, false
+	}
+	_, early := releasedWithin(2 * time.Second)
+	assert.Assert(t, !early, "released while the start may come late")
+	b.answerStop(start.Run, next, Accepted)
+	assert.Equal(t, len(sentTo[*Release](b, directory)), 0)
+	after, ok := releasedWithin(200 * time.Millisecond)
+	assert.Assert(t, ok && after >= stopTime, "released %v after the stop was accepted", after)
+}
