--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -196,14 +196,7 @@
 	case <-ctx.Done():
 		_ = s.http.Close()
 	case <-s.stopped:
-		// Shutdown closes idle connections, also those with a request that has not been read. A
-		// process that was short of processor time reads it first, and refuses it.
-		s.timers.Sleep(ctx, lastRequestsTime)
-		for end := s.timers.Now().Add(maxUnreadTime); s.idle.anyUnread() && s.timers.Now().Before(end); {
-			if !s.timers.Sleep(ctx, unreadCheckPeriod) {
-				break
-			}
-		}
+		s.readLastRequests(ctx)
 		last, cancel := context.WithTimeout(ctx, shutdownTimeout)
 		defer cancel()
 		if err := s.http.Shutdown(last); err != nil {
@@ -212,6 +205,18 @@
 	}
 }
 
+// readLastRequests waits until what has arrived before the end of a planned stop is read, and
+// refused: Shutdown closes idle connections, also those with a request that the process, short of
+// processor time, has not read yet.
+func (s *Server) readLastRequests(ctx context.Context) {
+	s.timers.Sleep(ctx, lastRequestsTime)
+	for end := s.timers.Now().Add(maxUnreadTime); s.idle.anyUnread() && s.timers.Now().Before(end); {
+		if !s.timers.Sleep(ctx, unreadCheckPeriod) {
+			return
+		}
+	}
+}
+
 // Stop begins a planned stop.
 func (s *Server) Stop() {
 	s.leaving.Store(true)
