Reflow the comment of the lease limit

Cause: read-through of the change; a line ran over the others. Change: a comment only. Result: builds; the tests of leases, dropped runs and the directory pass.

--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -662,9 +662,9 @@
 // whatever fails after their home could know that they left. So no run is under a lease that
 // reaches beyond maxUnconfirmed after its home last knew that its callers wait, or beyond a
 // lease after it has become unwanted. Once a run is unwanted its limit does not rise: that its
-// home knows the callers which still wait says nothing of those who have left. A lease is of a whole endpoint and is never shortened:
-// the limit is that of all runs there, and a run starts only where the lease that was granted
-// before does not exceed its own (bestEndpoint).
+// home knows the callers which still wait says nothing of those who have left. A lease is of a
+// whole endpoint and is never shortened: the limit is that of all runs there, and a run starts
+// only where the lease that was granted before does not exceed its own (bestEndpoint).
 func (c *Control) updateLeaseLimit(e *endpoint) {
 	e.leaseLimit = time.Time{}
 	for _, r := range e.runs.All() {
