--- a/review/rig2/backlog.go
+++ b/review/rig2/backlog.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	backlogJobs        = 2000
+	backlogJobs        = 2600
 	backlogConnections = 40                   // of the client, all to the gate that its hash selects
 	backlogPause       = 4 * time.Millisecond // between two jobs: 250 a second at most
 	backlogRoom        = 6 * 32               // tasks of 2 cores that six workers of 64 cores run
-	backlogWatch       = 60 * time.Second
+	backlogWatch       = 45 * time.Second
 	memoryMb           = 284
-	taskTime           = 3 * time.Second
+	taskTime           = 7 * time.Second
 )
 
 // memoryOf returns the resident memory of a gate in megabytes.
@@ -107,7 +107,7 @@
 // times at which the client has made them.
 func (e *environment) submitBacklog() map[string]bool {
 	wanted := job(step{Count: 1, CPU: 2000, MemMb: 64, EstMs: int(taskTime.Milliseconds())})
-	wanted["spec"] = strings.Repeat("spec", 1000)
+	wanted["spec"] = strings.Repeat("spec", 300)
 	var mu sync.Mutex
 	accepted := make(map[string]bool)
 	var clients sync.WaitGroup
