--- a/review/rig2/backlog.go
+++ b/review/rig2/backlog.go
@@ -15,6 +15,7 @@
 	backlogConnections = 40                   // of the client, all to the gate that its hash selects
 	backlogPause       = 4 * time.Millisecond // between two jobs: 250 a second at most
 	backlogRoom        = 6 * 32               // tasks of 2 cores that six workers of 64 cores run
+	backlogTime        = 50 * time.Second     // the longest time in which they are handed in
 	backlogWatch       = 45 * time.Second
 	memoryMb           = 284
 	taskTime           = 7 * time.Second
@@ -125,7 +126,7 @@
 			}
 		}()
 	}
-	for range backlogJobs {
+	for end, n := time.Now().Add(backlogTime), 0; n < backlogJobs && time.Now().Before(end); n++ {
 		ids <- fmt.Sprintf("%016x", time.Now().UnixMicro())
 		time.Sleep(backlogPause)
 	}
