--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -63,6 +63,9 @@
 	if err := e.deployment(zones, 2, fixed(6*time.Second)); err != nil {
 		return held, err
 	}
+	if _, err := e.addWorker("i-z-a-3", "z-a", []string{"a", "r1-1"}, fixed(6*time.Second)); err != nil {
+		return held, err
+	}
 	special, err := e.addWorker("i-special", "z-b", []string{"b", "r2-1"}, fixed(6*time.Second))
 	if err != nil {
 		return held, err
@@ -340,3 +343,34 @@
 	}
 	return longest
 }
+
+// failsEverywhere: a task that can never be done has fewer eligible workers than attempts.
+func failsEverywhere(e *environment) (verdict, error) {
+	zones := []string{"z-a", "z-b", "z-c"}
+	if err := e.deployment(zones, 2, fixed(time.Second)); err != nil {
+		return held, err
+	}
+	fails := func(string, string) (time.Duration, string) { return 500 * time.Millisecond, "failed" }
+	if !e.trouble {
+		fails = fixed(500 * time.Millisecond)
+	}
+	for _, zone := range []string{"z-a", "z-b"} {
+		if _, err := e.addWorker("i-special-"+zone, zone, []string{"b", "r9-1"}, fails); err != nil {
+			return held, err
+		}
+	}
+	if err := e.startGates(zones); err != nil {
+		return held, err
+	}
+	const id = "00000000000000a1"
+	if a := e.call(e.gates[0], http.MethodPost, id, job(step{Count: 1, CPU: 2000, MemMb: 64, EstMs: 500, Requires: "b"}), 5*time.Second); a.status != http.StatusOK {
+		return held, cannot("the job was not accepted")
+	}
+	time.Sleep(finish)
+	idle := e.longestIdle(id, 2*idleLimit)
+	a := e.call(e.gates[1], http.MethodGet, id, nil, 5*time.Second)
+	if idle > idleLimit && a.state() != "completed" && a.state() != "failed" {
+		return verdict(fmt.Sprintf("LOST: the accepted job is %q after %d of 3 attempts, and had nothing running for %.1f s", a.state(), len(e.startsOf(id+".", time.Time{})), idle.Seconds())), nil
+	}
+	return held, nil
+}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -19,6 +19,7 @@
 )
 
 var cases = map[string]func(*environment) (verdict, error){
+	"fails-everywhere":        failsEverywhere,
 	"foreign-entry":           foreignEntry,
 	"dark-worker":             darkWorker,
 	"backlog":                 backlog,
