--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -134,7 +134,7 @@
 	if !e.awaitStart(id, 5*time.Second) {
 		return held, cannot("the job did not start")
 	}
-	time.Sleep(time.Second)
+	time.Sleep(2 * time.Second)
 	if e.trouble {
 		e.store.factor.Store(60)
 		e.note("store slow", "", "answers take 60 times as long")
@@ -173,8 +173,8 @@
 	return held, nil
 }
 
-// cancelBesideSilence: the connections between the gates go silent; a gate that is not the home
-// of a job takes its cancel.
+// cancelBesideSilence: the connection between two gates goes silent. One is the home of a job, the
+// other takes its cancel.
 func cancelBesideSilence(e *environment) (verdict, error) {
 	zones := []string{"z-a", "z-b", "z-c"}
 	if err := e.deployment(zones, 2, fixed(22*time.Second)); err != nil {
@@ -193,14 +193,14 @@
 	}
 	time.Sleep(4 * time.Second)
 	if e.trouble {
-		for _, p := range e.gates {
-			p.peers.silence()
-		}
-		e.note("silence", "", "the open connections between the gates pass nothing any more")
+		// The gate that started later dials, so the last one's connection to the home is the only one
+		// that passes the home's proxy.
+		e.gates[1].peers.silence()
+		e.note("silence", "", "the open connection between "+e.gates[1].name+" and "+e.gates[2].name+" passes nothing any more")
 	}
 	silent := time.Now()
 	time.Sleep(100 * time.Millisecond)
-	a := e.call(e.gates[0], http.MethodDelete, id, nil, 5*time.Second)
+	a := e.call(e.gates[2], http.MethodDelete, id, nil, 5*time.Second)
 	if a.status != http.StatusOK && a.status != http.StatusGone {
 		return held, cannot("the cancel was not acknowledged")
 	}
