Log orders that are accepted in a life of their endpoint that the answer does not show

Answers to starts and stops do not name the life of the endpoint that gives them, so no line of the record tells whether a run that counted as lapsed was there, or at the next life. Answers carry the endpoint's clock, which starts anew with each life: StartDone and StopDone bring it along with their times, and an accepted order whose clock a later life could have is logged. 'run ended' says whether a report had listed the run. Nothing is decided by it yet.

--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -267,12 +267,12 @@
 			delete(n.watches, m.Endpoint.Name)
 		}
 	case placement.Start:
-		n.order(m.Endpoint, orderTimeout, func(x *Endpoint) placement.OrderOutcome { return x.Start(&m) }, func(o placement.OrderOutcome) {
-			n.deliver(placement.StartDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Copy: m.Copy, Outcome: o})
+		n.order(m.Endpoint, orderTimeout, func(x *Endpoint) placement.OrderOutcome { return x.Start(&m) }, func(o placement.OrderOutcome, r placement.ClockReading) {
+			n.deliver(placement.StartDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Copy: m.Copy, Outcome: o, Reading: r})
 		})
 	case placement.StopRun:
-		n.order(m.Endpoint, w.Config.Timing.AnswerTimeout, func(x *Endpoint) placement.OrderOutcome { return x.Stop(&m) }, func(o placement.OrderOutcome) {
-			n.deliver(placement.StopDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Outcome: o})
+		n.order(m.Endpoint, w.Config.Timing.AnswerTimeout, func(x *Endpoint) placement.OrderOutcome { return x.Stop(&m) }, func(o placement.OrderOutcome, r placement.ClockReading) {
+			n.deliver(placement.StopDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Outcome: o, Reading: r})
 		})
 	case placement.Probe:
 		x := w.endpoint(m.Endpoint)
@@ -380,30 +380,34 @@
 // order sends an order to an endpoint, subject to the network's cuts and the
 // endpoint's faults, and calls done with the outcome. An order without an answer
 // has the outcome Unanswered after the timeout.
-func (n *Node) order(id workload.EndpointID, timeout time.Duration, do func(*Endpoint) placement.OrderOutcome, done func(placement.OrderOutcome)) {
+func (n *Node) order(id workload.EndpointID, timeout time.Duration, do func(*Endpoint) placement.OrderOutcome, done func(placement.OrderOutcome, placement.ClockReading)) {
 	w := n.world
 	x := w.endpoint(id)
+	sent := w.Now
+	unanswered := func() {
+		n.later(timeout, func() { done(placement.Unanswered, placement.ClockReading{Sent: sent, Received: w.Now}) })
+	}
 	if x == nil || !x.Up || !w.reaches(n.location(), x.location()) {
-		n.later(timeout, func() { done(placement.Unanswered) })
+		unanswered()
 		return
 	}
 	delay := w.oneWay(n.location(), x.location())
 	if x.OrderIsLate() {
 		w.After(x.LateBy, func() { do(x) })
-		n.later(timeout, func() { done(placement.Unanswered) })
+		unanswered()
 		return
 	}
 	lost := x.AnswerIsLost()
 	w.After(delay, func() {
-		outcome := do(x)
+		outcome, clock := do(x), x.Clock()
 		if outcome == placement.Accepted && x.Info.ID != id {
 			outcome = placement.OtherLife
 		}
 		if lost || !w.reaches(n.location(), x.location()) {
-			n.later(timeout, func() { done(placement.Unanswered) })
+			unanswered()
 			return
 		}
-		n.later(delay, func() { done(outcome) })
+		n.later(delay, func() { done(outcome, placement.ClockReading{Clock: clock, Sent: sent, Received: w.Now}) })
 	})
 }
 
@@ -471,7 +475,7 @@
 			}
 		})
 		return outcome
-	}, func(o placement.OrderOutcome) {
+	}, func(o placement.OrderOutcome, _ placement.ClockReading) {
 		if x.cancelled || answered {
 			return
 		}
@@ -548,7 +552,7 @@
 		outcome := e.AcknowledgeAndRenew(m.Token, 0, 0)
 		report = e.Report()
 		return outcome
-	}, func(o placement.OrderOutcome) {
+	}, func(o placement.OrderOutcome, _ placement.ClockReading) {
 		if o == placement.Accepted {
 			n.deliver(placement.Reported{Endpoint: m.Endpoint, Token: m.Token, Sent: sent, Received: n.world.Now, Report: report})
 		}
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -486,6 +486,7 @@
 	Looks             int64 // reports requested in addition to the watches
 	Adopted           int64 // stored jobs taken over from homes that have failed
 	Unexpected        int64 // recovered panics
+	UnshownLives      int64 // orders accepted in a life of their endpoint that the answer did not show
 }
 
 // runTable holds runs by their identity.
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -29,11 +29,12 @@
 	state                endpointState
 	runs                 *runTable
 	reserved             workload.Resources
-	reportReceivedAt     time.Time           // when the last report arrived
-	reportRequestedAt    time.Time           // when that report was requested
-	reportTruncated      bool                // that report may not list all ended runs
-	extraRequestAt       time.Time           // when a report was last requested in addition to the watch
-	clock                time.Duration       // the endpoint's clock at reportReceivedAt
+	reportReceivedAt     time.Time     // when the last report arrived
+	reportRequestedAt    time.Time     // when that report was requested
+	reportTruncated      bool          // that report may not list all ended runs
+	extraRequestAt       time.Time     // when a report was last requested in addition to the watch
+	clock                time.Duration // the endpoint's clock at reportReceivedAt
+	life                 lifeClock
 	renewing             bool                // the watch renews the lease, see watchEndpoint
 	leaseRenewedAt       time.Time           // when the lease was last renewed; kept only while the watch does not renew it
 	missedReports        int                 // in a row
@@ -80,6 +81,7 @@
 	startsSent   int       // copies of the start order sent
 	answerDue    time.Time // when the last copy counts as unanswered
 	confirmedAt  time.Time // when the endpoint first confirmed the run
+	listed       bool      // a report has listed it
 	stopSentAt   time.Time
 	stopDone     time.Time // when the endpoint accepted the stop
 	unwantedAt   time.Time // when it was marked for a stop, as its home does not want it or cannot be relied on
@@ -499,6 +501,7 @@
 	}
 	if !m.Received.Before(e.reportReceivedAt) {
 		e.reportReceivedAt, e.clock, e.reportTruncated = m.Received, m.Report.Clock, m.Report.Truncated()
+		e.life.observe(ClockReading{Clock: m.Report.Clock, Sent: m.Sent, Received: m.Received})
 	}
 	e.reportRequestedAt = later(e.reportRequestedAt, m.Sent)
 	e.missedReports = 0
@@ -526,6 +529,7 @@
 		}
 		return
 	}
+	r.listed = true
 	e.recordOutcome(c, r, ended.How)
 	c.endRun(r, ended.How, r.endCause(ended.How))
 }
@@ -540,6 +544,7 @@
 			unknown = append(unknown, rr.Run)
 			continue
 		}
+		r.listed = true
 		if r.state == starting {
 			r.state = running
 		}
--- a/pkg/placement/logging.go
+++ b/pkg/placement/logging.go
@@ -59,6 +59,9 @@
 func (c *Control) logRunEnded(r *run) {
 	m := r.endMessage
 	fields := r.logFields(zap.Stringer("How", m.How), zap.Duration("Elapsed", m.Elapsed), zap.Duration("Estimate", r.request.Estimate), zap.String("Cause", m.Detail))
+	if r.endpoint != nil {
+		fields = append(fields, zap.Bool("Listed", r.listed))
+	}
 	if m.MayStartLater {
 		fields = append(fields, zap.Bool("MayStartLater", true))
 	}
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -127,6 +127,7 @@
 	Run      workload.Run
 	Copy     int
 	Outcome  OrderOutcome
+	Reading  ClockReading
 	Err      error
 }
 
@@ -136,6 +137,7 @@
 	Token    workload.Token
 	Run      workload.Run
 	Outcome  OrderOutcome
+	Reading  ClockReading
 	Err      error
 }
 
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -216,6 +216,9 @@
 	if c.endHoldIfLost(e, m.Outcome) {
 		return
 	}
+	if m.Outcome == Accepted && !e.life.shows(m.Reading) {
+		c.logUnshownLife("start", m.Run, e, m.Reading)
+	}
 	if m.Outcome == Unanswered {
 		c.noteUnanswered(r, m.Copy)
 	}
@@ -293,6 +296,9 @@
 	if c.endHoldIfLost(e, m.Outcome) {
 		return
 	}
+	if m.Outcome == Accepted && !e.life.shows(m.Reading) {
+		c.logUnshownLife("stop", m.Run, e, m.Reading)
+	}
 	r, ok := e.runs.Get(m.Run)
 	if !ok || r.state != stopping {
 		return
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -287,9 +287,15 @@
 func (s *Server) performBlocking(ctx context.Context, e placement.Effect) {
 	switch m := e.(type) {
 	case placement.Start:
-		s.deliver(s.endpoints.Start(ctx, &m))
+		sent := s.timers.SinceBoot()
+		done := s.endpoints.Start(ctx, &m)
+		done.Reading.Sent, done.Reading.Received = sent, s.timers.SinceBoot()
+		s.deliver(done)
 	case placement.StopRun:
-		s.deliver(s.endpoints.Stop(ctx, &m))
+		sent := s.timers.SinceBoot()
+		done := s.endpoints.Stop(ctx, &m)
+		done.Reading.Sent, done.Reading.Received = sent, s.timers.SinceBoot()
+		s.deliver(done)
 	case placement.Probe:
 		s.probe(ctx, m)
 	case placement.RequestReport:
