--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -400,9 +400,6 @@
 	lost := x.AnswerIsLost()
 	w.After(delay, func() {
 		outcome, clock := do(x), x.Clock()
-		if outcome == placement.Accepted && x.Info.ID != id {
-			outcome = placement.OtherLife
-		}
 		if lost || !w.reaches(n.location(), x.location()) {
 			unanswered()
 			return
@@ -447,10 +444,16 @@
 	}
 	var report workload.Report
 	var reportReady, accepted, answered, gaveUp bool
+	var life workload.EndpointID // that answers
 	receive := func() {
 		if x.cancelled || gaveUp {
 			return
 		}
+		if life != x.Endpoint {
+			gaveUp = true
+			n.handleNoReport(x, placement.OtherLife)
+			return
+		}
 		answered = true
 		x.endpointClock, x.clockReadAt = report.Clock, w.Now
 		x.confirmedAck = max(x.confirmedAck, x.ackSequence)
@@ -464,6 +467,7 @@
 			return outcome
 		}
 		delay := w.oneWay(n.location(), e.location())
+		life = e.Info.ID
 		e.WhenEnded(wait, func() {
 			report = e.Report()
 			if !w.reaches(n.location(), e.location()) || !e.Up {
@@ -551,6 +555,9 @@
 	n.order(m.Endpoint, n.world.Config.Timing.AnswerTimeout, func(e *Endpoint) placement.OrderOutcome {
 		outcome := e.AcknowledgeAndRenew(m.Token, 0, 0)
 		report = e.Report()
+		if outcome == placement.Accepted && e.Info.ID != m.Endpoint {
+			return placement.OtherLife
+		}
 		return outcome
 	}, func(o placement.OrderOutcome, _ placement.ClockReading) {
 		if o == placement.Accepted {
