--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -560,8 +560,12 @@
 		}
 		return outcome
 	}, func(o placement.OrderOutcome, _ placement.ClockReading) {
-		if o == placement.Accepted {
+		switch o {
+		case placement.Accepted:
 			n.deliver(placement.Reported{Endpoint: m.Endpoint, Token: m.Token, Sent: sent, Received: n.world.Now, Report: report})
+		case placement.OtherLife:
+			n.deliver(placement.Silent{Endpoint: m.Endpoint, Token: m.Token, Outcome: o})
+		default:
 		}
 	})
 }
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -29,12 +29,12 @@
 	state                endpointState
 	runs                 *runTable
 	reserved             workload.Resources
-	reportReceivedAt     time.Time     // when the last report arrived
-	reportRequestedAt    time.Time     // when that report was requested
-	reportTruncated      bool          // that report may not list all ended runs
-	extraRequestAt       time.Time     // when a report was last requested in addition to the watch
-	clock                time.Duration // the endpoint's clock at reportReceivedAt
-	life                 lifeClock
+	reportReceivedAt     time.Time           // when the last report arrived
+	reportRequestedAt    time.Time           // when that report was requested
+	reportTruncated      bool                // that report may not list all ended runs
+	extraRequestAt       time.Time           // when a report was last requested in addition to the watch
+	clock                time.Duration       // the endpoint's clock at reportReceivedAt
+	life                 lifeClock           // of the life that is held
 	renewing             bool                // the watch renews the lease, see watchEndpoint
 	leaseRenewedAt       time.Time           // when the lease was last renewed; kept only while the watch does not renew it
 	missedReports        int                 // in a row
@@ -80,7 +80,7 @@
 	orderedAt    time.Time
 	startsSent   int       // copies of the start order sent
 	answerDue    time.Time // when the last copy counts as unanswered
-	confirmedAt  time.Time // when the endpoint first confirmed the run
+	confirmedAt  time.Time // when it was first known to be in the life that its endpoint is held in
 	listed       bool      // a report has listed it
 	stopSentAt   time.Time
 	stopDone     time.Time // when the endpoint accepted the stop
@@ -530,6 +530,9 @@
 		return
 	}
 	r.listed = true
+	if r.confirmedAt.IsZero() {
+		r.confirmedAt = c.now
+	}
 	e.recordOutcome(c, r, ended.How)
 	c.endRun(r, ended.How, r.endCause(ended.How))
 }
--- a/pkg/placement/late_orders_test.go
+++ b/pkg/placement/late_orders_test.go
@@ -33,7 +33,7 @@
 }
 
 func (b *bench) answerStop(id workload.Run, life workload.EndpointID, outcome OrderOutcome) {
-	b.step(StopDone{Endpoint: life, Token: benchToken, Run: id, Outcome: outcome})
+	b.step(StopDone{Endpoint: life, Token: benchToken, Run: id, Outcome: outcome, Reading: b.reading()})
 }
 
 // Guards against two runs of a task at once: of the stops of a start that nobody had answered, the
--- a/pkg/placement/late_starts.go
+++ b/pkg/placement/late_starts.go
@@ -36,6 +36,7 @@
 	stopSentAt time.Time
 	stoppedIn  workload.EndpointID // the life in which it was last stopped
 	homeWaits  bool                // its home was told that it may start later
+	life       *lifeClock          // of the life that it was ordered for
 }
 
 // noteUnanswered records that a copy of a run's start order is not answered. Where the run was
@@ -44,7 +45,7 @@
 	l := c.lateStartOf(r)
 	if l == nil {
 		e := r.endpoint
-		l = &lateStart{endpoint: e.info.ID, address: e.info.Address, home: r.home, ephemeral: !r.request.Stored, unanswered: make(map[int]bool), orderedAt: r.orderedAt}
+		l = &lateStart{endpoint: e.info.ID, address: e.info.Address, home: r.home, ephemeral: !r.request.Stored, unanswered: make(map[int]bool), orderedAt: r.orderedAt, life: &e.life}
 		if !r.confirmedAt.IsZero() {
 			if r.startsSent == 1 {
 				return
@@ -87,11 +88,12 @@
 }
 
 // noteStartAnswer records the answer to a copy of a start order, whether or not its hold goes on.
-// Of an endpoint's next life it says that the run is there now.
+// A refused copy has done nothing in any life; one that was accepted is in the life meant only if
+// the answer shows it.
 func (c *Control) noteStartAnswer(m *StartDone) {
 	key := lateStartKey{m.Run, m.Endpoint.Name, m.Token}
 	l, ok := c.holder.lateStarts.Get(key)
-	if !ok || m.Outcome == Unanswered || m.Outcome == OtherLife {
+	if !ok || m.Outcome == Unanswered || m.Outcome == OtherLife || (m.Outcome == Accepted && !l.life.shows(m.Reading)) {
 		return
 	}
 	delete(l.unanswered, m.Copy)
--- a/pkg/placement/lives.go
+++ b/pkg/placement/lives.go
@@ -45,8 +45,12 @@
 	return r.Clock > time.Duration(float64(r.Received.Sub(k.readAfter))*(1+clockDrift))+clockResolution
 }
 
-// logUnshownLife logs an accepted order whose answer may be of a later life of its endpoint.
-func (c *Control) logUnshownLife(order string, id workload.Run, e *endpoint, r ClockReading) {
+// acceptedInUnknownLife requests a report after an order was accepted by an answer that may be of
+// a later life of its endpoint. The report names its life.
+func (c *Control) acceptedInUnknownLife(order string, id workload.Run, e *endpoint, r ClockReading) {
+	if c.now.Sub(e.extraRequestAt) >= minStallTime {
+		c.requestReport(e)
+	}
 	c.counters.UnshownLives++
 	c.logWarning("order accepted in an unknown life", runFields(id, e.logFields(zap.String("Order", order), zap.Int64("Born", e.info.ID.Born), zap.Duration("Clock", r.Clock),
 		zap.Duration("ClockInReport", e.life.clock), zap.Duration("ReportAge", c.now.Sub(e.reportReceivedAt)), zap.Duration("Answered", r.Received.Sub(r.Sent)))...)...)
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -90,7 +90,15 @@
 func (b *bench) report(running []workload.RunningRun, ended []workload.EndedRun) {
 	sent := b.now
 	b.now = b.now.Add(time.Millisecond)
-	b.step(Reported{Endpoint: benchEndpoint.ID, Token: benchToken, Sent: sent, Received: b.now, Report: workload.Report{Clock: time.Minute, Running: running, Ended: ended}})
+	b.step(Reported{Endpoint: benchEndpoint.ID, Token: benchToken, Sent: sent, Received: b.now, Report: workload.Report{Clock: b.clock(), Running: running, Ended: ended}})
+}
+
+// clock returns the clock of the endpoint's first life.
+func (b *bench) clock() time.Duration { return time.Minute + b.now.Sub(time.Unix(1000, 0)) }
+
+// reading returns a reading of the clock of the endpoint's first life that takes no time.
+func (b *bench) reading() ClockReading {
+	return ClockReading{Clock: b.clock(), Sent: b.now, Received: b.now}
 }
 
 // submit submits an ephemeral job of one step and returns the start orders.
@@ -114,7 +122,7 @@
 }
 
 func (b *bench) answerStart(m *Start, outcome OrderOutcome) {
-	b.step(StartDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Copy: m.Copy, Outcome: outcome})
+	b.step(StartDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Copy: m.Copy, Outcome: outcome, Reading: b.reading()})
 }
 
 // A start order that the endpoint does not answer is sent again, and then followed by
@@ -133,7 +141,7 @@
 	assert.Equal(t, len(stops), 1)
 	b.report(nil, nil)
 	assert.Equal(t, len(b.submit(1, 40000)), 0, "no capacity is free while a late start may still happen")
-	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: stops[0].Run, Outcome: Accepted})
+	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: stops[0].Run, Outcome: Accepted, Reading: b.reading()})
 	assert.Equal(t, len(effectsOf[Start](b)), 0)
 	b.advanceBy(time.Millisecond)
 	b.report(nil, nil)
@@ -203,7 +211,7 @@
 	b := newBench(t)
 	b.advanceBy(100 * time.Millisecond)
 	starts := b.submit(1, 1000)
-	assert.Equal(t, starts[0].Until, time.Minute+100*time.Millisecond+DefaultTiming().Lease)
+	assert.Equal(t, starts[0].Until, b.clock()+DefaultTiming().Lease)
 }
 
 // An endpoint refuses a late copy of a start order as too old when the run has already
@@ -581,7 +589,7 @@
 	b.jobs--
 	assert.Equal(t, len(b.submit(1, 1000)), 0)
 	assert.Equal(t, len(b.placedNumbers()), 0)
-	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: stops[0].Run, Outcome: Accepted})
+	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: stops[0].Run, Outcome: Accepted, Reading: b.reading()})
 	b.advanceBy(time.Millisecond)
 	b.report(nil, nil)
 	for range 20 {
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -203,26 +203,31 @@
 // until the endpoint has confirmed that it does not run and cannot start later. TooOld
 // for a repeated order counts as accepted, as an earlier copy has arrived. Any other
 // refusal ends the run if one copy was sent, and stops it if an earlier one may act.
+//
+// This keeps an invariant: a run belongs to a life of its endpoint only if a report of that life
+// has listed it, or an answer whose clock no later life can have has accepted it (lifeClock).
+// Until then the end of that life, or of a lease there, does not end the run: the next life may
+// have it, and its start counts as unanswered.
 func (c *Control) startDone(m StartDone) {
-	c.noteStartAnswer(&m)
-	e, ok := c.heldEndpoint(m.Endpoint, m.Token)
-	if !ok {
+	e, held := c.heldEndpoint(m.Endpoint, m.Token)
+	if !held {
+		c.noteStartAnswer(&m)
 		return
 	}
+	c.noteStartAnswer(&m)
 	r, ok := e.runs.Get(m.Run)
-	if !ok {
-		return
-	}
-	if c.endHoldIfLost(e, m.Outcome) {
+	if !ok || c.endHoldIfLost(e, m.Outcome) {
 		return
 	}
-	if m.Outcome == Accepted && !e.life.shows(m.Reading) {
-		c.logUnshownLife("start", m.Run, e, m.Reading)
-	}
 	if m.Outcome == Unanswered {
 		c.noteUnanswered(r, m.Copy)
 	}
 	if m.Outcome == Accepted || (m.Outcome == TooOld && r.startsSent > 1) {
+		if !e.life.shows(m.Reading) {
+			c.acceptedInUnknownLife("start", m.Run, e, m.Reading)
+			c.noteUnanswered(r, m.Copy)
+			return
+		}
 		if r.state == starting {
 			r.state = running
 		}
@@ -297,7 +302,7 @@
 		return
 	}
 	if m.Outcome == Accepted && !e.life.shows(m.Reading) {
-		c.logUnshownLife("stop", m.Run, e, m.Reading)
+		c.acceptedInUnknownLife("stop", m.Run, e, m.Reading)
 	}
 	r, ok := e.runs.Get(m.Run)
 	if !ok || r.state != stopping {
@@ -360,14 +365,19 @@
 	}
 	for _, r := range e.runs.All() {
 		if r.state == running && c.now.Sub(later(e.reportRequestedAt, later(r.percentAt, r.orderedAt))) > r.progressTimeout() {
-			e.extraRequestAt = c.now
-			c.counters.Looks++
-			c.emit(RequestReport{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token})
+			c.requestReport(e)
 			return
 		}
 	}
 }
 
+// requestReport requests a report in addition to the watch.
+func (c *Control) requestReport(e *endpoint) {
+	e.extraRequestAt = c.now
+	c.counters.Looks++
+	c.emit(RequestReport{Endpoint: e.info.ID, Address: e.info.Address, Token: e.token})
+}
+
 // handleDrop ends or stops runs that their home no longer wants. It ignores runs that
 // another home has placed and, with OnlyWaiting, runs that have left the queue.
 func (c *Control) handleDrop(from instance.ID, m *Drop) {
--- a/pkg/placement/silence_test.go
+++ b/pkg/placement/silence_test.go
@@ -338,7 +338,7 @@
 		}
 	}
 	assert.Assert(t, !renewing, "the lease is renewed 0.3 s after the drop")
-	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: starts[0].Run, Outcome: Accepted})
+	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: starts[0].Run, Outcome: Accepted, Reading: b.reading()})
 	b.report(nil, []workload.EndedRun{{Sequence: 1, Run: starts[0].Run, How: workload.Stopped}})
 	b.advanceBy(10 * time.Millisecond)
 	for _, w := range effectsOf[Watch](b) {
--- a/service/gate/watch.go
+++ b/service/gate/watch.go
@@ -140,13 +140,17 @@
 	s.deliver(placement.ProbeDone{Endpoint: m.Endpoint.Name, Reachable: outcome == placement.Accepted || outcome == placement.Fenced})
 }
 
-// requestReport requests one report immediately. It ignores a failure, which the
-// endpoint's watch reports.
+// requestReport requests one report immediately. It ignores failures, which the endpoint's
+// watch reports, but for the answer of another life.
 func (s *Server) requestReport(ctx context.Context, m placement.RequestReport) {
 	sent := s.timers.SinceBoot()
-	report, outcome, _ := s.endpoints.Report(ctx, platform.ReportRequest{Endpoint: m.Endpoint, Address: m.Address, Token: m.Token})
+	report, outcome, err := s.endpoints.Report(ctx, platform.ReportRequest{Endpoint: m.Endpoint, Address: m.Address, Token: m.Token})
 	s.metrics.report(outcome)
-	if outcome == placement.Accepted {
+	switch outcome {
+	case placement.Accepted:
 		s.deliver(placement.Reported{Endpoint: m.Endpoint, Token: m.Token, Sent: sent, Received: s.timers.SinceBoot(), Report: report})
+	case placement.OtherLife:
+		s.deliver(placement.Silent{Endpoint: m.Endpoint, Token: m.Token, Outcome: outcome, Err: err})
+	default:
 	}
 }
