--- a/pkg/placement/late_starts.go
+++ b/pkg/placement/late_starts.go
@@ -37,6 +37,8 @@
 	stoppedIn  workload.EndpointID // the life in which it was last stopped
 	homeWaits  bool                // its home was told that it may start later
 	life       *lifeClock          // of the life that it was ordered for
+	endedLife  workload.EndpointID // the last life that is known to have ended before the list said so
+	endedAt    time.Time           // when that was learned
 }
 
 // noteUnanswered records that a copy of a run's start order is not answered. Where the run was
@@ -102,11 +104,12 @@
 	}
 }
 
-// noteStopAnswer records that an endpoint carries out a late start no more in the life that the
-// stop was meant for, or in a later one that answered it.
+// noteStopAnswer records that an endpoint carries out a late start no more in its present life. What
+// a former life has accepted says nothing of that one: the stop has to be meant for it, or sent
+// when the former one was known to have ended.
 func (c *Control) noteStopAnswer(m *StopDone) {
 	l, ok := c.holder.lateStarts.Get(lateStartKey{m.Run, m.Endpoint.Name, m.Token})
-	if !ok {
+	if !ok || m.Endpoint != c.lifeOf(l) || (m.Endpoint == l.endedLife && m.Reading.Sent.Before(l.endedAt)) {
 		return
 	}
 	switch m.Outcome {
@@ -157,7 +160,11 @@
 		return
 	}
 	for key, l := range c.holder.lateStarts.All() {
-		if key.endpoint == e.info.ID.Name && l.excludedIn == e.info.ID {
+		if key.endpoint != e.info.ID.Name {
+			continue
+		}
+		l.endedLife, l.endedAt = e.info.ID, c.now
+		if l.excludedIn == e.info.ID {
 			l.excludedIn = workload.EndpointID{}
 		}
 	}
--- a/pkg/placement/next_life_test.go
+++ b/pkg/placement/next_life_test.go
@@ -90,6 +90,36 @@
 	assert.Equal(t, b.startsElsewhere(250*time.Millisecond), 1)
 }
 
+// Guards against two runs of a task at once: the former life of an endpoint had accepted a stop, whose
+// answer was taken for one of the next life.
+func TestStopThatTheFormerLifeAcceptedSaysNothingOfTheNext(t *testing.T) {
+	for name, learn := range map[string]func(b *bench){
+		"a report names the next life": func(b *bench) {
+			b.step(Silent{Endpoint: benchEndpoint.ID, Token: benchToken, Outcome: OtherLife})
+		},
+		"the list names it": func(b *bench) { b.listNextLife() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			starts := b.submit(1, 1000)
+			id := starts[0].Run
+			b.answerStart(&starts[0], Unanswered)
+			again := effectsOf[Start](b)
+			b.answerStart(&again[0], Unanswered)
+			assert.Equal(t, len(effectsOf[StopRun](b)), 1)
+			onTheWay := b.reading()
+			b.advanceBy(10 * time.Millisecond)
+			learn(b)
+			onTheWay.Received = b.now
+			b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: id, Outcome: Accepted, Reading: onTheWay})
+			next := b.listNextLife()
+			assert.Equal(t, b.startsElsewhere(1500*time.Millisecond), 0)
+			b.answerStop(id, next, Accepted)
+			assert.Equal(t, b.startsElsewhere(250*time.Millisecond), 1)
+		})
+	}
+}
+
 // Guards against a run that ends with a lease that nobody has granted: the next life has accepted it, and
 // its lease there began with its arrival.
 func TestRunThatNoReportHasShownDoesNotEndWithTheLease(t *testing.T) {
