The workers' stand-in answers only the fields that the users' page names

Its answers to starts, stops and refused calls named `born` and listed what runs; the page names `born` and the lists only in a report, and a body of a refusal only with 409. So in all tests a start that a next life had accepted came back as OtherLife, and on the users' platform as Accepted. An answer to an order and a report have separate encoders now: 200 says clockMs, 409 also reason, and 400, 421 and 503 have no body. The fake in watch_test.go uses that of reports.

The soak and the tests of cmd/crocus-gate are not run yet.

--- a/pkg/standin/workers.go
+++ b/pkg/standin/workers.go
@@ -204,14 +204,13 @@
 			outcome, err = do(body)
 		}
 		unanswered = outcome == placement.Unanswered || x.AnswerIsLost()
-		report := workload.Report{Clock: x.Clock()}
-		status, answer = platform.EncodeOutcome(outcome, x.Info.ID.Born, &report)
+		status, answer = platform.EncodeOutcome(outcome, x.Clock())
 	})
 	switch {
 	case late:
 		<-r.Context().Done()
 	case err != nil:
-		http.Error(out, err.Error(), http.StatusBadRequest)
+		write(out, http.StatusBadRequest, nil)
 	case unanswered:
 		panic(http.ErrAbortHandler)
 	default:
@@ -227,7 +226,7 @@
 	}
 	q, err := platform.DecodeReportRequest(body)
 	if err != nil {
-		http.Error(out, err.Error(), http.StatusBadRequest)
+		write(out, http.StatusBadRequest, nil)
 		return
 	}
 	ended := make(chan struct{})
@@ -250,17 +249,23 @@
 			return
 		}
 	}
-	var status int
-	var answer []byte
+	status, answer := http.StatusOK, []byte(nil)
 	w.With(func(*model.World) {
+		if outcome != placement.Accepted {
+			status, answer = platform.EncodeOutcome(outcome, x.Clock())
+			return
+		}
 		report := x.Report()
-		status, answer = platform.EncodeOutcome(outcome, x.Info.ID.Born, &report)
+		answer = platform.EncodeReport(x.Info.ID.Born, &report)
 	})
 	write(out, status, answer)
 }
 
+// write answers with a status and, unless it is empty, a body.
 func write(out http.ResponseWriter, status int, body []byte) {
-	out.Header().Set("Content-Type", "application/json")
+	if len(body) > 0 {
+		out.Header().Set("Content-Type", "application/json")
+	}
 	out.WriteHeader(status)
 	_, _ = out.Write(body)
 }
--- a/service/gate/watch_test.go
+++ b/service/gate/watch_test.go
@@ -43,8 +43,7 @@
 		if q.Acknowledged == sequence {
 			report.Ended = nil
 		}
-		_, answer := platform.EncodeOutcome(placement.Accepted, 1, &report)
-		_, _ = out.Write(answer)
+		_, _ = out.Write(platform.EncodeReport(1, &report))
 	}))
 	s := &Server{config: Config{Timing: placement.DefaultTiming()}, mailbox: mailbox.New[placement.Input](), timers: timer.New()}
 	s.metrics = newMetrics(s)
