A request that the server is reading counts as unread at the end of a planned stop (LOST)

Callers may see: no answer to a request that arrived on an idle connection at the end of a planned stop.

Cause: between the moment at which the HTTP server has read a request and that at which it marks its connection as active, the kernel holds nothing and the connection counts as idle, so it was closed.

Now a connection on which a request was seen to arrive counts until the server handles the request. TestRequestThatIsBeingReadCountsAsUnread fails without the change.

--- a/service/gate/connections.go
+++ b/service/gate/connections.go
@@ -89,7 +89,9 @@
 
 // idleConnections holds the callers' connections on which no request is being handled.
 type idleConnections struct {
-	mu          sync.Mutex
+	mu sync.Mutex
+	// connections says whether a request was seen to arrive. It counts until the server handles
+	// it, as it is in no buffer of the kernel while the server reads it.
 	connections map[net.Conn]bool
 }
 
@@ -102,22 +104,23 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if state == http.StateNew || state == http.StateIdle {
-		i.connections[connection] = true
+		i.connections[connection] = false
 		return
 	}
 	delete(i.connections, connection)
 }
 
-// anyUnread reports whether a request has arrived on one of them that the process has not read.
+// anyUnread reports whether a request has arrived on one of them that is not being handled yet.
 func (i *idleConnections) anyUnread() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for c := range i.connections {
-		if hasUnread(c) {
-			return true
-		}
+	unread := false
+	for c, arrived := range i.connections {
+		arrived = arrived || hasUnread(c)
+		i.connections[c] = arrived
+		unread = unread || arrived
 	}
-	return false
+	return unread
 }
 
 // connectionKey is the key of a caller's connection in the context of its requests.
--- a/service/gate/connections_test.go
+++ b/service/gate/connections_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -145,3 +146,22 @@
 	e.eventually("the job has ended", func() bool { return s.Overview().Jobs == 0 })
 	assert.Check(t, cmp.Len(e.requestErrors, 0))
 }
+
+// Guards against a request without an answer at the end of a planned stop: its connection was closed while
+// the server had read the request and did not handle it yet.
+func TestRequestThatIsBeingReadCountsAsUnread(t *testing.T) {
+	caller, server := callerPair(t)
+	idle := newIdleConnections()
+	idle.note(server, http.StateIdle)
+	assert.Assert(t, !idle.anyUnread())
+	_, err := caller.Write([]byte("G"))
+	assert.NilError(t, err)
+	for end := time.Now().Add(time.Second); !idle.anyUnread() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.ReadFull(server, make([]byte, 1))
+	assert.NilError(t, err)
+	assert.Assert(t, idle.anyUnread())
+	idle.note(server, http.StateActive)
+	assert.Assert(t, !idle.anyUnread())
+}
