Calls at a crashed worker's stand-in end with its connections

A report request that waited at a life was answered by the next one, or by a worker that was down, and a connection stayed open over a crash, so that calls on it reached the next life. Workers are processes, whose connections end with them. The stand-in resets those of a life as soon as it has ended, refuses new ones by a reset while the worker is down, and lets a call touch only the life that its connection was opened to. An order that is drawn as late is still carried out by whatever life is there then, as question 4 of docs/PLATFORM.md is open for that.

--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -142,6 +142,9 @@
 	x.endedRuns = make(map[int64]*endpointRun)
 }
 
+// Life returns when the present incarnation began, and whether it goes on.
+func (x *Endpoint) Life() (began time.Time, up bool) { return x.startedAt, x.Up }
+
 // Crash stops the endpoint and all runs on it without reporting their outcomes.
 func (x *Endpoint) Crash() {
 	x.Up = false
--- a/pkg/standin/workers.go
+++ b/pkg/standin/workers.go
@@ -34,14 +34,28 @@
 // Workers are stand-ins of endpoints with a capacity: the simulated endpoints of
 // package model in real time, served over the platform's HTTP calls.
 type Workers struct {
-	mu        sync.Mutex
-	world     *model.World
-	began     time.Time
-	listeners []net.Listener
-	entries   map[string]storage.Row // discovery entries as last listed, by name
-	version   storage.Version        // of the last change of an entry
+	mu          sync.Mutex
+	world       *model.World
+	began       time.Time
+	listeners   []net.Listener
+	connections map[net.Conn]life      // open ones
+	entries     map[string]storage.Row // discovery entries as last listed, by name
+	version     storage.Version        // of the last change of an entry
 }
 
+// life is an incarnation of a worker, whose connections end with it.
+type life struct {
+	worker *model.Endpoint
+	began  time.Time
+}
+
+func (l life) goesOn() bool {
+	began, up := l.worker.Life()
+	return up && began.Equal(l.began)
+}
+
+type lifeKey struct{} // of a connection's life in its context
+
 // workersTick is the period in which the workers' world catches up with real time.
 const workersTick = time.Millisecond
 
@@ -53,7 +67,7 @@
 	if config.Logger != nil {
 		logWorkers(&world, config.Logger)
 	}
-	w := &Workers{began: time.Now(), entries: make(map[string]storage.Row), world: model.New(world)}
+	w := &Workers{began: time.Now(), connections: make(map[net.Conn]life), entries: make(map[string]storage.Row), world: model.New(world)}
 	w.world.Began = w.began
 	for _, d := range config.Domains {
 		for _, e := range d.Endpoints {
@@ -89,7 +103,13 @@
 func (w *Workers) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for i, l := range w.listeners {
-		server := &http.Server{Handler: w.handler(w.world.Endpoints[i]), ReadHeaderTimeout: time.Second}
+		x := w.world.Endpoints[i]
+		server := &http.Server{
+			Handler: w.handler(x), ReadHeaderTimeout: time.Second, ConnState: w.forget,
+			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+				return context.WithValue(ctx, lifeKey{}, w.accept(x, c))
+			},
+		}
 		group.Go(func() error {
 			stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 			defer stop()
@@ -109,6 +129,55 @@
 	return group.Wait()
 }
 
+// accept notes a connection to a worker as one of its present life, and resets it if the worker
+// is down.
+func (w *Workers) accept(x *model.Endpoint, c net.Conn) (l life) {
+	w.With(func(*model.World) {
+		l.worker = x
+		l.began, _ = x.Life()
+		w.connections[c] = l
+	})
+	return l
+}
+
+func (w *Workers) forget(c net.Conn, s http.ConnState) {
+	if s != http.StateClosed {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.connections, c)
+}
+
+// resetFormer resets the connections of lives that have ended.
+func (w *Workers) resetFormer() {
+	for c, l := range w.connections {
+		if l.goesOn() {
+			continue
+		}
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // the peer may have closed it
+		}
+		_ = c.Close()
+		delete(w.connections, c)
+	}
+}
+
+// inLife is With, for a request over a connection of a worker. It ends the request without an
+// answer if the connection's life has ended.
+func (w *Workers) inLife(r *http.Request, do func(*model.World)) {
+	l := r.Context().Value(lifeKey{}).(life)
+	goesOn := false
+	w.With(func(m *model.World) {
+		if goesOn = l.goesOn(); goesOn {
+			do(m)
+		}
+	})
+	if !goesOn {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // With lets the workers' world catch up with real time, and calls do with it while no
 // one else uses it.
 func (w *Workers) With(do func(*model.World)) {
@@ -118,6 +187,7 @@
 		w.world.Run(behind)
 	}
 	do(w.world)
+	w.resetFormer()
 }
 
 // Expect adds a job to the workers' world, which then knows the resources and run
@@ -194,7 +264,7 @@
 	var status int
 	var answer []byte
 	late, unanswered := false, false
-	w.With(func(m *model.World) {
+	w.inLife(r, func(m *model.World) {
 		outcome := placement.Misdirected
 		if platform.TargetEndpoint(r.Header) == x.Info.ID.Name {
 			if late = x.OrderIsLate(); late {
@@ -231,7 +301,7 @@
 	}
 	ended := make(chan struct{})
 	outcome := placement.Misdirected
-	w.With(func(*model.World) {
+	w.inLife(r, func(*model.World) {
 		if platform.TargetEndpoint(r.Header) == x.Info.ID.Name {
 			outcome = x.AcknowledgeAndRenew(q.Token, q.Acknowledged, q.Until)
 		}
@@ -250,7 +320,7 @@
 		}
 	}
 	status, answer := http.StatusOK, []byte(nil)
-	w.With(func(*model.World) {
+	w.inLife(r, func(*model.World) {
 		if outcome != placement.Accepted {
 			status, answer = platform.EncodeOutcome(outcome, x.Clock())
 			return
--- a/pkg/standin/workers_test.go
+++ b/pkg/standin/workers_test.go
@@ -1,13 +1,17 @@
 package standin
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -162,3 +166,80 @@
 	assert.DeepEqual(t, report.Ended, [][]any{{1.0, string(testJob) + ".0.0.1", 2.0, "stopped", ""}})
 	assert.Assert(t, report.Born > 0)
 }
+
+// call writes a call to the worker over a connection.
+func call(t *testing.T, c net.Conn, path, name, body string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+c.RemoteAddr().String()+path, bytes.NewBufferString(body))
+	assert.NilError(t, err)
+	request.Header.Set("X-Crocusseam-Target-Instance", name)
+	_ = request.Write(c) // a reset may have come
+}
+
+// readStatus returns the status of the next answer over a connection, or 0 if it ends without one.
+func readStatus(t *testing.T, c net.Conn) int {
+	t.Helper()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection stays open")
+		return 0
+	}
+	defer func() { assert.Check(t, response.Body.Close()) }()
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	return response.StatusCode
+}
+
+func dialWorker(t *testing.T, w *Workers) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", w.Addresses()[0].String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// Guards against answers of a next life to calls of a former one: the connections of a worker end
+// with its life, answered or not, and one that is down accepts none.
+func TestConnectionsOfAWorkerEndWithItsLife(t *testing.T) {
+	w := testWorkers(t)
+	name := w.name()
+	change := func(do func(*model.Endpoint)) {
+		w.With(func(m *model.World) { do(m.Endpoints[0]) })
+	}
+	idle, waiting := dialWorker(t, w), dialWorker(t, w)
+	call(t, idle, platform.PathStart, name, startBody(0, 1, 7, 1<<30))
+	assert.Equal(t, readStatus(t, idle), http.StatusOK)
+	call(t, waiting, platform.PathReport, name, `{"fencingToken":8,"seenUpto":0,"waitMs":1500}`)
+	for status := http.StatusOK; status != http.StatusConflict; { // until it waits
+		call(t, idle, platform.PathStop, name, stopBody(5, 1, 7))
+		status = readStatus(t, idle)
+	}
+
+	change((*model.Endpoint).Crash)
+	assert.Equal(t, readStatus(t, waiting), 0)
+	down := dialWorker(t, w)
+	call(t, down, platform.PathStart, name, startBody(1, 1, 7, 1<<30))
+	assert.Equal(t, readStatus(t, down), 0)
+
+	change((*model.Endpoint).Restart)
+	call(t, idle, platform.PathStart, name, startBody(2, 1, 7, 1<<30))
+	assert.Equal(t, readStatus(t, idle), 0)
+	next := dialWorker(t, w)
+	call(t, next, platform.PathStart, name, startBody(3, 1, 1, 1<<30)) // the new life knows no token
+	assert.Equal(t, readStatus(t, next), http.StatusOK)
+	change(func(x *model.Endpoint) {
+		report := x.Report()
+		assert.Equal(t, len(report.Running), 1)
+		assert.Equal(t, report.Running[0].Run.Task.Index, 3)
+	})
+
+	// A restart without a moment between the lives.
+	change(func(x *model.Endpoint) {
+		x.Crash()
+		x.Restart()
+	})
+	call(t, next, platform.PathStart, name, startBody(4, 1, 1, 1<<30))
+	assert.Equal(t, readStatus(t, next), 0)
+	change(func(x *model.Endpoint) { assert.Equal(t, len(x.Report().Running), 0) })
+}
