--- a/pkg/standin/workers_test.go
+++ b/pkg/standin/workers_test.go
@@ -144,6 +144,28 @@
 	}
 }
 
+// A worker's entry has the fields of the users' page, each of its type.
+func TestDiscoveryEntryOfAWorker(t *testing.T) {
+	w := testWorkers(t)
+	for _, state := range []string{"ready", "draining"} {
+		w.With(func(m *model.World) { m.Endpoints[0].Info.Draining = state == "draining" })
+		rows := w.Entries()
+		assert.Equal(t, len(rows), 1)
+		assert.Equal(t, rows[0].Key, "servers/"+w.name())
+		var entry map[string]any
+		assert.NilError(t, json.Unmarshal(rows[0].Value, &entry))
+		assert.Assert(t, entry["born"].(float64) > 0)
+		remaining, draining := entry["remainingMs"]
+		assert.Equal(t, draining, state == "draining")
+		assert.Assert(t, !draining || remaining == 0.0)
+		delete(entry, "remainingMs")
+		assert.DeepEqual(t, entry, map[string]any{
+			"service": "booking", "address": w.Addresses()[0].String(), "zone": "east", "version": "1", "slots": 1.0, "state": state, "coldLeftMs": 0.0, "seq": 1.0,
+			"capacity": map[string]any{"cpu": 64000.0, "memMb": 1024.0, "gpu": 0.0}, "labels": []any{}, "born": entry["born"],
+		})
+	}
+}
+
 // The rows of a report have the columns of the users' page.
 func TestRowsOfAReport(t *testing.T) {
 	w := testWorkers(t)
