--- a/pkg/standin/workers_test.go
+++ b/pkg/standin/workers_test.go
@@ -110,6 +110,8 @@
 		{"HoldRenews", platform.PathReport, `{"fencingToken":7,"seenUpto":0,"untilMs":5000,"waitMs":0}`, "", 200, lists, ""},
 		{"HoldFenced", platform.PathReport, `{"fencingToken":6,"seenUpto":0}`, "", 409, refusal, "fence"},
 		{"HoldForAnother", platform.PathReport, `{"fencingToken":7,"seenUpto":0}`, "another", 421, nil, ""},
+		{"HoldWaitsTooLong", platform.PathReport, `{"fencingToken":7,"seenUpto":0,"waitMs":2001}`, "", 400, nil, ""},
+		{"HoldWaitsAFraction", platform.PathReport, `{"fencingToken":7,"seenUpto":0,"waitMs":0.5}`, "", 400, nil, ""},
 		{"HoldUnreadable", platform.PathReport, `{"seenUpto":"x"}`, "", 400, nil, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
