A copy of a start brings its lease to the endpoint, as any other start

The model answered such a copy without taking its lease, so a copy that came late extended nothing in the tests. It extends the lease now, never shortening it, for one term at most.

--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -223,6 +223,7 @@
 		return placement.Fenced
 	}
 	if _, ok := x.runs[m.Run]; ok {
+		x.extend(m.Until)
 		return placement.Accepted
 	}
 	if m.Run.Number <= x.highestEnded[m.Run.Task] {
