Restart the workers of a domain in the soak of a site

Three faults do it now: after a kill of a gate in half of the cases, with a second restart within a second, and with a gate of the domain paused. SOAK_FAULT names faults that are drawn every second time. The paths of workers and the gates of a domain are set and found by functions that two faults use; cutWorkers and "domain cut" do what they did.

--- a/cmd/crocus-gate/soak_faults_test.go
+++ b/cmd/crocus-gate/soak_faults_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -165,6 +166,25 @@
 	}},
 }
 
+// drawFault draws a fault, every second time one of those whose names begin with SOAK_FAULT.
+func (s *soak) drawFault() fault {
+	f := s.profile.faults[s.random.IntN(len(s.profile.faults))]
+	prefix := os.Getenv("SOAK_FAULT")
+	if prefix == "" {
+		return f
+	}
+	var named []fault
+	for _, f := range s.profile.faults {
+		if strings.HasPrefix(f.name, prefix) {
+			named = append(named, f)
+		}
+	}
+	if assert.Check(s.t, len(named) > 0, "no fault begins with %q", prefix) && s.random.IntN(2) == 0 {
+		f = named[s.random.IntN(len(named))]
+	}
+	return f
+}
+
 // runFaults injects random faults one after the other. Each lasts a while, so that faults
 // overlap.
 func (s *soak) runFaults(binary string) {
@@ -172,7 +192,7 @@
 	history, err := os.Create(filepath.Join(s.dir, "faults.log"))
 	assert.NilError(s.t, err)
 	for end := time.Now().Add(s.profile.duration); time.Now().Before(end) && s.ctx.Err() == nil; {
-		f := s.profile.faults[s.random.IntN(len(s.profile.faults))]
+		f := s.drawFault()
 		span := time.Duration(300+s.random.IntN(3200)) * time.Millisecond
 		own := rand.New(rand.NewPCG(s.random.Uint64(), 2))
 		s.count(f.name)
--- a/cmd/crocus-gate/soak_site_test.go
+++ b/cmd/crocus-gate/soak_site_test.go
@@ -94,20 +94,33 @@
 	return r.Perm(len(s.toWorkers))[:int(share*float64(len(s.toWorkers)))]
 }
 
-// cutWorkers cuts workers from all gates, and from the store.
-func (s *soak) cutWorkers(workers []int, state proxyState, span time.Duration) {
-	set := func(state proxyState) {
-		for _, i := range workers {
-			s.toWorkers[i].setState(state)
+// gatesOf returns the gates of a domain.
+func (s *soak) gatesOf(domain int) []int {
+	var gates []int
+	for i, p := range s.gates {
+		if p.domain == domain {
+			gates = append(gates, i)
 		}
 	}
-	set(state)
+	return gates
+}
+
+// setPaths applies faults to the paths from all gates to workers.
+func (s *soak) setPaths(workers []int, state proxyState) {
+	for _, i := range workers {
+		s.toWorkers[i].setState(state)
+	}
+}
+
+// cutWorkers cuts workers from all gates, and from the store.
+func (s *soak) cutWorkers(workers []int, state proxyState, span time.Duration) {
+	s.setPaths(workers, state)
 	sleepOrDone(s.ctx, min(span, entryLifetime))
 	if span > entryLifetime {
 		s.changeWorkers(workers, func(x *model.Endpoint) { x.Listed = !x.Up })
 		sleepOrDone(s.ctx, span-entryLifetime)
 	}
-	set(proxyState{})
+	s.setPaths(workers, proxyState{})
 	s.changeWorkers(workers, func(x *model.Endpoint) { x.Listed = true })
 }
 
@@ -138,12 +151,7 @@
 		})
 	}},
 	{"domain cut", func(s *soak, r *rand.Rand, span time.Duration, _ string) {
-		var gates []int
-		for i, domain := 0, r.IntN(s.profile.domains); i < len(s.gates); i++ {
-			if s.gates[i].domain == domain {
-				gates = append(gates, i)
-			}
-		}
+		gates := s.gatesOf(r.IntN(s.profile.domains))
 		s.cutFor(gates, silentOrReset(r), span+2*time.Second)
 	}},
 	{"several paused", func(s *soak, r *rand.Rand, span time.Duration, _ string) {
@@ -238,6 +246,81 @@
 	}},
 	{"gate and workers fail together", failTogether},
 	{"gate and workers fail together", failTogether},
+	{"workers restart and are cut off", func(s *soak, r *rand.Rand, span time.Duration, binary string) {
+		killed := r.IntN(2) == 0
+		s.restartDomain(r, span, 1, func(p *process) {
+			sleepOrDone(s.ctx, restartTime+nextLifeTime-killLead)
+			if killed {
+				s.inject(p, func(p *process) {
+					p.kill()
+					sleepOrDone(s.ctx, killLead/2)
+					s.start(p, binary)
+				})
+			}
+		})
+	}},
+	{"workers restart twice and are cut off", func(s *soak, r *rand.Rand, span time.Duration, _ string) {
+		s.restartDomain(r, span, 2, func(*process) {})
+	}},
+	{"workers restart beside a paused gate", func(s *soak, r *rand.Rand, span time.Duration, _ string) {
+		pause := restartTime + time.Duration(r.Int64N(int64(restartTime)))
+		s.restartDomain(r, span, 1, func(p *process) {
+			s.signals(p, func(p *process) {
+				p.signal(syscall.SIGSTOP)
+				sleepOrDone(s.ctx, pause)
+			})
+		})
+	}},
+}
+
+const (
+	restartTime  = 600 * time.Millisecond // of the workers of a domain
+	nextLifeTime = 2 * time.Second        // from their restart until they are cut off
+	killLead     = 600 * time.Millisecond // from the kill of a gate until they are cut off
+	slowedShare  = 0.15                   // of the speed of workers that are slowed
+)
+
+// restartDomain slows the workers of a domain, crashes them behind silent paths as often as given,
+// each time for less than a second, and cuts them off soon after. From the first crash on it
+// disturbs a gate of the domain.
+func (s *soak) restartDomain(r *rand.Rand, span time.Duration, crashes int, disturb func(p *process)) {
+	domain, ofDomain := r.IntN(s.profile.domains), (s.profile.workers+s.profile.addedWorkers)/s.profile.domains
+	workers := make([]int, ofDomain)
+	for i := range workers {
+		workers[i] = domain*ofDomain + i
+	}
+	gates := s.gatesOf(domain)
+	gate := s.gates[gates[r.IntN(len(gates))]]
+	silent := proxyState{BlockedToTarget: true, BlockedFromTarget: true}
+	var slowed []*model.Endpoint
+	s.changeWorkers(workers, func(x *model.Endpoint) {
+		slowed = append(slowed, x)
+		x.SetSpeed(x.Speed() * slowedShare)
+	})
+	sleepOrDone(s.ctx, time.Second)
+	var g errgroup.Group
+	g.Go(func() error {
+		disturb(gate)
+		return nil
+	})
+	for n := range crashes {
+		if n > 0 {
+			sleepOrDone(s.ctx, time.Duration(r.Int64N(int64(time.Second-restartTime))))
+		}
+		s.setPaths(workers, silent)
+		s.changeWorkers(workers, (*model.Endpoint).Crash)
+		sleepOrDone(s.ctx, restartTime)
+		s.changeWorkers(workers, (*model.Endpoint).Restart)
+		s.setPaths(workers, proxyState{})
+	}
+	sleepOrDone(s.ctx, nextLifeTime)
+	s.cutWorkers(workers, silent, 2*span+2*time.Second)
+	_ = g.Wait() // no function returns an error
+	s.workers.With(func(*model.World) {
+		for _, x := range slowed {
+			x.SetSpeed(x.Speed() / slowedShare)
+		}
+	})
 }
 
 // failTogether takes a gate and the paths to some workers away at nearly the same moment. The
