--- a/cmd/crocus-gate/proxy_test.go
+++ b/cmd/crocus-gate/proxy_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 )
 
 // proxy is a loopback TCP proxy in front of one listener. Its faults apply to open and
@@ -194,7 +195,7 @@
 func (l *proxy) serve(near net.Conn) {
 	defer resetConn(near)
 	d := new(dialed)
-	if s, _ := l.current(d); s.Unreachable {
+	if !l.awaitPath(near, d) {
 		return
 	}
 	far, err := net.DialTimeout("tcp", l.target.String(), time.Second)
@@ -216,6 +217,33 @@
 	_ = both.Wait() // the tests break connections on purpose
 }
 
+// awaitPath waits until a connection can be made to the target, and reports whether it is: no
+// handshake passes a silent path either, so who is at the target when the path opens gets the
+// connection, if its other end has not closed it by then.
+func (l *proxy) awaitPath(near net.Conn, d *dialed) bool {
+	s, change := l.current(d)
+	waited := s.BlockedToTarget
+	for s.BlockedToTarget && !s.Unreachable {
+		<-change
+		s, change = l.current(d)
+	}
+	return !s.Unreachable && (!waited || isEstablished(near))
+}
+
+// isEstablished reports whether neither end has closed a connection.
+func isEstablished(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	established := false
+	err = raw.Control(func(descriptor uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		established = err == nil && info.State == unix.BPF_TCP_ESTABLISHED
+	})
+	return err == nil && established
+}
+
 // forwardBytes copies bytes in one direction. While that direction is blocked, the bytes
 // wait.
 func (l *proxy) forwardBytes(to, from net.Conn, d *dialed, link *shapedLink, silent func(proxyState) bool) error {
