--- a/service/gate/watch_test.go
+++ b/service/gate/watch_test.go
@@ -47,7 +47,7 @@
 		q, decodeErr := platform.DecodeReportRequest(body)
 		if err == nil && decodeErr == nil && r.Context().Value(newConnection{}).(*atomic.Bool).Swap(false) {
 			assert.Check(t, q == platform.ReportRequest{Token: 1}, "identification %+v", q)
-			_, answer := platform.EncodeOutcome(placement.Accepted, 1, &workload.Report{Clock: time.Second})
+			answer := platform.EncodeReport(1, &workload.Report{Clock: time.Second})
 			_, _ = out.Write(answer)
 			return
 		}
@@ -121,7 +121,7 @@
 				once.Do(func() { close(depends) })
 			}
 			time.Sleep(time.Millisecond)
-			_, answer := platform.EncodeOutcome(placement.Accepted, born, &workload.Report{Clock: time.Second, Ended: []workload.EndedRun{ended}})
+			answer := platform.EncodeReport(born, &workload.Report{Clock: time.Second, Ended: []workload.EndedRun{ended}})
 			_, _ = out.Write(answer)
 		}))
 		_ = server.Listener.Close()
