A silent path of the soak hides closes as it hides bytes

The proxies held bytes back and passed closes on, so behind a silent path a caller of a worker that had crashed, or a peer of a gate that was killed, heard of it at once. On the users' platform it hears nothing until the path runs again. A close waits now like the bytes before it; an unreachable proxy resets as before.

--- a/cmd/crocus-gate/proxy_test.go
+++ b/cmd/crocus-gate/proxy_test.go
@@ -7,10 +7,13 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
 )
 
 // proxy is a loopback TCP proxy in front of one listener. Its faults apply to open and
@@ -216,8 +219,18 @@
 	_ = both.Wait() // the tests break connections on purpose
 }
 
-// forwardBytes copies bytes in one direction. While that direction is blocked, the bytes
-// wait.
+// awaitPath waits until a direction is not blocked, or the proxy is unreachable.
+func (l *proxy) awaitPath(d *dialed, silent func(proxyState) bool) proxyState {
+	s, change := l.current(d)
+	for silent(s) && !s.Unreachable {
+		<-change
+		s, change = l.current(d)
+	}
+	return s
+}
+
+// forwardBytes copies bytes in one direction. While that direction is blocked, the bytes and
+// the close after them wait.
 func (l *proxy) forwardBytes(to, from net.Conn, d *dialed, link *shapedLink, silent func(proxyState) bool) error {
 	defer func() { _ = to.Close() }()
 	buffer := make([]byte, bufferBytes)
@@ -227,11 +240,7 @@
 			if link == &l.toTarget {
 				l.identify(d, buffer[:n])
 			}
-			s, change := l.current(d)
-			for silent(s) && !s.Unreachable {
-				<-change
-				s, change = l.current(d)
-			}
+			s := l.awaitPath(d, silent)
 			if s.Unreachable {
 				return net.ErrClosed
 			}
@@ -242,8 +251,7 @@
 			}
 		}
 		if err != nil {
-			s, _ := l.current(d)
-			time.Sleep(s.CloseDelay)
+			time.Sleep(l.awaitPath(d, silent).CloseDelay)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -253,3 +261,50 @@
 		}
 	}
 }
+
+// A path that is silent hides that the other side has closed a connection, until it runs again.
+func TestSilentPathHidesCloses(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		state  proxyState
+		hidden bool
+	}{
+		{"open", proxyState{}, false},
+		{"silent from the target", proxyState{BlockedFromTarget: true}, true},
+		{"silent to the target", proxyState{BlockedToTarget: true}, false},
+		{"silent", proxyState{BlockedToTarget: true, BlockedFromTarget: true}, true},
+		{"unreachable", proxyState{Unreachable: true}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			target, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { assert.Check(t, target.Close()) }()
+			ctx, cancel := context.WithCancel(context.Background())
+			var group errgroup.Group
+			l, err := newProxy(ctx, &group, target.Addr().(*net.TCPAddr).AddrPort())
+			assert.NilError(t, err)
+			defer func() {
+				cancel()
+				assert.Check(t, group.Wait())
+			}()
+			near, err := net.Dial("tcp", l.address().String())
+			assert.NilError(t, err)
+			defer func() { assert.Check(t, near.Close()) }()
+			far, err := target.Accept()
+			assert.NilError(t, err)
+			ends := func(within time.Duration) bool {
+				assert.NilError(t, near.SetReadDeadline(time.Now().Add(within)))
+				_, err := near.Read(make([]byte, 1))
+				return !errors.Is(err, os.ErrDeadlineExceeded)
+			}
+			assert.Assert(t, !ends(20*time.Millisecond))
+			l.setState(c.state)
+			resetConn(far)
+			if c.hidden {
+				assert.Assert(t, !ends(100*time.Millisecond))
+				l.setState(proxyState{})
+			}
+			assert.Assert(t, ends(5*time.Second))
+		})
+	}
+}
