--- a/cmd/crocus-gate/proxy_test.go
+++ b/cmd/crocus-gate/proxy_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
 )
 
 // proxy is a loopback TCP proxy in front of one listener. Its faults apply to open and
@@ -195,7 +198,7 @@
 func (l *proxy) serve(near net.Conn) {
 	defer resetConn(near)
 	d := new(dialed)
-	if !l.awaitPath(near, d) {
+	if !l.reaches(near, d) {
 		return
 	}
 	far, err := net.DialTimeout("tcp", l.target.String(), time.Second)
@@ -217,17 +220,14 @@
 	_ = both.Wait() // the tests break connections on purpose
 }
 
-// awaitPath waits until a connection can be made to the target, and reports whether it is: no
+// reaches waits until a connection can be made to the target, and reports whether it is: no
 // handshake passes a silent path either, so who is at the target when the path opens gets the
 // connection, if its other end has not closed it by then.
-func (l *proxy) awaitPath(near net.Conn, d *dialed) bool {
-	s, change := l.current(d)
-	waited := s.BlockedToTarget
-	for s.BlockedToTarget && !s.Unreachable {
-		<-change
-		s, change = l.current(d)
-	}
-	return !s.Unreachable && (!waited || isEstablished(near))
+func (l *proxy) reaches(near net.Conn, d *dialed) bool {
+	s, _ := l.current(d)
+	waits := s.BlockedToTarget
+	s = l.awaitPath(d, func(s proxyState) bool { return s.BlockedToTarget })
+	return !s.Unreachable && (!waits || isEstablished(near))
 }
 
 // isEstablished reports whether neither end has closed a connection.
@@ -244,8 +244,18 @@
 	return err == nil && established
 }
 
-// forwardBytes copies bytes in one direction. While that direction is blocked, the bytes
-// wait.
+// awaitPath waits until a direction is not blocked, or the proxy is unreachable.
+func (l *proxy) awaitPath(d *dialed, silent func(proxyState) bool) proxyState {
+	s, change := l.current(d)
+	for silent(s) && !s.Unreachable {
+		<-change
+		s, change = l.current(d)
+	}
+	return s
+}
+
+// forwardBytes copies bytes in one direction. While that direction is blocked, the bytes and
+// the close after them wait.
 func (l *proxy) forwardBytes(to, from net.Conn, d *dialed, link *shapedLink, silent func(proxyState) bool) error {
 	defer func() { _ = to.Close() }()
 	buffer := make([]byte, bufferBytes)
@@ -255,11 +265,7 @@
 			if link == &l.toTarget {
 				l.identify(d, buffer[:n])
 			}
-			s, change := l.current(d)
-			for silent(s) && !s.Unreachable {
-				<-change
-				s, change = l.current(d)
-			}
+			s := l.awaitPath(d, silent)
 			if s.Unreachable {
 				return net.ErrClosed
 			}
@@ -270,8 +276,7 @@
 			}
 		}
 		if err != nil {
-			s, _ := l.current(d)
-			time.Sleep(s.CloseDelay)
+			time.Sleep(l.awaitPath(d, silent).CloseDelay)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -281,3 +286,50 @@
 		}
 	}
 }
+
+// A path that is silent hides that the other side has closed a connection, until it runs again.
+func TestSilentPathHidesCloses(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		state  proxyState
+		hidden bool
+	}{
+		{"open", proxyState{}, false},
+		{"silent from the target", proxyState{BlockedFromTarget: true}, true},
+		{"silent to the target", proxyState{BlockedToTarget: true}, false},
+		{"silent", proxyState{BlockedToTarget: true, BlockedFromTarget: true}, true},
+		{"unreachable", proxyState{Unreachable: true}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			target, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { assert.Check(t, target.Close()) }()
+			ctx, cancel := context.WithCancel(context.Background())
+			var group errgroup.Group
+			l, err := newProxy(ctx, &group, target.Addr().(*net.TCPAddr).AddrPort())
+			assert.NilError(t, err)
+			defer func() {
+				cancel()
+				assert.Check(t, group.Wait())
+			}()
+			near, err := net.Dial("tcp", l.address().String())
+			assert.NilError(t, err)
+			defer func() { assert.Check(t, near.Close()) }()
+			far, err := target.Accept()
+			assert.NilError(t, err)
+			ends := func(within time.Duration) bool {
+				assert.NilError(t, near.SetReadDeadline(time.Now().Add(within)))
+				_, err := near.Read(make([]byte, 1))
+				return !errors.Is(err, os.ErrDeadlineExceeded)
+			}
+			assert.Assert(t, !ends(20*time.Millisecond))
+			l.setState(c.state)
+			resetConn(far)
+			if c.hidden {
+				assert.Assert(t, !ends(100*time.Millisecond))
+				l.setState(proxyState{})
+			}
+			assert.Assert(t, ends(5*time.Second))
+		})
+	}
+}
--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -28,11 +28,15 @@
 	LateOrders  float64
 	LateBy      time.Duration
 	LoseAnswers float64
+	// FormerCalls counts the calls in this incarnation under a token that only former ones had
+	// received.
+	FormerCalls int
 
 	world        *World
 	speeds       []speedChange // the last one applies to the tasks started now
 	startedAt    time.Time
 	fence        workload.Token
+	formerFence  workload.Token // highest one of former incarnations
 	leaseEnd     time.Duration // on the endpoint's clock
 	runs         map[workload.Run]*endpointRun
 	highestEnded map[workload.TaskID]int // number of the latest stopped or ended run of each task
@@ -135,6 +139,7 @@
 	x.startedAt = x.world.Now
 	x.Info.ID.Born = x.startedAt.UnixMilli()
 	x.Up, x.Listed = true, true
+	x.formerFence, x.FormerCalls = max(x.formerFence, x.fence), 0
 	x.fence, x.leaseEnd, x.sequence = 0, 0, 0
 	x.runs = make(map[workload.Run]*endpointRun)
 	x.highestEnded = make(map[workload.TaskID]int)
@@ -187,6 +192,9 @@
 
 // checkFence records a fencing token and reports whether no higher one came before.
 func (x *Endpoint) checkFence(token workload.Token) bool {
+	if token > 0 && token <= x.formerFence {
+		x.FormerCalls++
+	}
 	if token < x.fence {
 		return false
 	}
