--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -37,7 +37,7 @@
 	startedAt    time.Time
 	fence        workload.Token
 	formerFence  workload.Token // highest one of former incarnations
-	leaseEnd     time.Duration // on the endpoint's clock
+	leaseEnd     time.Duration  // on the endpoint's clock
 	runs         map[workload.Run]*endpointRun
 	highestEnded map[workload.TaskID]int // number of the latest stopped or ended run of each task
 	ended        []workload.EndedRun
--- a/pkg/placement/late_orders_test.go
+++ b/pkg/placement/late_orders_test.go
@@ -146,7 +146,7 @@
 func TestTaskGoesOnWhenTheNextLifeHasAcceptedTheStop(t *testing.T) {
 	b := newBench(t)
 	starts := b.submit(1, 1000)
-	b.answerStart(&starts[0], OtherLife)
+	b.startInNextLife(&starts[0])
 	next, other := benchEndpoint, benchEndpoint
 	next.ID.Born++
 	other.ID = workload.EndpointID{Name: "e-2", Born: 1}
--- a/pkg/placement/late_starts.go
+++ b/pkg/placement/late_starts.go
@@ -90,12 +90,12 @@
 }
 
 // noteStartAnswer records the answer to a copy of a start order, whether or not its hold goes on.
-// A refused copy has done nothing in any life; one that was accepted is in the life meant only if
-// the answer shows it.
+// A copy that was refused or not sent has done nothing in any life; one that was accepted is in the
+// life meant only if the answer shows it.
 func (c *Control) noteStartAnswer(m *StartDone) {
 	key := lateStartKey{m.Run, m.Endpoint.Name, m.Token}
 	l, ok := c.holder.lateStarts.Get(key)
-	if !ok || m.Outcome == Unanswered || m.Outcome == OtherLife || (m.Outcome == Accepted && !l.life.shows(m.Reading)) {
+	if !ok || m.Outcome == Unanswered || (m.Outcome == Accepted && !l.life.shows(m.Reading)) {
 		return
 	}
 	delete(l.unanswered, m.Copy)
@@ -105,11 +105,11 @@
 }
 
 // noteStopAnswer records that an endpoint carries out a late start no more in its present life. What
-// a former life has accepted says nothing of that one: the stop has to be meant for it, or sent
-// when the former one was known to have ended.
+// a former life has accepted says nothing of that one: the stop has to be meant for it, sent when the
+// former one was known to have ended, or executed by a later one.
 func (c *Control) noteStopAnswer(m *StopDone) {
 	l, ok := c.holder.lateStarts.Get(lateStartKey{m.Run, m.Endpoint.Name, m.Token})
-	if !ok || m.Endpoint != c.lifeOf(l) || (m.Endpoint == l.endedLife && m.Reading.Sent.Before(l.endedAt)) {
+	if !ok || m.Endpoint != c.lifeOf(l) || (m.Endpoint == l.endedLife && m.Outcome != OtherLife && m.Reading.Sent.Before(l.endedAt)) {
 		return
 	}
 	switch m.Outcome {
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -100,7 +100,7 @@
 type OrderOutcome int
 
 // Outcomes of an order. An order has certainly had no effect unless its outcome is
-// Accepted, Unanswered or OtherLife.
+// Accepted, Unanswered or, of a stop, OtherLife.
 const (
 	Accepted    OrderOutcome = iota + 1
 	Unanswered               // the endpoint may have executed it, or may do so later
@@ -110,7 +110,7 @@
 	TooLate                  // the lease expired before the order arrived
 	NoRoom                   // the run does not fit beside the endpoint's other runs
 	Unwell                   // the endpoint refuses work temporarily
-	OtherLife                // another incarnation of the endpoint executed it
+	OtherLife                // another incarnation of the endpoint is there: it executed a stop, and was sent no start
 	Misdirected              // a process that is not this endpoint answered
 	Malformed                // the endpoint could not decode it
 )
--- a/pkg/placement/next_life_test.go
+++ b/pkg/placement/next_life_test.go
@@ -14,6 +14,12 @@
 	return ClockReading{Clock: 3 * time.Millisecond, Sent: b.now, Received: b.now.Add(time.Millisecond)}
 }
 
+// startInNextLife has the endpoint's next life carry out a start, and then show itself.
+func (b *bench) startInNextLife(m *Start) {
+	b.step(StartDone{Endpoint: m.Endpoint, Token: m.Token, Run: m.Run, Copy: m.Copy, Outcome: Accepted, Reading: b.acceptedByNextLife()})
+	b.step(Silent{Endpoint: m.Endpoint, Token: m.Token, Outcome: OtherLife})
+}
+
 // otherEndpoint is where a task can start while e-1 begins another life.
 var otherEndpoint = workload.EndpointID{Name: "e-2", Born: 1}
 
@@ -160,3 +166,15 @@
 		})
 	}
 }
+
+// Guards against a task that waits for nothing: its only start was not sent, as another life of the
+// endpoint had been there.
+func TestStartThatWasNotSentNeverRan(t *testing.T) {
+	b := newBench(t)
+	starts := b.submit(1, 1000)
+	b.answerStart(&starts[0], OtherLife)
+	assert.Equal(t, b.control.Overview().Held, 0)
+	next := b.listNextLife()
+	assert.Equal(t, b.countStops(100*time.Millisecond, starts[0].Run, next), 0)
+	assert.Equal(t, b.startsElsewhere(300*time.Millisecond), 1)
+}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -216,6 +216,9 @@
 	}
 	c.noteStartAnswer(&m)
 	r, ok := e.runs.Get(m.Run)
+	if ok && (m.Outcome == OtherLife || m.Outcome == Misdirected) && r.startsSent == 1 {
+		c.endRun(r, workload.NeverRan, "another life of its endpoint is there")
+	}
 	if !ok || c.endHoldIfLost(e, m.Outcome) {
 		return
 	}
