Restart the workers of a domain in the soak one time after the other

Restarts of one domain overlapped. A worker that crashed while another one had it cut off was not listed, so it counted as one that has left for good and was not started again.

A restart does nothing while another is in progress in its domain, and starts all workers again that it has crashed. The faults that single workers have before are as they were.

--- a/cmd/crocus-gate/soak_site_test.go
+++ b/cmd/crocus-gate/soak_site_test.go
@@ -282,9 +282,14 @@
 
 // restartDomain slows the workers of a domain, crashes them behind silent paths as often as given,
 // each time for less than a second, and cuts them off soon after. From the first crash on it
-// disturbs a gate of the domain.
+// disturbs a gate of the domain. It does nothing while another one is in progress in the domain.
 func (s *soak) restartDomain(r *rand.Rand, span time.Duration, crashes int, disturb func(p *process)) {
 	domain, ofDomain := r.IntN(s.profile.domains), (s.profile.workers+s.profile.addedWorkers)/s.profile.domains
+	if _, inProgress := s.restarting.LoadOrStore(domain, true); inProgress {
+		return
+	}
+	defer s.restarting.Delete(domain)
+	s.count("restarts of a domain")
 	workers := make([]int, ofDomain)
 	for i := range workers {
 		workers[i] = domain*ofDomain + i
@@ -308,9 +313,19 @@
 			sleepOrDone(s.ctx, time.Duration(r.Int64N(int64(time.Second-restartTime))))
 		}
 		s.setPaths(workers, silent)
-		s.changeWorkers(workers, (*model.Endpoint).Crash)
+		var crashed []*model.Endpoint // also those that are not listed for now
+		s.changeWorkers(workers, func(x *model.Endpoint) {
+			if x.Up {
+				crashed = append(crashed, x)
+				x.Crash()
+			}
+		})
 		sleepOrDone(s.ctx, restartTime)
-		s.changeWorkers(workers, (*model.Endpoint).Restart)
+		s.workers.With(func(*model.World) {
+			for _, x := range crashed {
+				x.Restart()
+			}
+		})
 		s.setPaths(workers, proxyState{})
 	}
 	sleepOrDone(s.ctx, nextLifeTime)
--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -103,6 +103,8 @@
 	added     []*model.Endpoint // workers that faults can add
 	gates     []*process
 
+	restarting sync.Map // domains whose workers restart
+
 	changes   *changes     // of the configuration
 	lastFault atomic.Int64 // when a fault last began or ended, in Unix nanoseconds
 	counts    sync.Map     // of faults and answers, by name
