--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -375,7 +375,7 @@
 }
 
 // WhenEnded calls do once: as soon as there are unacknowledged ended runs, or when
-// the wait is over.
+// the wait is over. It does not call it once this incarnation has ended.
 func (x *Endpoint) WhenEnded(wait time.Duration, do func()) {
 	if len(x.ended) > 0 || wait == 0 {
 		do()
@@ -389,7 +389,12 @@
 		}
 	}
 	x.waiters = append(x.waiters, once)
-	x.world.After(wait, once)
+	incarnation := x.startedAt
+	x.world.After(wait, func() {
+		if x.Up && x.startedAt == incarnation {
+			once()
+		}
+	})
 }
 
 // Report returns the current runs and the oldest ended runs that are not acknowledged.
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -32,6 +32,10 @@
 	// MessageSize returns the bytes of a message between instances. It is needed only
 	// where instances have a LinkRate.
 	MessageSize func(placement.Envelope) int
+	// LifeConnections lets no start reach another life of an endpoint than the one meant, as
+	// the platform's client sends it only over a connection on which that life has shown itself. A start
+	// that the life meant has received may still be carried out late by the next one.
+	LifeConnections bool
 	// Log, if set, is called with each event that an instance logs.
 	Log func(*Node, placement.LogEvent)
 	// Started, if set, is called with each start order that an endpoint carries out.
--- a/pkg/placement/late_starts.go
+++ b/pkg/placement/late_starts.go
@@ -37,8 +37,7 @@
 	stoppedIn  workload.EndpointID // the life in which it was last stopped
 	homeWaits  bool                // its home was told that it may start later
 	life       *lifeClock          // of the life that it was ordered for
-	endedLife  workload.EndpointID // the last life that is known to have ended before the list said so
-	endedAt    time.Time           // when that was learned
+	stopsCount time.Time           // from when on; those sent before may have been accepted by a former life
 }
 
 // noteUnanswered records that a copy of a run's start order is not answered. Where the run was
@@ -91,11 +90,16 @@
 
 // noteStartAnswer records the answer to a copy of a start order, whether or not its hold goes on.
 // A copy that was refused or not sent has done nothing in any life; one that was accepted is in the
-// life meant only if the answer shows it.
+// life meant only if the answer shows it, and otherwise perhaps in a later one than was stopped.
 func (c *Control) noteStartAnswer(m *StartDone) {
 	key := lateStartKey{m.Run, m.Endpoint.Name, m.Token}
 	l, ok := c.holder.lateStarts.Get(key)
-	if !ok || m.Outcome == Unanswered || (m.Outcome == Accepted && !l.life.shows(m.Reading)) {
+	if !ok || m.Outcome == Unanswered {
+		return
+	}
+	if m.Outcome == Accepted && !l.life.shows(m.Reading) {
+		l.excludedIn, l.stopsCount = workload.EndpointID{}, c.now
+		c.holder.lateStartsDue = c.now
 		return
 	}
 	delete(l.unanswered, m.Copy)
@@ -109,7 +113,7 @@
 // former one was known to have ended, or executed by a later one.
 func (c *Control) noteStopAnswer(m *StopDone) {
 	l, ok := c.holder.lateStarts.Get(lateStartKey{m.Run, m.Endpoint.Name, m.Token})
-	if !ok || m.Endpoint != c.lifeOf(l) || (m.Endpoint == l.endedLife && m.Outcome != OtherLife && m.Reading.Sent.Before(l.endedAt)) {
+	if !ok || m.Endpoint != c.lifeOf(l) || (m.Outcome != OtherLife && m.Reading.Sent.Before(l.stopsCount)) {
 		return
 	}
 	switch m.Outcome {
@@ -163,7 +167,7 @@
 		if key.endpoint != e.info.ID.Name {
 			continue
 		}
-		l.endedLife, l.endedAt = e.info.ID, c.now
+		l.stopsCount = c.now
 		if l.excludedIn == e.info.ID {
 			l.excludedIn = workload.EndpointID{}
 		}
