Clocks of simulated endpoints may run slow, and half of the soak's do by 2%

ClockLag is set for each endpoint; leases end on its clock. The patterns in virtual time keep exact clocks.

--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -180,7 +180,9 @@
 	for i := range p.domains {
 		d := model.Domain{Name: fmt.Sprintf("domain-%d", i)}
 		for j := range (p.workers + p.addedWorkers) / p.domains {
-			d.Endpoints = append(d.Endpoints, model.EndpointConfig{Capacity: workload.Resources{MilliCPU: 64000, MemoryMB: 4096}, Speed: []float64{0.6, 1, 1.6}[j%3]})
+			d.Endpoints = append(d.Endpoints, model.EndpointConfig{
+				Capacity: workload.Resources{MilliCPU: 64000, MemoryMB: 4096}, Speed: []float64{0.6, 1, 1.6}[j%3], ClockLag: []float64{0, 0.02}[j%2],
+			})
 		}
 		config.Domains = append(config.Domains, d)
 	}
--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -30,6 +31,7 @@
 	LoseAnswers float64
 
 	world        *World
+	clockLag     float64
 	speeds       []speedChange // the last one applies to the tasks started now
 	startedAt    time.Time
 	fence        workload.Token
@@ -117,7 +119,7 @@
 
 // AddEndpoint adds an endpoint to a failure domain.
 func (w *World) AddEndpoint(domain string, config EndpointConfig) *Endpoint {
-	x := &Endpoint{world: w, speeds: []speedChange{{w.Now, config.Speed}}}
+	x := &Endpoint{world: w, clockLag: config.ClockLag, speeds: []speedChange{{w.Now, config.Speed}}}
 	x.Info = workload.Endpoint{
 		ID:      workload.EndpointID{Name: fmt.Sprintf("%s-endpoint-%d", domain, len(w.Endpoints)+1)},
 		Service: w.Config.Service, Domain: domain, Capacity: config.Capacity, Address: netip.MustParseAddrPort("127.0.0.1:1"),
@@ -165,8 +167,15 @@
 }
 
 // Clock returns the time on the endpoint's monotonic clock, which starts at 0 with
-// each incarnation.
-func (x *Endpoint) Clock() time.Duration { return x.world.Now.Sub(x.startedAt) }
+// each incarnation and may run slow.
+func (x *Endpoint) Clock() time.Duration {
+	return time.Duration(math.Round(float64(x.world.Now.Sub(x.startedAt)) * (1 - x.clockLag)))
+}
+
+// untilClock returns how long it takes until the endpoint's clock shows a time.
+func (x *Endpoint) untilClock(at time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(at)/(1-x.clockLag))) - x.world.Now.Sub(x.startedAt)
+}
 
 // Used returns the resources that the current runs occupy.
 func (x *Endpoint) Used() workload.Resources {
@@ -198,7 +207,7 @@
 func (x *Endpoint) extend(leaseEnd time.Duration) {
 	x.leaseEnd = max(x.leaseEnd, min(leaseEnd, x.Clock()+x.world.Config.Timing.Lease))
 	at := x.leaseEnd
-	x.world.After(at-x.Clock(), func() {
+	x.world.After(x.untilClock(at), func() {
 		if x.leaseEnd <= x.Clock() {
 			x.lapse()
 		}
--- a/pkg/model/endpoint_test.go
+++ b/pkg/model/endpoint_test.go
@@ -68,3 +68,20 @@
 		})
 	}
 }
+
+// A lease ends on the endpoint's clock, which may run slow.
+func TestLeaseEndsOnASlowClock(t *testing.T) {
+	for _, lag := range []float64{0, 0.001, 0.0137, 0.02} {
+		w := New(Config{Timing: placement.DefaultTiming(), Domains: []Domain{{Name: "d", Endpoints: []EndpointConfig{{Speed: 1, ClockLag: lag}}}}})
+		w.Jobs["1"] = &Outcome{Job: &workload.Job{ID: "1", Ephemeral: true, Steps: []workload.Step{{Count: 1, Estimate: time.Hour}}}}
+		x := w.Endpoints[0]
+		w.Run(time.Minute)
+		assert.Equal(t, x.Clock(), time.Duration(float64(time.Minute)*(1-lag)))
+		const lease = 700 * time.Millisecond
+		assert.Equal(t, x.Start(&placement.Start{Run: workload.Run{Task: workload.TaskID{Job: "1"}, Number: 1}, Until: x.Clock() + lease}), placement.Accepted)
+		w.Run(time.Duration(float64(lease)/(1-lag)) - time.Microsecond)
+		assert.Equal(t, len(x.Report().Ended), 0)
+		w.Run(2 * time.Microsecond)
+		assert.Equal(t, len(x.Report().Ended), 1)
+	}
+}
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -58,6 +58,7 @@
 type EndpointConfig struct {
 	Capacity workload.Resources
 	Speed    float64 // divides the run times of tasks
+	ClockLag float64 // fraction by which the endpoint's clock runs slow
 }
 
 const (
