--- a/pkg/placement/late_starts.go
+++ b/pkg/placement/late_starts.go
@@ -37,7 +37,9 @@
 	stoppedIn  workload.EndpointID // the life in which it was last stopped
 	homeWaits  bool                // its home was told that it may start later
 	life       *lifeClock          // of the life that it was ordered for
-	stopsCount time.Time           // from when on; those sent before may have been accepted by a former life
+	// stopsCountFrom is when it was last unknown which life would accept a stop. The answers to stops
+	// that were sent before may be of a former life.
+	stopsCountFrom time.Time
 }
 
 // noteUnanswered records that a copy of a run's start order is not answered. Where the run was
@@ -98,7 +100,7 @@
 		return
 	}
 	if m.Outcome == Accepted && !l.life.shows(m.Reading) {
-		l.excludedIn, l.stopsCount = workload.EndpointID{}, c.now
+		l.excludedIn, l.stopsCountFrom = workload.EndpointID{}, c.now
 		c.holder.lateStartsDue = c.now
 		return
 	}
@@ -113,7 +115,7 @@
 // former one was known to have ended, or executed by a later one.
 func (c *Control) noteStopAnswer(m *StopDone) {
 	l, ok := c.holder.lateStarts.Get(lateStartKey{m.Run, m.Endpoint.Name, m.Token})
-	if !ok || m.Endpoint != c.lifeOf(l) || (m.Outcome != OtherLife && m.Reading.Sent.Before(l.stopsCount)) {
+	if !ok || m.Endpoint != c.lifeOf(l) || (m.Outcome != OtherLife && m.Reading.Sent.Before(l.stopsCountFrom)) {
 		return
 	}
 	switch m.Outcome {
@@ -167,7 +169,7 @@
 		if key.endpoint != e.info.ID.Name {
 			continue
 		}
-		l.stopsCount = c.now
+		l.stopsCountFrom = c.now
 		if l.excludedIn == e.info.ID {
 			l.excludedIn = workload.EndpointID{}
 		}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -209,12 +209,11 @@
 // Until then the end of that life, or of a lease there, does not end the run: the next life may
 // have it, and its start counts as unanswered.
 func (c *Control) startDone(m StartDone) {
-	e, held := c.heldEndpoint(m.Endpoint, m.Token)
-	if !held {
-		c.noteStartAnswer(&m)
+	c.noteStartAnswer(&m)
+	e, ok := c.heldEndpoint(m.Endpoint, m.Token)
+	if !ok {
 		return
 	}
-	c.noteStartAnswer(&m)
 	r, ok := e.runs.Get(m.Run)
 	if ok && (m.Outcome == OtherLife || m.Outcome == Misdirected) && r.startsSent == 1 {
 		c.endRun(r, workload.NeverRan, "another life of its endpoint is there")
