--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -293,7 +293,7 @@
 func (n *Node) send(m placement.Send) {
 	w := n.world
 	o := w.peer(m.Peer)
-	if o == nil || !n.sessions[m.Peer] {
+	if o == nil || !n.sessions[m.Peer] || w.silent[[2]string{n.ID.Instance, o.ID.Instance}] {
 		return
 	}
 	from := n.ID
@@ -335,6 +335,7 @@
 			return
 		}
 		n.sessions[id], o.sessions[n.ID] = true, true
+		w.setSilent(n, o, false)
 		n.deliver(placement.PeerUp{Peer: id})
 		o.deliver(placement.PeerUp{Peer: n.ID})
 	})
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -102,6 +102,7 @@
 	sequence     uint64
 	cuts         map[[2]string]bool      // by the names of two locations
 	delayedUntil map[[2]string]time.Time // messages by sending and receiving instance
+	silent       map[[2]string]bool      // sessions that deliver nothing any more, by both instances
 	jobs         int
 }
 
@@ -236,7 +237,7 @@
 func New(config Config) *World {
 	w := &World{
 		Config: config, Now: epoch, random: rand.New(rand.NewPCG(config.Seed, 1)),
-		Jobs: make(map[workload.JobID]*Outcome), cuts: make(map[[2]string]bool), delayedUntil: make(map[[2]string]time.Time),
+		Jobs: make(map[workload.JobID]*Outcome), cuts: make(map[[2]string]bool), delayedUntil: make(map[[2]string]time.Time), silent: make(map[[2]string]bool),
 	}
 	w.Store = &Store{world: w, memory: storage.NewMemory()}
 	for _, d := range config.Domains {
@@ -381,6 +382,15 @@
 	return max(0, w.delayedUntil[[2]string{from.ID.Instance, to.ID.Instance}].Sub(w.Now))
 }
 
+// Silence makes the session between two instances deliver nothing any more. Neither is told, and
+// a later session works.
+func (w *World) Silence(a, b *Node) { w.setSilent(a, b, true) }
+
+func (w *World) setSilent(a, b *Node, silent bool) {
+	w.silent[[2]string{a.ID.Instance, b.ID.Instance}] = silent
+	w.silent[[2]string{b.ID.Instance, a.ID.Instance}] = silent
+}
+
 // location is the name of an instance, an endpoint or the store, with its failure
 // domain.
 type location struct {
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -148,6 +148,7 @@
 	adoption      adoption
 	keptOutcomes  keptOutcomes
 	endpointList  endpointList
+	cancelNotices cancelNotices
 	stop          stopState
 	stopStartedAt time.Time
 	nextID        uint64
@@ -188,6 +189,7 @@
 	c.recorder = newRecorder()
 	c.keptOutcomes = newKeptOutcomes()
 	c.endpointList = newEndpointList()
+	c.cancelNotices = newCancelNotices()
 	c.adoption.unknownHomes, c.adoption.marks, c.adoption.unsettled = make(map[instance.ID]time.Time), make(map[string][]mark), make(map[string]time.Time)
 	return c
 }
@@ -218,6 +220,8 @@
 	c.runAdoption()
 	c.runKeptOutcomes()
 	c.runCancels()
+	c.runCancelNotices()
+	c.runAudit()
 	c.runRecorder()
 	c.sendAdverts()
 	c.runStop()
@@ -330,7 +334,9 @@
 		c.holder.registry.Yielded(m.Endpoint, m.Version)
 		c.holder.planDue = c.now
 	case *CancelJob:
-		c.cancelLocal(m.ID)
+		c.handleCancelJob(from, m)
+	case *CancelConfirmed:
+		c.handleCancelConfirmed(from, m)
 	case *Register:
 		c.handleRegister(from, m)
 	case *Registered:
--- a/pkg/placement/lookup.go
+++ b/pkg/placement/lookup.go
@@ -74,6 +74,9 @@
 		case l.route != "" && ended.Route != l.route:
 			c.reply(l.handle, Answer{Status: Absent, Reason: "no such job is known on this route"})
 		case l.cancel:
+			if ended.Home != nil {
+				c.notifyCancelled(l.id, *ended.Home) // who recorded it may not have told the home
+			}
 			c.reply(l.handle, cancelAnswer(ended.Status))
 		default:
 			c.reply(l.handle, Answer{Status: ended.Status, Reason: ended.Reason})
@@ -100,7 +103,7 @@
 
 // cancelRow records in the store that a job with another home is cancelled.
 func (c *Control) cancelRow(l lookup, row *storage.Row, found *OpenRow) {
-	ended := EndedRow{Route: found.Route, Digest: found.Digest, Status: Cancelled, Reason: cancelReason}
+	ended := EndedRow{Route: found.Route, Digest: found.Digest, Status: Cancelled, Reason: cancelReason, Home: &found.Home}
 	c.commit(Commit{Writes: []storage.Write{
 		{Key: storedKey(openTable, l.id), Delete: true, Expect: row.Version},
 		{Key: storedKey(jobsTable, l.id), Delete: true, Expect: storage.AnyVersion},
@@ -110,7 +113,7 @@
 		switch {
 		case m.Err == nil:
 			c.logEvent("job cancelled for another instance", jobField(l.id), zap.Stringer("Home", found.Home))
-			c.broadcastCancel(l.id)
+			c.notifyCancelled(l.id, found.Home)
 			c.reply(l.handle, Answer{Status: Cancelled})
 		case l.tries < maxCancelTries:
 			c.lookup(l)
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -254,6 +254,7 @@
 			m.dead = true
 			c.membership.changed = true
 			c.scheduleAdoption()
+			c.scheduleAudit()
 			c.counters.MembersLost++
 			c.logEvent("member dead", zap.Stringer("Peer", m.id), zap.Duration("Silent", silent), zap.Duration("RowStood", rowUnchanged), zap.Uint64("Sequence", m.row.Sequence))
 		}
@@ -353,6 +354,7 @@
 	c.resendPlaceRequests(id)
 	c.registerAgain(func(_ workload.JobID, r *registration) bool { return r.directory == id })
 	c.recallAgain(id)
+	c.resendCancelNotices(id)
 }
 
 func (c *Control) handlePeerDown(id instance.ID) {
@@ -591,6 +593,7 @@
 // runs there are marked as lost.
 func (c *Control) losePeer(id instance.ID, lastSeenAt time.Time) {
 	c.scheduleAdoption()
+	c.scheduleAudit()
 	c.orphanRunsOfHome(id, "its home has restarted")
 	c.markRunsLost(id, lastSeenAt)
 	c.markDroppedRunsLost(id, lastSeenAt)
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -534,7 +534,16 @@
 }
 
 // CancelJob asks the receiver to cancel a job if it is the job's home.
-type CancelJob struct{ ID workload.JobID }
+type CancelJob struct {
+	ID workload.JobID
+	// Recorded says that the job is cancelled in the store. The receiver answers with
+	// CancelConfirmed.
+	Recorded bool
+}
+
+// CancelConfirmed tells the sender of a recorded CancelJob that the job is not open at its home
+// any more.
+type CancelConfirmed struct{ ID workload.JobID }
 
 // Register asks the directory member of an ephemeral job's id whether the sender may be the
 // job's home.
@@ -599,3 +608,4 @@
 func (*Yield) isMessage()                {}
 func (*Yielded) isMessage()              {}
 func (*CancelJob) isMessage()            {}
+func (*CancelConfirmed) isMessage()      {}
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -58,6 +58,7 @@
 	failures   int
 	failedAt   time.Time
 	partitions [len(storedPartitions)]recorderPartition
+	audit      rowAudit
 }
 
 // recorderPartition is the state of the commits of one partition.
--- a/pkg/placement/records.go
+++ b/pkg/placement/records.go
@@ -72,6 +72,9 @@
 	Digest string
 	Status Status
 	Reason string
+	// Home is the home of a job that another instance has cancelled; nil if the home has
+	// written the row.
+	Home *instance.ID `json:",omitempty"`
 }
 
 func encodeStored(row any) []byte {
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -78,7 +78,9 @@
 	case *placement.Yielded:
 		return &wire.Message{Kind: &wire.Message_Yielded{Yielded: &wire.Yielded{Endpoint: m.Endpoint, Version: uint64(m.Version)}}}
 	case *placement.CancelJob:
-		return &wire.Message{Kind: &wire.Message_CancelById{CancelById: &wire.CancelByID{Job: string(m.ID)}}}
+		return &wire.Message{Kind: &wire.Message_CancelById{CancelById: &wire.CancelByID{Job: string(m.ID), Recorded: m.Recorded}}}
+	case *placement.CancelConfirmed:
+		return &wire.Message{Kind: &wire.Message_CancelConfirmed{CancelConfirmed: &wire.CancelConfirmed{Job: string(m.ID)}}}
 	case *placement.Register:
 		return &wire.Message{Kind: &wire.Message_Register{Register: &wire.Register{Job: string(m.Job), Number: m.Number, LeftNanos: int64(m.Left), Occupant: optionalInstanceToWire(m.Occupant)}}}
 	case *placement.Registered:
@@ -311,7 +313,9 @@
 	case *wire.Message_Yielded:
 		return &placement.Yielded{Endpoint: k.Yielded.GetEndpoint(), Version: storage.Version(k.Yielded.GetVersion())}, nil
 	case *wire.Message_CancelById:
-		return &placement.CancelJob{ID: workload.JobID(k.CancelById.GetJob())}, nil
+		return &placement.CancelJob{ID: workload.JobID(k.CancelById.GetJob()), Recorded: k.CancelById.GetRecorded()}, nil
+	case *wire.Message_CancelConfirmed:
+		return &placement.CancelConfirmed{ID: workload.JobID(k.CancelConfirmed.GetJob())}, nil
 	case *wire.Message_Register:
 		return &placement.Register{
 			Job: workload.JobID(k.Register.GetJob()), Number: k.Register.GetNumber(), Left: time.Duration(k.Register.GetLeftNanos()), Occupant: optionalInstanceFromWire(k.Register.GetOccupant()),
--- a/service/peer/placement_test.go
+++ b/service/peer/placement_test.go
@@ -46,6 +46,8 @@
 		&placement.Yield{Endpoints: []string{"e"}},
 		&placement.Yielded{Endpoint: "e", Version: 5},
 		&placement.CancelJob{ID: "j"},
+		&placement.CancelJob{ID: "j", Recorded: true},
+		&placement.CancelConfirmed{ID: "j"},
 		&placement.Register{Job: "j", Number: 4, Left: time.Second, Occupant: instance.ID{Instance: "b", Incarnation: 3}},
 		&placement.Registered{Job: "j", Number: 4, Completed: true, Former: instance.ID{Instance: "b", Incarnation: 3}},
 		&placement.Occupied{Job: "j", Number: 4, Home: instance.ID{Instance: "b", Incarnation: 3}},
