--- a/pkg/model/endpoint.go
+++ b/pkg/model/endpoint.go
@@ -191,6 +191,17 @@
 	return sum
 }
 
+// Runs returns the number of running tasks of a job.
+func (x *Endpoint) Runs(job workload.JobID) int {
+	n := 0
+	for id := range x.runs {
+		if id.Task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
 // runIDs returns the current runs in a fixed order, which keeps simulations
 // reproducible.
 func (x *Endpoint) runIDs() []workload.Run {
--- a/pkg/placement/choice.go
+++ b/pkg/placement/choice.go
@@ -72,6 +72,7 @@
 
 // fit rates an endpoint with free capacity for a task.
 type fit struct {
+	tried    bool // a run of the task did not succeed there
 	inTime   bool // the task is expected to meet its objective
 	far      bool // in another failure domain
 	speed    float64
@@ -86,11 +87,13 @@
 	return fit{inTime: d.expectedAt(r.Speed)+hop <= d.untilObjective, far: far, speed: r.Speed, leftover: r.Free.Sub(d.need).MilliCPU}
 }
 
-// betterThan prefers an endpoint where the task meets its objective, then one of
-// this failure domain, then a faster one, then the one with the least capacity left
-// over.
+// betterThan prefers an endpoint that the task has not tried, then one where it meets its
+// objective, then one of this failure domain, then a faster one, then the one with the least
+// capacity left over.
 func (f fit) betterThan(other fit) bool {
 	switch {
+	case f.tried != other.tried:
+		return other.tried
 	case f.inTime != other.inTime:
 		return f.inTime
 	case f.far != other.far:
@@ -115,15 +118,19 @@
 	var best fit
 	var bestMember *member
 	bestIndex := -1
+	names, exclusion := c.triedBy(j, step, t)
 	for m, free := range c.allFreeCapacity() {
 		far := m.id != c.self && m.row.Domain != c.config.Domain
 		for i := range free {
 			r := &free[i]
 			e, ok := c.suitableEndpoint(r.Endpoint, j.route.Service, s.Label)
-			if !ok || !s.Need.Fits(r.Free) || avoids(t, r.Endpoint) {
+			tried := slices.Contains(names, r.Endpoint)
+			if !ok || !s.Need.Fits(r.Free) || (tried && exclusion > 0) {
 				continue
 			}
-			if f := rateFit(c.demandAt(d, e), r, far); bestIndex < 0 || f.betterThan(best) {
+			f := rateFit(c.demandAt(d, e), r, far)
+			f.tried = tried
+			if bestIndex < 0 || f.betterThan(best) {
 				best, bestMember, bestIndex = f, m, i
 			}
 		}
@@ -139,16 +146,6 @@
 	return c.shortestWait(j.route, s)
 }
 
-// avoids reports whether a task must not run at an endpoint again.
-func avoids(t *task, endpoint string) bool {
-	for _, a := range t.avoid {
-		if a == endpoint {
-			return true
-		}
-	}
-	return false
-}
-
 // suitableEndpoint returns a listed endpoint. It reports whether the endpoint belongs
 // to the service, has the label and is not draining.
 func (c *Control) suitableEndpoint(endpoint, service, label string) (*workload.Endpoint, bool) {
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -71,6 +71,7 @@
 	otherHomes   []instance.ID // homes that requested a run of the same number later and wait for its end
 	request      *PlaceRequest
 	avoid        []string
+	excludeUntil time.Time // until then it does not start at the endpoints of avoid
 	state        runState
 	endpoint     *endpoint
 	arrivedAt    time.Time
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -52,7 +52,7 @@
 	expectedStart time.Time // of a waiting run, as its holder estimates it
 	failedRuns    []int     // numbers of the failed runs, see countFailure
 	rejections    int       // runs that holders ended without a start, since the last failed run
-	avoid         []string  // endpoints where a run of it did not succeed
+	tried         triedEndpoints
 	retryAt       time.Time // earliest time to place it again
 	endedBy       time.Time // time by which the last run of a lost task has certainly ended
 	// lateStartEndpoint names an endpoint whose next incarnation may still carry
@@ -595,7 +595,7 @@
 		}
 		t.phase, t.holder, t.placed, t.waiting = placed, holder, c.now, false
 		t.runNumber++
-		p.Tasks = append(p.Tasks, PlacedTask{Index: i, Number: t.runNumber, Avoid: t.avoid})
+		p.Tasks = append(p.Tasks, c.placedTaskOf(j, step, i))
 	}
 	if requests.Len() > 0 {
 		j.registration.begun = true
@@ -655,7 +655,7 @@
 			p := c.newPlaceRequest(j, s)
 			for i := range j.steps[s] {
 				if t := &j.steps[s][i]; t.phase == placed && t.holder == id {
-					p.Tasks = append(p.Tasks, PlacedTask{Index: i, Number: t.runNumber, Avoid: t.avoid})
+					p.Tasks = append(p.Tasks, c.placedTaskOf(j, s, i))
 				}
 			}
 			if len(p.Tasks) > 0 {
@@ -735,9 +735,7 @@
 	default:
 		c.logGivenUp(m.Run, from, m, 0, m.Detail)
 		c.counters.Retries++
-		if m.Endpoint != "" {
-			t.avoid = append(t.avoid, m.Endpoint)
-		}
+		t.tried.note(m, c.now)
 	}
 	t.phase = ready
 	if reason, ok := c.admissible(j); !ok && j.stored == nil && !j.mayHaveStarted() {
@@ -766,7 +764,7 @@
 		return
 	}
 	t.failedRuns = append(t.failedRuns, m.Run.Number)
-	t.avoid = append(t.avoid, m.Endpoint)
+	t.tried.note(m, c.now)
 	c.logEvent("run failed", runFields(m.Run, zap.Stringer("Holder", t.holder), zap.String("Endpoint", m.Endpoint), zap.Int("Failures", len(t.failedRuns)), zap.Int("MaxAttempts", j.route.MaxAttempts), zap.Duration("Elapsed", m.Elapsed))...)
 	if j.failed(t) {
 		c.counters.Failed++
--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -196,7 +196,7 @@
 	if r, known := c.holder.ended.Get(ended.Run); known && r.endMessage.How == ended.How {
 		return
 	}
-	end := &RunEnded{Run: ended.Run, How: ended.How, Endpoint: e.info.ID.Name, Detail: "found at a take-over"}
+	end := &RunEnded{Run: ended.Run, How: ended.How, Endpoint: e.info.ID.Name, Born: e.info.ID.Born, Detail: "found at a take-over"}
 	c.keepOutcome(e, end)
 	if !e.storedUnknown {
 		c.lookUpHome(end.Run)
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -406,7 +406,9 @@
 type PlacedTask struct {
 	Index  int
 	Number int      // of the run
-	Avoid  []string // endpoints where the task has failed
+	Avoid  []string // endpoints where a run of the task did not succeed: the last to use
+	// Exclude is how long the run must not start at the endpoints of Avoid at all.
+	Exclude time.Duration
 }
 
 // Drop asks a holder to stop runs. With OnlyWaiting set it applies only to runs for
@@ -421,6 +423,7 @@
 	Run      workload.Run
 	How      workload.How
 	Endpoint string // empty if no endpoint was chosen for the run
+	Born     int64  // life of the endpoint
 	Elapsed  time.Duration
 	Detail   string
 	// Kept says that the holder keeps the outcome until it gets OutcomesRecorded.
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -49,7 +49,7 @@
 		return
 	}
 	r := &run{
-		id: id, home: from, request: p, avoid: t.Avoid, arrivedAt: c.now,
+		id: id, home: from, request: p, avoid: t.Avoid, excludeUntil: c.now.Add(t.Exclude), arrivedAt: c.now,
 		objective: c.now.Add(p.Objective), expiry: c.now.Add(p.Expiry),
 	}
 	h.runs.Put(id, r)
@@ -146,13 +146,18 @@
 	var bestFit fit
 	limit := c.leaseLimitOf(r)
 	for name, e := range c.holder.endpoints.All() {
-		if e.info.Service != p.Service || !p.Need.Fits(e.free()) || !e.info.HasLabel(p.Label) || !c.usable(e) || slices.Contains(r.avoid, name) {
+		if e.info.Service != p.Service || !p.Need.Fits(e.free()) || !e.info.HasLabel(p.Label) || !c.usable(e) {
+			continue
+		}
+		tried := slices.Contains(r.avoid, name)
+		if tried && c.now.Before(r.excludeUntil) {
 			continue
 		}
 		if c.grantedLease(e).After(limit) {
 			continue
 		}
 		f := rateFit(c.demandAt(d, &e.info), &FreeCapacity{Free: e.free(), Speed: e.speed.value()}, false)
+		f.tried = tried
 		if best == nil || f.betterThan(bestFit) {
 			best, bestFit = e, f
 		}
@@ -425,7 +430,7 @@
 	}
 	ended := &RunEnded{Run: r.id, How: how, Detail: detail, MayStartLater: r.mayStartLater}
 	if e := r.endpoint; e != nil {
-		ended.Endpoint = e.info.ID.Name
+		ended.Endpoint, ended.Born = e.info.ID.Name, e.info.ID.Born
 		ended.Elapsed = c.now.Sub(r.orderedAt)
 		if how != workload.Unknown {
 			c.noteStartSeen(r)
--- a/service/peer/placement.go
+++ b/service/peer/placement.go
@@ -46,7 +46,7 @@
 		return &wire.Message{Kind: &wire.Message_DropRuns{DropRuns: &wire.DropRuns{Runs: runsToWire(m.Runs), OnlyWaiting: m.OnlyWaiting}}}
 	case *placement.RunEnded:
 		return &wire.Message{Kind: &wire.Message_RunEnded{RunEnded: &wire.RunEnded{
-			Run: runToWire(m.Run), How: uint32(m.How), Endpoint: m.Endpoint, ElapsedNanos: int64(m.Elapsed), Detail: m.Detail, Kept: m.Kept, Late: m.MayStartLater,
+			Run: runToWire(m.Run), How: uint32(m.How), Endpoint: m.Endpoint, ElapsedNanos: int64(m.Elapsed), Detail: m.Detail, Kept: m.Kept, Late: m.MayStartLater, Born: m.Born,
 		}}}
 	case *placement.OutcomesRecorded:
 		return &wire.Message{Kind: &wire.Message_EndsRecorded{EndsRecorded: &wire.EndsRecorded{Runs: runsToWire(m.Runs)}}}
@@ -174,7 +174,7 @@
 func placeRequestToWire(m *placement.PlaceRequest) *wire.PlaceTasks {
 	tasks := make([]*wire.PlacedTask, len(m.Tasks))
 	for i, t := range m.Tasks {
-		tasks[i] = &wire.PlacedTask{Index: uint32(t.Index), Number: uint32(t.Number), Avoid: t.Avoid}
+		tasks[i] = &wire.PlacedTask{Index: uint32(t.Index), Number: uint32(t.Number), Avoid: t.Avoid, ExcludeNanos: int64(t.Exclude)}
 	}
 	return &wire.PlaceTasks{
 		Sequence: m.Sequence, Job: string(m.Job), Spec: []byte(m.Spec), Step: uint32(m.Step), Service: m.Service,
@@ -187,7 +187,7 @@
 func placeRequestFromWire(m *wire.PlaceTasks) *placement.PlaceRequest {
 	tasks := make([]placement.PlacedTask, len(m.GetTasks()))
 	for i, t := range m.GetTasks() {
-		tasks[i] = placement.PlacedTask{Index: int(t.GetIndex()), Number: int(t.GetNumber()), Avoid: t.GetAvoid()}
+		tasks[i] = placement.PlacedTask{Index: int(t.GetIndex()), Number: int(t.GetNumber()), Avoid: t.GetAvoid(), Exclude: time.Duration(t.GetExcludeNanos())}
 	}
 	return &placement.PlaceRequest{
 		Sequence: m.GetSequence(), Job: workload.JobID(m.GetJob()), Spec: string(m.GetSpec()), Step: int(m.GetStep()), Service: m.GetService(),
@@ -270,7 +270,7 @@
 			return nil, &ErrInvalidMessage{Kind: "RunEnded", Cause: errOutcome}
 		}
 		return &placement.RunEnded{
-			Run: runFromWire(k.RunEnded.GetRun()), How: how, Endpoint: k.RunEnded.GetEndpoint(),
+			Run: runFromWire(k.RunEnded.GetRun()), How: how, Endpoint: k.RunEnded.GetEndpoint(), Born: k.RunEnded.GetBorn(),
 			Elapsed: time.Duration(k.RunEnded.GetElapsedNanos()), Detail: k.RunEnded.GetDetail(), Kept: k.RunEnded.GetKept(), MayStartLater: k.RunEnded.GetLate(),
 		}, nil
 	case *wire.Message_EndsRecorded:
--- a/service/peer/placement_test.go
+++ b/service/peer/placement_test.go
@@ -27,10 +27,10 @@
 		&placement.PlaceRequest{
 			Sequence: 7, Job: "j", Spec: "s", Step: 1, Service: "x", Need: need, Label: "a", Rack: "r", Estimate: time.Second,
 			Objective: 2 * time.Second, Expiry: 3 * time.Second, CallerTimeout: 4 * time.Second, Priority: -1, Stored: true, Round: 3,
-			Tasks: []placement.PlacedTask{{Index: 3, Number: 2, Avoid: []string{"e"}}},
+			Tasks: []placement.PlacedTask{{Index: 3, Number: 2, Avoid: []string{"e"}, Exclude: time.Second}},
 		},
 		&placement.Drop{Runs: []workload.Run{run}, OnlyWaiting: true},
-		&placement.RunEnded{Run: run, How: workload.Lapsed, Endpoint: "e", Elapsed: time.Second, Detail: "d", Kept: true, MayStartLater: true},
+		&placement.RunEnded{Run: run, How: workload.Lapsed, Endpoint: "e", Born: 7, Elapsed: time.Second, Detail: "d", Kept: true, MayStartLater: true},
 		&placement.OutcomesRecorded{Runs: []workload.Run{run}},
 		&placement.Inquire{Sequence: 4, Jobs: []placement.JobRound{{Job: "j", Round: 2}}},
 		&placement.InquiryAnswer{Sequence: 4, Live: []workload.Run{run}, Covered: []string{"e"}},
