An instance adopts a job once at a time

A scan that met an adoption of the same instance whose answers were not there yet adopted the jobs again, in the next round: the row names the instance, and the job is not open there. The second adoption takes the jobs from the first, stops their runs and leaves them uncounted meanwhile.

Adoptions in progress are left out of a scan until they have succeeded or failed.

--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -20,6 +20,7 @@
 	unknownHomes map[instance.ID]time.Time // homes that are not members -> when first seen
 	marks        map[string][]mark         // partition -> marks of its outcomes, oldest first
 	unsettled    map[string]time.Time      // partition -> time from which a scan of it settles it, see unsettle
+	inProgress   map[workload.JobID]bool   // adoptions that this instance has begun and not finished
 	nextScan     time.Time
 	nextSweep    time.Time
 	inquiry      *inquiry
@@ -159,7 +160,7 @@
 				continue
 			}
 			id := jobOfKey(m.Rows[i].Key)
-			if !c.home.jobs.Has(id) && (row.Home == c.self || (isOwn && c.homeGone(row.Home))) {
+			if !c.home.jobs.Has(id) && !c.adoption.inProgress[id] && (row.Home == c.self || (isOwn && c.homeGone(row.Home))) {
 				orphans = append(orphans, orphanJob{id: id, row: row, version: m.Rows[i].Version})
 			}
 		}
@@ -206,6 +207,9 @@
 
 // adopt writes this instance as the home into the rows of jobs, with a round higher by
 // one, and then reads the jobs. The write fails if any of the rows has changed.
+//
+// This keeps an invariant: an instance adopts a job once at a time. A second adoption would take the
+// job from the first one, which stops its runs.
 func (c *Control) adopt(part string, orphans []orphanJob) {
 	c.recorder.hadStoredJobs = true
 	c.unsettle(part)
@@ -215,11 +219,13 @@
 		c.logEvent("job without a home", jobField(o.id), zap.Stringer("Former", o.row.Home), zap.Int("Round", o.row.Round), zap.Uint64("RowVersion", uint64(o.version)))
 		o.row.Home, o.row.Sequence = c.self, 1
 		o.row.Round++
+		c.adoption.inProgress[o.id] = true
 		writes[i] = storage.Write{Key: storedKey(openTable, o.id), Value: encodeStored(o.row), Expect: o.version}
 	}
 	c.commit(Commit{Writes: writes}, func(m CommitDone) {
 		if m.Err != nil {
 			c.counters.FailedCommits++
+			c.adoption.finish(orphans)
 			c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(recordRetryPause))
 			c.logEvent("jobs not adopted", zap.String("Part", part), zap.Int("Jobs", len(orphans)), zap.Error(m.Err))
 			return
@@ -228,9 +234,17 @@
 	})
 }
 
+// finish notes that adoptions have succeeded or failed.
+func (a *adoption) finish(orphans []orphanJob) {
+	for i := range orphans {
+		delete(a.inProgress, orphans[i].id)
+	}
+}
+
 // readAdopted reads what was submitted for the adopted jobs.
 func (c *Control) readAdopted(part string, orphans []orphanJob, version storage.Version) {
 	c.scan(partitionPrefix(jobsTable, part), func(m ScanDone) {
+		c.adoption.finish(orphans)
 		if m.Err != nil {
 			c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(recordRetryPause))
 			c.logEvent("adopted jobs not read", zap.String("Part", part), zap.Int("Jobs", len(orphans)), zap.Error(m.Err))
