Tests that need the lives and the end of a task's exclusion

Taken out singly, the lives of tried endpoints and the rule for a task that has tried all of them turned no test red. TestNextLifeOfATriedEndpointIsNotTried needs the first; TestTaskFailsAfterItsAttemptsAtFewerEndpoints, which leaves three attempts 0.9 s now, the second. Both are red without it.

--- a/pkg/placement/lives_test.go
+++ b/pkg/placement/lives_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/workload"
 )
 
 // Guards against an answer of an endpoint's next life that is taken for one of the life meant: in
@@ -52,3 +54,18 @@
 	assert.Assert(t, shown > 5000, "%d answers of the life meant", shown)
 	assert.Assert(t, !new(lifeClock).shows(ClockReading{Clock: time.Hour, Sent: time.Unix(0, 0), Received: time.Unix(0, 0)}), "without a report nothing is shown")
 }
+
+// Guards against an endpoint that counts as tried, as a former life of it has lost a run.
+func TestNextLifeOfATriedEndpointIsNotTried(t *testing.T) {
+	c := New(Config{})
+	e := &workload.Endpoint{ID: workload.EndpointID{Name: "e-1", Born: 1}, Service: "s", Capacity: workload.Resources{MilliCPU: 1000}}
+	c.holder.listed.Put(e.ID.Name, e)
+	j := &job{Job: &workload.Job{Steps: []workload.Step{{Count: 1}}}, route: workload.Route{Service: "s"}, steps: [][]task{make([]task, 1)}}
+	tried := &j.steps[0][0]
+	tried.tried.note(&RunEnded{Endpoint: "e-1", Born: 1}, c.now)
+	names, _ := c.triedBy(j, 0, tried)
+	assert.DeepEqual(t, names, []string{"e-1"})
+	e.ID.Born = 2
+	names, _ = c.triedBy(j, 0, tried)
+	assert.Equal(t, len(names), 0)
+}
--- a/pkg/placement/tried_test.go
+++ b/pkg/placement/tried_test.go
@@ -88,10 +88,10 @@
 			x.FailsAll = true
 		}
 		o := submitRare(w, "00000000000000a1", rareNeed, 400*time.Millisecond)
-		w.Run(8 * time.Second)
+		w.Run(900 * time.Millisecond) // no attempt waits where no other endpoint is left
 		var state placement.Answer
 		w.State(w.Nodes[3], o.Job.ID, func(a placement.Answer) { state = a })
-		w.Run(time.Second)
+		w.Run(100 * time.Millisecond)
 		assert.Equal(t, state.Status, placement.Failed)
 	})
 }
