Cancel notices are repeated at one place

The repeat each 0.3 s covers a new session too, and with both no test needed either: without the repeat alone TestCancellationOutlivesASilentSession passed. Now it is red without it.

--- a/pkg/placement/cancel_notices.go
+++ b/pkg/placement/cancel_notices.go
@@ -78,15 +78,6 @@
 	}
 }
 
-// resendCancelNotices repeats the notices to an instance over a new session.
-func (c *Control) resendCancelNotices(home instance.ID) {
-	for id, notice := range c.cancelNotices.pending.All() {
-		if notice.home == home {
-			c.sendCancelNotice(id, home)
-		}
-	}
-}
-
 // handleCancelJob cancels a job if this instance is its home, and confirms a recorded
 // cancellation. A job that is not open here cannot be adopted any more, as its row is gone.
 func (c *Control) handleCancelJob(from instance.ID, m *CancelJob) {
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -354,7 +354,6 @@
 	c.resendPlaceRequests(id)
 	c.registerAgain(func(_ workload.JobID, r *registration) bool { return r.directory == id })
 	c.recallAgain(id)
-	c.resendCancelNotices(id)
 }
 
 func (c *Control) handlePeerDown(id instance.ID) {
