--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -21,6 +21,9 @@
 	marks        map[string][]mark         // partition -> marks of its outcomes, oldest first
 	unsettled    map[string]time.Time      // partition -> time from which a scan of it settles it, see unsettle
 	inProgress   map[workload.JobID]bool   // adoptions that this instance has begun and not finished
+	lostAt       time.Time                 // when an instance was last found to be lost
+	behind       bool                      // adopting, as of the last heartbeats
+	scannedAt    map[string]time.Time      // partition -> start of the last scan whose jobs were all adopted
 	nextScan     time.Time
 	nextSweep    time.Time
 	inquiry      *inquiry
@@ -113,11 +116,28 @@
 // scheduleAdoption brings the next scan for jobs without a home forward, as an
 // instance is gone.
 func (c *Control) scheduleAdoption() {
+	c.adoption.lostAt, c.adoption.behind = c.now, true
 	if at := c.now.Add(adoptDelay); at.Before(c.adoption.nextScan) {
 		c.adoption.nextScan = at
 	}
 }
 
+// adopting reports whether this instance has not adopted all jobs of its partitions since it found
+// that an instance is lost.
+func (c *Control) adopting() bool {
+	a := &c.adoption
+	if a.lostAt.IsZero() || !c.storedExist() || c.stop != serving {
+		return false
+	}
+	for _, part := range c.ownPartitions() {
+		if a.scannedAt[part].Before(a.lostAt) {
+			return true
+		}
+	}
+	a.lostAt = time.Time{}
+	return false
+}
+
 // unsettle notes that rows of a partition may name this instance as the home of jobs
 // that are not open here, now or once a commit without an answer takes effect. To all
 // other instances these jobs have a live home, so nobody else adopts them.
@@ -153,6 +173,7 @@
 			delete(c.adoption.unsettled, part) // the adoptions below unsettle it again
 		}
 		var orphans []orphanJob
+		inProgress := false
 		for i := range m.Rows {
 			row, err := decodeStored[OpenRow](&m.Rows[i])
 			if err != nil {
@@ -160,12 +181,31 @@
 				continue
 			}
 			id := jobOfKey(m.Rows[i].Key)
-			if !c.home.jobs.Has(id) && !c.adoption.inProgress[id] && (row.Home == c.self || (isOwn && c.homeGone(row.Home))) {
+			if c.adoption.inProgress[id] {
+				inProgress = true
+				continue
+			}
+			if !c.home.jobs.Has(id) && (row.Home == c.self || (isOwn && c.homeGone(row.Home))) {
 				orphans = append(orphans, orphanJob{id: id, row: row, version: m.Rows[i].Version})
 			}
 		}
+		left := (len(orphans) + maxJobsPerCommit - 1) / maxJobsPerCommit
+		adopted := func() {
+			switch {
+			case inProgress || scanStart.Before(c.adoption.lostAt):
+				c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(adoptDelay))
+			case left == 0:
+				c.adoption.scannedAt[part] = scanStart
+			}
+		}
+		if left == 0 && !inProgress {
+			adopted()
+		}
 		for batch := range slices.Chunk(orphans, maxJobsPerCommit) {
-			c.adopt(part, batch)
+			c.adopt(part, batch, func() {
+				left--
+				adopted()
+			})
 		}
 	})
 }
@@ -206,11 +246,11 @@
 }
 
 // adopt writes this instance as the home into the rows of jobs, with a round higher by
-// one, and then reads the jobs. The write fails if any of the rows has changed.
+// one, reads the jobs, and calls adopted. The write fails if any of the rows has changed.
 //
 // This keeps an invariant: an instance adopts a job once at a time. A second adoption would take the
 // job from the first one, which stops its runs.
-func (c *Control) adopt(part string, orphans []orphanJob) {
+func (c *Control) adopt(part string, orphans []orphanJob, adopted func()) {
 	c.recorder.hadStoredJobs = true
 	c.unsettle(part)
 	writes := make([]storage.Write, len(orphans))
@@ -230,7 +270,7 @@
 			c.logEvent("jobs not adopted", zap.String("Part", part), zap.Int("Jobs", len(orphans)), zap.Error(m.Err))
 			return
 		}
-		c.readAdopted(part, orphans, m.Version)
+		c.readAdopted(part, orphans, m.Version, adopted)
 	})
 }
 
@@ -241,8 +281,9 @@
 	}
 }
 
-// readAdopted reads what was submitted for the adopted jobs.
-func (c *Control) readAdopted(part string, orphans []orphanJob, version storage.Version) {
+// readAdopted reads what was submitted for the adopted jobs, and calls adopted when they are open
+// here.
+func (c *Control) readAdopted(part string, orphans []orphanJob, version storage.Version, adopted func()) {
 	c.scan(partitionPrefix(jobsTable, part), func(m ScanDone) {
 		c.adoption.finish(orphans)
 		if m.Err != nil {
@@ -268,6 +309,7 @@
 				c.logEvent("row of a job not understood", jobField(o.id), zap.Error(err))
 			}
 		}
+		adopted()
 	})
 }
 
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -191,7 +191,7 @@
 	c.endpointList = newEndpointList()
 	c.cancelNotices = newCancelNotices()
 	c.adoption.unknownHomes, c.adoption.marks, c.adoption.unsettled = make(map[instance.ID]time.Time), make(map[string][]mark), make(map[string]time.Time)
-	c.adoption.inProgress = make(map[workload.JobID]bool)
+	c.adoption.inProgress, c.adoption.scannedAt = make(map[workload.JobID]bool), make(map[string]time.Time)
 	return c
 }
 
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -23,7 +23,7 @@
 	deadline   time.Time
 	steps      [][]task
 	remaining  int          // number of tasks that are not done
-	started    bool         // some run of the job has started
+	started    bool         // some run has started; for an ephemeral job, may have started
 	stored     *storedState // nil for an ephemeral job
 	afterCheck uint64       // number of the check of callers after which an ephemeral job is placed
 	deferred   bool         // accepted before this instance knew of any capacity; not examined yet
@@ -69,7 +69,7 @@
 	moveDue        time.Time // when waiting tasks are next considered for a move
 	pendingCancels []delayedLookup
 	timeouts       map[string]*timeoutCounts // by route
-	waitingFloors  map[string]waitingFloor   // by route
+	lostWaiting    map[string]lostWaiting    // by route
 	// droppedRuns holds the runs of jobs that were closed before the holders reported the
 	// ends of these runs.
 	droppedRuns *table.Table[workload.JobID, *droppedRuns]
@@ -107,7 +107,7 @@
 	return home{
 		jobs: table.New[workload.JobID, *job](), byHandle: make(map[Handle]workload.JobID),
 		droppedRuns: table.New[workload.JobID, *droppedRuns](), timeouts: make(map[string]*timeoutCounts),
-		waitingFloors: make(map[string]waitingFloor), releases: table.New[instance.ID, []ReleasedJob](),
+		lostWaiting: make(map[string]lostWaiting), releases: table.New[instance.ID, []ReleasedJob](),
 	}
 }
 
@@ -285,7 +285,7 @@
 		t := &j.steps[r.Task.Step][r.Task.Index]
 		t.phase, t.holder, t.runNumber, t.placed = placed, open.holder, r.Number, c.now
 		if !open.endedBy.IsZero() {
-			j.markLost(t, open.endedBy)
+			c.markLost(j, t, open.endedBy)
 			t.lateStartEndpoint, t.lateStartUntil = open.lateStartEndpoint, former.at.Add(lateOrderWindow)
 		}
 		c.logWarning("task waits for the end of a former run", runFields(r, zap.Stringer("Holder", open.holder))...)
@@ -705,7 +705,7 @@
 	if j.stored != nil {
 		c.recordRunOutcome(j, from, m)
 	}
-	if m.How != workload.NeverRan && m.How != workload.Outdated {
+	if hasRun(m.How) {
 		j.started = true
 	}
 	switch m.How {
@@ -727,7 +727,7 @@
 		}
 	case workload.Unknown:
 		c.logGivenUp(m.Run, from, m, c.config.Timing.leaseExpiry(), m.Detail)
-		j.markLost(t, c.now.Add(c.config.Timing.leaseExpiry()))
+		c.markLost(j, t, c.now.Add(c.config.Timing.leaseExpiry()))
 		if m.MayStartLater {
 			t.lateStartEndpoint, t.lateStartUntil = m.Endpoint, c.now.Add(lateOrderWindow)
 		}
@@ -793,8 +793,8 @@
 
 // markLost marks a task whose holder cannot be asked any more. The run may have
 // started, and has certainly ended by endedAt.
-func (j *job) markLost(t *task, endedAt time.Time) {
-	j.started = true
+func (c *Control) markLost(j *job, t *task, endedAt time.Time) {
+	j.started = j.started || j.stored == nil || c.startAssumed(j, t)
 	t.phase, t.endedBy = lost, endedAt
 }
 
@@ -808,7 +808,7 @@
 				if t := &j.steps[s][i]; t.phase == placed && t.holder == holder {
 					endedBy := later(heardAt, t.placed).Add(c.config.Timing.holderLossTimeout())
 					c.logGivenUp(j.run(s, i), holder, nil, max(0, endedBy.Sub(c.now)), "its holder has restarted")
-					j.markLost(t, endedBy)
+					c.markLost(j, t, endedBy)
 				}
 			}
 		}
@@ -912,7 +912,7 @@
 			if t.phase == placed && !c.reachable(t.holder) {
 				if m, ok := c.membership.members.Get(t.holder.Instance); ok && m.id == t.holder && c.now.Sub(later(m.lastSeenAt, t.placed)) > c.config.Timing.holderLossTimeout() {
 					c.logGivenUp(j.run(s, i), t.holder, nil, 0, "its holder is silent")
-					j.markLost(t, c.now)
+					c.markLost(j, t, c.now)
 				}
 			}
 			if t.phase == lost && j.stored == nil && t.lateStartEndpoint == "" && !c.now.Before(t.endedBy) {
--- a/pkg/placement/membership.go
+++ b/pkg/placement/membership.go
@@ -147,6 +147,8 @@
 // long enough, or for which the heartbeat has something new.
 func (c *Control) sendHeartbeats() {
 	waiting := c.ownWaiting()
+	c.adoption.behind = c.adopting()
+	c.forgetLostWaiting()
 	for _, m := range c.membership.members.All() {
 		if !m.hasSession {
 			continue
@@ -169,13 +171,13 @@
 // new uptime counts only after heartbeatRefresh.
 func (b *Heartbeat) differsFrom(sent *Heartbeat) bool {
 	return b.Leaving != sent.Leaving || b.Configuration != sent.Configuration || b.ReceiverSuspected != sent.ReceiverSuspected ||
-		!maps.Equal(b.Waiting, sent.Waiting) || b.Uptime-sent.Uptime >= heartbeatRefresh
+		b.Adopting != sent.Adopting || !maps.Equal(b.Waiting, sent.Waiting) || !maps.Equal(b.LostWaiting, sent.LostWaiting) || b.Uptime-sent.Uptime >= heartbeatRefresh
 }
 
 func (c *Control) heartbeatTo(m *member, waiting map[string]int) *Heartbeat {
 	return &Heartbeat{
 		Leaving: c.stop != serving, Configuration: c.configurationVersion(), ConfigurationBytes: len(c.configuration.raw), Uptime: c.now.Sub(c.began),
-		ReceiverSuspected: !m.suspectedSince.IsZero(), Waiting: waiting, KeepsDirectory: true,
+		ReceiverSuspected: !m.suspectedSince.IsZero(), Waiting: waiting, KeepsDirectory: true, LostWaiting: c.lostWaitingCounts(), Adopting: c.adoption.behind,
 	}
 }
 
@@ -250,7 +252,7 @@
 		}
 		rowUnchanged := c.membership.scannedAt.Sub(later(m.suspectedSince, m.rowChangedAt))
 		if !m.dead && rowUnchanged >= t.DeadAfter {
-			c.keepWaitingFloor(m)
+			c.keepLostWaiting(m)
 			m.dead = true
 			c.membership.changed = true
 			c.scheduleAdoption()
@@ -324,7 +326,7 @@
 	case ok:
 		c.logEvent("member restarted", zap.Stringer("Peer", id), zap.Uint64("Former", m.id.Incarnation))
 		if !m.dead {
-			c.keepWaitingFloor(m)
+			c.keepLostWaiting(m)
 		}
 		c.losePeer(m.id, m.lastSeenAt)
 	}
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -503,6 +503,10 @@
 	ReceiverSuspected bool
 	// Waiting counts by route the sender's jobs of which no task has started.
 	Waiting map[string]int
+	// LostWaiting counts by route the waiting jobs of lost instances that are not all adopted.
+	LostWaiting map[string]int
+	// Adopting says that the sender may have jobs of a lost instance to adopt.
+	Adopting bool
 }
 
 // ConfigurationRequest asks a peer for a part of a configuration's document.
