--- a/pkg/placement/cancel_notices_test.go
+++ b/pkg/placement/cancel_notices_test.go
@@ -8,6 +8,7 @@
 
 	"crocusseam/pkg/model"
 	"crocusseam/pkg/placement"
+	"crocusseam/pkg/workload"
 )
 
 // cancelBound is how long tasks of a job may run on after its cancellation was acknowledged.
@@ -70,3 +71,27 @@
 		w.After(120*time.Millisecond, other.Kill)
 	})
 }
+
+// Guards against a cancellation that is dropped without an answer: it meets a late copy of the
+// job's request, which waits for a slow store, at an instance that is not the job's home.
+func TestCancellationThatMeetsALateCopyOfTheRequestIsAnswered(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := model.New(deployment(seed))
+		w.Run(4 * time.Second)
+		home, other := w.Nodes[0], w.Nodes[4]
+		l := load([]model.Kind{{Name: "job", Tasks: 1, Work: time.Minute, MilliCPU: 27000, Stored: true}}, 0)
+		o := w.SubmitTo(home, &l, &l.Kinds[0])
+		w.Run(time.Second)
+		assert.Assert(t, o.Started)
+		w.Store.AnswerDelay = 500 * time.Millisecond
+		w.SubmitLate(other, o, workload.Route{Name: "job", Service: w.Config.Service, MaxAttempts: 3}, 5*time.Second, 10*time.Second)
+		w.Run(150 * time.Millisecond)
+		var answer placement.Answer
+		w.Cancel(other, o.Job.ID, func(a placement.Answer) { answer = a })
+		w.Run(4 * time.Second)
+		assert.Equal(t, answer.Status, placement.Cancelled)
+		for _, x := range w.Endpoints {
+			assert.Equal(t, x.Used().MilliCPU, 0, "a task of the cancelled job runs on at %s", x.Info.ID.Name)
+		}
+	})
+}
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -447,6 +447,9 @@
 		c.reply(h, a)
 	}
 	j.handles = nil
+	if j.stored != nil {
+		c.lookUpCancels(j)
+	}
 	dropped := c.dropRuns(j)
 	c.home.jobs.Delete(j.ID)
 	c.endRegistration(j, a.Status == Completed)
--- a/pkg/placement/lookup.go
+++ b/pkg/placement/lookup.go
@@ -155,11 +155,26 @@
 		c.cancelLocal(m.ID)
 		c.reply(m.Handle, Answer{Status: Cancelled})
 	default:
+		if j.stored.phase == accepting {
+			c.broadcastCancel(m.ID) // the job may have another home
+		}
 		j.stored.pendingCancels = append(j.stored.pendingCancels, m.Handle)
 		c.cancelLocal(m.ID)
 	}
 }
 
+// lookUpCancels answers the callers that wait for the cancellation of a stored job from its rows.
+//
+// This keeps an invariant: a cancellation that waits for a job is answered, however the job leaves
+// this instance. Only finishStored knows the answer.
+func (c *Control) lookUpCancels(j *job) {
+	handles := j.stored.pendingCancels
+	j.stored.pendingCancels = nil
+	for _, h := range handles {
+		c.lookup(lookup{handle: h, id: j.ID, route: j.route.Name, cancel: true})
+	}
+}
+
 // delayedLookup is a cancellation that waits until at, so that the job's home can carry
 // it out first.
 type delayedLookup struct {
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -458,9 +458,7 @@
 		delete(c.home.byHandle, h)
 		c.reply(h, Answer{Status: TimedOut, Reason: "its state is not known here: " + cause})
 	}
-	for _, h := range j.stored.pendingCancels {
-		c.lookup(lookup{handle: h, id: j.ID, cancel: true})
-	}
+	c.lookUpCancels(j)
 	c.home.jobs.Delete(j.ID)
 	c.unsettle(partitionOf(j.ID)) // a later adoption by this instance may have replaced this one
 	c.logJobEnd("job lost", dropped, jobField(j.ID), zap.String("Cause", cause), zap.Int("Round", j.stored.round))
--- a/pkg/placement/recovery.go
+++ b/pkg/placement/recovery.go
@@ -48,6 +48,7 @@
 		}
 		c.home.jobs.Delete(j.ID)
 		if j.stored != nil {
+			c.lookUpCancels(j)
 			c.unsettle(partitionOf(j.ID))
 		}
 	})
