--- a/pkg/model/store.go
+++ b/pkg/model/store.go
@@ -24,13 +24,15 @@
 	UnreadablePrefix string
 	// AnswerDelay is added to the time of every answer.
 	AnswerDelay time.Duration
+	// RowsRead counts the rows that scans have returned.
+	RowsRead int
 
 	world    *World
 	memory   *storage.Memory
 	operator []operatorRow // configurations, the newest last
 }
 
-const scanLimit = 5000 // rows
+const scanLimit = 25_000 // rows
 
 var (
 	errUnavailable = errors.New("the store is unavailable")
@@ -89,6 +91,13 @@
 		})
 		return
 	}
-	rows, err := s.memory.Scan(context.Background(), m.Prefix, scanLimit)
+	var rows []storage.Row
+	var err error
+	if m.Last != "" {
+		rows, err = s.memory.ScanRange(context.Background(), m.Prefix, m.Last, scanLimit)
+	} else {
+		rows, err = s.memory.Scan(context.Background(), m.Prefix, scanLimit)
+	}
+	s.RowsRead += len(rows)
 	n.later(2*s.world.Config.ToStore+s.AnswerDelay, func() { n.deliver(placement.ScanDone{ID: m.ID, Rows: rows, Err: err}) })
 }
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -32,6 +32,8 @@
 	// MessageSize returns the bytes of a message between instances. It is needed only
 	// where instances have a LinkRate.
 	MessageSize func(placement.Envelope) int
+	// MaxStoredJobs is the limit of each instance; 0 means the default.
+	MaxStoredJobs int
 	// LifeConnections lets no start reach another life of an endpoint than the one meant, as
 	// the platform's client sends it only over a connection on which that life has shown itself. A start
 	// that the life meant has received may still be carried out late by the next one.
--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -189,27 +189,62 @@
 				orphans = append(orphans, orphanJob{id: id, row: row, version: m.Rows[i].Version})
 			}
 		}
-		left := (len(orphans) + maxJobsPerCommit - 1) / maxJobsPerCommit
-		adopted := func() {
-			switch {
-			case inProgress || scanStart.Before(c.adoption.lostAt):
-				c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(adoptDelay))
-			case left == 0:
-				c.adoption.scannedAt[part] = scanStart
-			}
-		}
-		if left == 0 && !inProgress {
-			adopted()
-		}
-		for batch := range slices.Chunk(orphans, maxJobsPerCommit) {
-			c.adopt(part, batch, func() {
-				left--
-				adopted()
-			})
-		}
+		c.adoptAll(&adoptionRun{part: part, scanStart: scanStart, waiting: orphans, complete: !inProgress})
 	})
 }
 
+// adoptionRun is the adoption of the jobs that one scan of a partition has found.
+type adoptionRun struct {
+	part      string
+	scanStart time.Time
+	waiting   []orphanJob
+	active    int  // batches that wait for the store
+	complete  bool // all jobs of the partition that were to be adopted are open here, apart from those
+}
+
+// maxAdoptionBatches is how many batches of a partition wait for the store at a time.
+const maxAdoptionBatches = 4
+
+// adoptAll begins to adopt the jobs of a run.
+//
+// This keeps an invariant: what an adoption holds in memory beside the jobs themselves does not grow
+// with their number, and adopted jobs count against the same limit as accepted ones. Jobs
+// over the limit stay in the store until others have ended, here or at another instance.
+func (c *Control) adoptAll(r *adoptionRun) {
+	room := max(0, c.config.MaxStoredJobs-c.home.jobs.Len()-len(c.adoption.inProgress))
+	if len(r.waiting) > room {
+		c.logWarning("jobs left for a later adoption", zap.String("Part", r.part), zap.Int("Left", len(r.waiting)-room), zap.Int("Open", c.home.jobs.Len()))
+		r.waiting, r.complete = r.waiting[:room], false
+	}
+	for i := range r.waiting {
+		c.adoption.inProgress[r.waiting[i].id] = true
+	}
+	c.continueAdoption(r)
+}
+
+// continueAdoption begins as many batches of a run as may wait for the store, and notes when the run
+// has ended.
+func (c *Control) continueAdoption(r *adoptionRun) {
+	for len(r.waiting) > 0 && r.active < maxAdoptionBatches {
+		batch := r.waiting[:min(len(r.waiting), maxJobsPerCommit)]
+		r.waiting = r.waiting[len(batch):]
+		r.active++
+		c.adopt(r.part, batch, func(adopted bool) {
+			c.adoption.finish(batch)
+			r.active--
+			r.complete = r.complete && adopted
+			c.continueAdoption(r)
+		})
+	}
+	switch {
+	case r.active > 0:
+	case r.complete && !r.scanStart.Before(c.adoption.lostAt):
+		c.adoption.scannedAt[r.part] = r.scanStart
+	case r.complete:
+		c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(adoptDelay))
+	}
+}
+
 // homeGone reports whether an instance can no longer be the home of jobs. An instance
 // that is not a member may have just started, so it counts as gone only after the
 // members' rows were due to be read.
@@ -246,11 +281,11 @@
 }
 
 // adopt writes this instance as the home into the rows of jobs, with a round higher by
-// one, reads the jobs, and calls adopted. The write fails if any of the rows has changed.
+// one, reads the jobs, and calls done. The write fails if any of the rows has changed.
 //
 // This keeps an invariant: an instance adopts a job once at a time. A second adoption would take the
 // job from the first one, which stops its runs.
-func (c *Control) adopt(part string, orphans []orphanJob, adopted func()) {
+func (c *Control) adopt(part string, orphans []orphanJob, done func(adopted bool)) {
 	c.recorder.hadStoredJobs = true
 	c.unsettle(part)
 	writes := make([]storage.Write, len(orphans))
@@ -259,18 +294,17 @@
 		c.logEvent("job without a home", jobField(o.id), zap.Stringer("Former", o.row.Home), zap.Int("Round", o.row.Round), zap.Uint64("RowVersion", uint64(o.version)))
 		o.row.Home, o.row.Sequence = c.self, 1
 		o.row.Round++
-		c.adoption.inProgress[o.id] = true
 		writes[i] = storage.Write{Key: storedKey(openTable, o.id), Value: encodeStored(o.row), Expect: o.version}
 	}
 	c.commit(Commit{Writes: writes}, func(m CommitDone) {
 		if m.Err != nil {
 			c.counters.FailedCommits++
-			c.adoption.finish(orphans)
 			c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(recordRetryPause))
 			c.logEvent("jobs not adopted", zap.String("Part", part), zap.Int("Jobs", len(orphans)), zap.Error(m.Err))
+			done(false)
 			return
 		}
-		c.readAdopted(part, orphans, m.Version, adopted)
+		c.readAdopted(part, orphans, m.Version, done)
 	})
 }
 
@@ -281,14 +315,15 @@
 	}
 }
 
-// readAdopted reads what was submitted for the adopted jobs, and calls adopted when they are open
-// here.
-func (c *Control) readAdopted(part string, orphans []orphanJob, version storage.Version, adopted func()) {
-	c.scan(partitionPrefix(jobsTable, part), func(m ScanDone) {
-		c.adoption.finish(orphans)
+// readAdopted reads what was submitted for the adopted jobs, which are in the order of their keys,
+// and calls done when they are open here.
+func (c *Control) readAdopted(part string, orphans []orphanJob, version storage.Version, done func(adopted bool)) {
+	first, last := storedKey(jobsTable, orphans[0].id), storedKey(jobsTable, orphans[len(orphans)-1].id)
+	c.scanRange(first, last, func(m ScanDone) {
 		if m.Err != nil {
 			c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(recordRetryPause))
 			c.logEvent("adopted jobs not read", zap.String("Part", part), zap.Int("Jobs", len(orphans)), zap.Error(m.Err))
+			done(false)
 			return
 		}
 		for i := range orphans {
@@ -309,7 +344,7 @@
 				c.logEvent("row of a job not understood", jobField(o.id), zap.Error(err))
 			}
 		}
-		adopted()
+		done(true)
 	})
 }
 
--- a/pkg/placement/adoption_test.go
+++ b/pkg/placement/adoption_test.go
@@ -1,6 +1,8 @@
 package placement_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	"crocusseam/pkg/model"
 	"crocusseam/pkg/placement"
+	"crocusseam/pkg/workload"
 )
 
 // Guards against an instance that adopts a job again while its first adoption of it waits for the
@@ -43,3 +46,71 @@
 		assert.Check(t, adopted > 0 && adopted <= open, "%d jobs were adopted %d times", open, adopted)
 	})
 }
+
+// submitBacklog submits the stored jobs of a client, whose ids all begin alike. There is room for
+// a few of them at a time.
+func submitBacklog(w *model.World, home *model.Node, client string, number int) {
+	route := workload.Route{Name: "job", Service: w.Config.Service, MaxAttempts: 3, Stretch: 3, Slack: time.Minute}
+	for i := range number {
+		id := workload.JobID(fmt.Sprintf("%s%012x", client, i))
+		w.Submit(home, &workload.Job{ID: id, Spec: strings.Repeat("spec", 300), Steps: []workload.Step{{
+			Count: 1, Need: workload.Resources{MilliCPU: 32000, MemoryMB: 64}, Estimate: 2 * time.Second,
+		}}}, route, 5*time.Second)
+	}
+}
+
+// Guards against adoptions that exceed the memory of an instance: each batch of jobs read all jobs
+// of the partition.
+func TestAdoptionReadsAJobOnce(t *testing.T) {
+	const jobs = 1000
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	submitBacklog(w, w.Nodes[0], "0006", jobs)
+	w.Run(3 * time.Second)
+	read := w.Store.RowsRead
+	w.Nodes[0].Kill()
+	w.Run(4 * time.Second)
+	// Scans for orphans read a partition's open rows a few times.
+	assert.Check(t, w.Store.RowsRead-read < 10*jobs, "%d rows were read for %d jobs", w.Store.RowsRead-read, jobs)
+	w.Nodes[0].Start()
+	w.Run(2 * time.Minute)
+	for id, o := range w.Jobs {
+		assert.Check(t, o.AllDone(), "job %s", id)
+	}
+	assert.Check(t, len(w.Breaches) == 0, "%v", w.Breaches)
+}
+
+// Guards against an instance that adopts more jobs than it may have open. They are adopted when others
+// have ended.
+func TestAdoptionKeepsTheLimitOfOpenJobs(t *testing.T) {
+	const limit = 150
+	config := deployment(1)
+	config.MaxStoredJobs = limit
+	left := 0
+	config.Log = func(_ *model.Node, e placement.LogEvent) {
+		if e.Event == "jobs left for a later adoption" {
+			left++
+		}
+	}
+	w := model.New(config)
+	w.Run(4 * time.Second)
+	lost := w.Nodes[:3]
+	for i, n := range lost {
+		submitBacklog(w, n, fmt.Sprintf("000%d", i), limit)
+	}
+	w.Run(time.Second)
+	for _, n := range lost {
+		n.Kill()
+	}
+	for range 300 {
+		w.Run(100 * time.Millisecond)
+		for _, n := range w.Nodes[3:] {
+			assert.Check(t, n.Control.Overview().Jobs <= limit, "%s has %d open jobs", n.ID.Instance, n.Control.Overview().Jobs)
+		}
+	}
+	assert.Check(t, left > 0)
+	w.Run(90 * time.Second)
+	for id, o := range w.Jobs {
+		assert.Check(t, o.AllDone(), "job %s", id)
+	}
+}
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -10,6 +10,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -35,8 +36,11 @@
 	LinkRate float64
 	// Retention is how long callers can ask for the outcome of a stored job.
 	Retention time.Duration
-	Seed      uint64
-	Timing    Timing
+	// MaxStoredJobs bounds the open stored jobs of the instance, accepted and adopted ones; 0 means
+	// the default.
+	MaxStoredJobs int
+	Seed          uint64
+	Timing        Timing
 }
 
 // Timing holds the intervals and timeouts of a Control.
@@ -172,6 +176,7 @@
 
 // New returns the control state of an instance that has just started.
 func New(config Config) *Control {
+	config.MaxStoredJobs = cmp.Or(config.MaxStoredJobs, maxStoredJobs)
 	c := &Control{
 		config: config, self: config.Self, uplink: uplink{bytesPerSecond: config.LinkRate},
 		random:  rand.New(rand.NewPCG(config.Seed, config.Self.Incarnation)),
@@ -403,6 +408,13 @@
 	c.emit(Scan{ID: c.nextID, Prefix: prefix})
 }
 
+// scanRange reads the rows of a partition from the first to the last key.
+func (c *Control) scanRange(first, last string, done func(ScanDone)) {
+	c.nextID++
+	c.scans[c.nextID] = done
+	c.emit(Scan{ID: c.nextID, Prefix: first, Last: last})
+}
+
 func (c *Control) beginStop() {
 	if c.stop != serving {
 		return
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -383,7 +383,7 @@
 		return "this instance is leaving", false
 	case !j.Ephemeral && !c.recorder.acceptsJobs(c.now):
 		return storeUnavailable, false
-	case !j.Ephemeral && c.home.jobs.Len() >= maxStoredJobs:
+	case !j.Ephemeral && c.home.jobs.Len() >= c.config.MaxStoredJobs:
 		return "too many jobs are open here", false
 	case j.Ephemeral && c.awaitsCapacity():
 		return "", true
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -300,10 +300,12 @@
 	Writes []storage.Write
 }
 
-// Scan reads the rows of the store whose keys begin with Prefix.
+// Scan reads the rows of the store whose keys begin with Prefix or, with Last, those of one partition
+// from the key Prefix to the key Last.
 type Scan struct {
 	ID     uint64
 	Prefix string
+	Last   string
 }
 
 // Send sends a message to a peer.
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -73,7 +73,7 @@
 	recordRetryPause = 150 * time.Millisecond // after a failed commit or scan
 	failuresToRefuse = 2                      // failed commits in a row; single answers are lost without an outage
 	refusePeriod     = 500 * time.Millisecond // after the last failed commit, before one job tries whether the store is back
-	maxStoredJobs    = 20000                  // open jobs of an instance, about 2 KB each
+	maxStoredJobs    = 20000                  // default of Config.MaxStoredJobs; a job takes about 2 KB
 )
 
 func newRecorder() recorder {
--- a/pkg/storage/memory.go
+++ b/pkg/storage/memory.go
@@ -38,11 +38,20 @@
 
 // Scan returns the rows whose keys begin with prefix, in key order.
 func (m *Memory) Scan(_ context.Context, prefix string, limit int) ([]Row, error) {
+	return m.scan(func(key string) bool { return strings.HasPrefix(key, prefix) }, limit)
+}
+
+// ScanRange returns the rows from the first to the last key, in key order.
+func (m *Memory) ScanRange(_ context.Context, first, last string, limit int) ([]Row, error) {
+	return m.scan(func(key string) bool { return first <= key && key <= last }, limit)
+}
+
+func (m *Memory) scan(wanted func(key string) bool, limit int) ([]Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var found []Row
 	for k, r := range m.rows {
-		if strings.HasPrefix(k, prefix) {
+		if wanted(k) {
 			found = append(found, r)
 		}
 	}
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -19,6 +19,7 @@
 	"crocusseam/pkg/instance"
 	"crocusseam/pkg/mailbox"
 	"crocusseam/pkg/placement"
+	"crocusseam/pkg/storage"
 	"crocusseam/pkg/timer"
 	"crocusseam/platform"
 	"crocusseam/service/peer"
@@ -305,7 +306,13 @@
 		s.metrics.countStoreCall("commit", err)
 		s.deliver(placement.CommitDone{ID: m.ID, Version: version, Err: err})
 	case placement.Scan:
-		rows, err := s.config.Store.Scan(ctx, m.Prefix, scanLimit)
+		var rows []storage.Row
+		var err error
+		if m.Last != "" {
+			rows, err = s.config.Store.ScanRange(ctx, m.Prefix, m.Last, scanLimit)
+		} else {
+			rows, err = s.config.Store.Scan(ctx, m.Prefix, scanLimit)
+		}
 		s.metrics.countStoreCall("scan", err)
 		s.deliver(placement.ScanDone{ID: m.ID, Rows: rows, Err: err})
 	case placement.OfferConfiguration:
@@ -313,9 +320,9 @@
 	}
 }
 
-// scanLimit bounds the rows of a scan. It exceeds the number of instances or
-// endpoints of a failure domain.
-const scanLimit = 5000
+// scanLimit bounds the rows of a scan. It exceeds the number of instances, of endpoints of a
+// failure domain, and of open jobs of an instance.
+const scanLimit = 25_000
 
 // forget drops a request whose caller has disconnected.
 func (s *Server) forget(h placement.Handle) {
