--- a/pkg/placement/late_orders_test.go
+++ b/pkg/placement/late_orders_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"crocusseam/pkg/instance"
 	"crocusseam/pkg/workload"
 )
 
@@ -240,3 +241,49 @@
 	}
 	assert.Equal(t, yielded, 1)
 }
+
+// outcomesTo returns the outcomes of runs that were sent to a home in the last step.
+func (b *bench) outcomesTo(home instance.ID) []*RunEnded {
+	var ends []*RunEnded
+	for _, s := range effectsOf[Send](b) {
+		if e, ok := s.Message.(*RunEnded); ok && s.Peer == home {
+			ends = append(ends, e)
+		}
+	}
+	return ends
+}
+
+// Guards against two runs of a task at once: a second home that has placed the same run is told
+// that it never ran, although its end is uncertain and the endpoint's next life may start it.
+func TestSecondHomeHearsOfAnUncertainEndWhatTheFirstHears(t *testing.T) {
+	second := instance.ID{Instance: "c", Incarnation: 1}
+	for name, placedAfterTheEnd := range map[string]bool{"before the end": false, "after the end": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.connectPeer()
+			b.step(PeerUp{Peer: second}, b.receivedFrom(second, &Heartbeat{Configuration: 1}))
+			b.step(b.receivedFrom(benchPeer, placeRequest(1)))
+			starts := effectsOf[Start](b)
+			assert.Equal(t, len(starts), 1)
+			run := starts[0].Run
+			if !placedAfterTheEnd {
+				b.step(b.receivedFrom(second, placeRequest(1)))
+			}
+			next := b.listLife(benchEndpoint.ID.Born + 1)
+			first := b.outcomesTo(benchPeer)
+			assert.Equal(t, len(first), 1)
+			assert.Assert(t, first[0].How == workload.Unknown && first[0].MayStartLater)
+			if placedAfterTheEnd {
+				b.step(b.receivedFrom(second, placeRequest(1)))
+				assert.Equal(t, len(effectsOf[Start](b)), 0)
+			}
+			assert.DeepEqual(t, b.outcomesTo(second), first)
+			b.countStops(300*time.Millisecond, run, next)
+			b.answerStop(run, next, Accepted)
+			ends := b.outcomesTo(second)
+			assert.Equal(t, len(ends), 1)
+			assert.DeepEqual(t, ends, b.outcomesTo(benchPeer))
+			assert.Assert(t, !ends[0].MayStartLater)
+		})
+	}
+}
--- a/pkg/placement/late_starts.go
+++ b/pkg/placement/late_starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,7 +36,7 @@
 	excludedIn workload.EndpointID
 	stopSentAt time.Time
 	stoppedIn  workload.EndpointID // the life in which it was last stopped
-	homeWaits  bool                // its home was told that it may start later
+	waiting    []instance.ID       // homes that were told that it may start later
 	life       *lifeClock          // of the life that it was ordered for
 	// stopsCountFrom is when it was last unknown which life would accept a stop. The answers to stops
 	// that were sent before may be of a former life.
@@ -137,10 +138,26 @@
 		return
 	}
 	c.logWarning("late start excluded", runFields(id, zap.Stringer("Home", l.home), zap.String("Endpoint", life.Name), zap.Int64("Born", life.Born), zap.Stringer("Outcome", outcome), zap.Duration("Elapsed", c.now.Sub(l.orderedAt)))...)
-	if l.homeWaits && outcome != Fenced {
-		l.homeWaits = false
-		c.send(l.home, &RunEnded{Run: id, How: workload.Unknown, Endpoint: life.Name, Detail: "its start cannot be carried out late any more"})
+	if outcome == Fenced {
+		return
+	}
+	for _, home := range l.waiting {
+		c.send(home, &RunEnded{Run: id, How: workload.Unknown, Endpoint: life.Name, Born: life.Born, Detail: "its start cannot be carried out late any more"})
+	}
+	l.waiting = nil
+}
+
+// addHomeOfLateStart has another home hear when the start of an ended run cannot be carried out late
+// any more, and reports whether the first one still waits for that.
+func (c *Control) addHomeOfLateStart(r *run, home instance.ID) bool {
+	l := c.lateStartOf(r)
+	if l == nil || len(l.waiting) == 0 {
+		return false
+	}
+	if !slices.Contains(l.waiting, home) {
+		l.waiting = append(l.waiting, home)
 	}
+	return true
 }
 
 // excludeFormerStarts records that an endpoint knows a token: it carries out no start with a
@@ -177,13 +194,15 @@
 }
 
 // mayStartLater reports whether the endpoint may still carry out the start of a run whose hold
-// ends. The home of an ephemeral job is told when it may not any more.
+// ends. The homes of an ephemeral job are told when it may not any more.
 func (c *Control) mayStartLater(r *run) bool {
 	l := c.lateStartOf(r)
 	if l == nil || l.excludedIn == r.endpoint.info.ID {
 		return false
 	}
-	l.homeWaits = l.ephemeral
+	if l.ephemeral {
+		l.waiting = append([]instance.ID{r.home}, r.otherHomes...)
+	}
 	return true
 }
 
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -30,7 +30,7 @@
 
 // acceptTask queues a run for a task, or refuses it with a NeverRan outcome. A run that
 // is known is not queued again: if it has ended, its home gets the outcome once more; if
-// another home placed it, the new home gets NeverRan when it ends.
+// another home placed it, the new home hears when it has ended, see endForOtherHome.
 func (c *Control) acceptTask(from instance.ID, p *PlaceRequest, t *PlacedTask) {
 	h := &c.holder
 	id := workload.Run{Task: workload.TaskID{Job: p.Job, Step: p.Step, Index: t.Index}, Number: t.Number}
@@ -44,9 +44,18 @@
 		}
 		return
 	}
-	if r, ok := h.ended.Get(id); ok && r.home == from {
-		c.send(from, r.endMessage)
-		return
+	if r, ok := h.ended.Get(id); ok {
+		switch {
+		case r.home == from:
+			c.send(from, r.endMessage)
+			return
+		case r.endMessage.How == workload.Unknown && !p.Stored:
+			c.logWarning("run of another home may go on", r.logFields(zap.Stringer("AskedBy", from))...)
+			end := *r.endMessage
+			end.MayStartLater = c.addHomeOfLateStart(r, from)
+			c.send(from, &end)
+			return
+		}
 	}
 	r := &run{
 		id: id, home: from, request: p, avoid: t.Avoid, excludeUntil: c.now.Add(t.Exclude), arrivedAt: c.now,
@@ -455,8 +464,20 @@
 	c.logRunEnded(r)
 	c.send(r.home, ended)
 	for _, id := range r.otherHomes {
-		c.send(id, &RunEnded{Run: r.id, How: workload.NeverRan, Detail: "a run of this number was there for another home"})
+		c.send(id, r.endForOtherHome())
+	}
+}
+
+// endForOtherHome returns what a home hears of the end of a run of the same number that was placed
+// for another home.
+//
+// This keeps an invariant: NeverRan is said only of a run that has certainly ended and cannot
+// start later. Of an uncertain end all homes hear the same, and later the same end of the doubt.
+func (r *run) endForOtherHome() *RunEnded {
+	if r.endMessage.How == workload.Unknown {
+		return r.endMessage
 	}
+	return &RunEnded{Run: r.id, How: workload.NeverRan, Detail: "a run of this number was there for another home"}
 }
 
 // ownFreeCapacity returns the free capacity of the held endpoints where runs may
