The next instance reads the list as soon as its reader is lost (DRAIN)

Tasks were started at workers 2.0 to 2.3 s after their entries said that they leave, when the instance that reads the list had lost power: the others waited until their list was 2.2 s old.

The first instance of a domain reads the list as soon as the instance that it comes from is not available, after 0.25 s if that is of another domain.

--- a/pkg/placement/endpoint_list.go
+++ b/pkg/placement/endpoint_list.go
@@ -22,6 +22,7 @@
 	forwardedAt time.Time
 	refreshedAt time.Time                                              // when the list was last read or received
 	source      instance.ID                                            // instance that read or sent the list in use
+	orphanedAt  time.Time                                              // since when that instance is not available; zero while it is
 	reading     bool                                                   // this instance reads the list
 	copies      map[instance.ID]*table.Copy[string, workload.Endpoint] // sender -> its list
 }
@@ -30,6 +31,9 @@
 	// listMaxAge is how long a list counts as fresh: long enough for three reads, and
 	// shorter than the time in which a leaving endpoint may still be given work.
 	listMaxAge = 2200 * time.Millisecond
+	// sourceTakeover is how long the list of another domain may take to come from the next reader
+	// there, once its source is lost.
+	sourceTakeover = 250 * time.Millisecond
 	// readStagger is added to listMaxAge for each instance of the domain that precedes
 	// this one, so that only one of them begins to read the list.
 	readStagger  = 200 * time.Millisecond
@@ -180,13 +184,44 @@
 	return m.row.Share > share || (m.row.Share == share && m.id.Instance < name)
 }
 
-// runEndpointList makes this instance read the list when it has not received a fresh
-// one for listMaxAge and its stagger.
+// runEndpointList makes this instance read the list when it has not received a fresh one for
+// listMaxAge and its stagger, or when the instance that it comes from is lost and this one is the
+// first of its domain.
+//
+// This keeps an invariant: after the loss of any one instance, each other one has a list in time not
+// to use an endpoint that has begun to drain just before the loss.
 func (c *Control) runEndpointList() {
 	l := &c.endpointList
-	if l.reading || c.now.Sub(l.refreshedAt) < listMaxAge || c.now.Sub(l.refreshedAt) < listMaxAge+time.Duration(min(c.listRank(), maxStaggered))*readStagger {
+	c.noteListSource()
+	if l.reading || !c.listDue() {
 		return
 	}
 	l.reading = true
-	c.logEvent("list of endpoints read here", zap.Duration("Age", c.now.Sub(l.refreshedAt)))
+	c.logEvent("list of endpoints read here", zap.Duration("Age", c.now.Sub(l.refreshedAt)), zap.Bool("SourceLost", !l.orphanedAt.IsZero()))
+}
+
+// noteListSource notes since when the source of the list is not available.
+func (c *Control) noteListSource() {
+	l := &c.endpointList
+	if l.source == (instance.ID{}) || l.source == c.self || c.reachable(l.source) {
+		l.orphanedAt = time.Time{}
+	} else if l.orphanedAt.IsZero() {
+		l.orphanedAt = c.now
+	}
+}
+
+// listDue reports whether this instance has to read the list.
+func (c *Control) listDue() bool {
+	l := &c.endpointList
+	if age := c.now.Sub(l.refreshedAt); age >= listMaxAge {
+		return age >= listMaxAge+time.Duration(min(c.listRank(), maxStaggered))*readStagger
+	}
+	if l.orphanedAt.IsZero() || c.listRank() > 0 {
+		return false
+	}
+	wait := time.Duration(0)
+	if m, ok := c.membership.members.Get(l.source.Instance); ok && m.row.Domain != c.config.Domain {
+		wait = sourceTakeover
+	}
+	return c.now.Sub(l.orphanedAt) >= wait
 }
