--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -359,11 +359,21 @@
 const (
 	stallShare   = 0.3                   // of the expected run time, without a new percentage
 	minStallTime = 50 * time.Millisecond // lower bound of the progress timeout
+	// Without an estimate, the progress so far tells the expected run time.
+	minUnestimatedStallTime = 2 * time.Second
+	firstProgressTimeout    = time.Minute // until the first percentage
 )
 
 // progressTimeout returns how long a run may show no progress.
 func (r *run) progressTimeout() time.Duration {
-	return max(minStallTime, time.Duration(stallShare*float64(r.request.Estimate)/r.endpoint.speed.value()))
+	switch {
+	case r.request.Estimate > 0:
+		return max(minStallTime, time.Duration(stallShare*float64(r.request.Estimate)/r.endpoint.speed.value()))
+	case r.percent == 0:
+		return firstProgressTimeout
+	}
+	expected := float64(r.percentAt.Sub(r.orderedAt)) * 100 / float64(r.percent)
+	return max(minUnestimatedStallTime, time.Duration(stallShare*expected))
 }
 
 // stalled reports whether a run showed no progress in a report that was requested
