--- a/pkg/placement/lookup.go
+++ b/pkg/placement/lookup.go
@@ -17,6 +17,8 @@
 	route  string // if not empty, the job must be of this route
 	cancel bool
 	tries  int // cancellations that have failed
+	// fallback, if set, is the answer while the store cannot be read.
+	fallback *Answer
 }
 
 const (
@@ -52,6 +54,10 @@
 // replyUnavailable answers a lookup that failed because of the store.
 func (c *Control) replyUnavailable(l lookup, err error) {
 	c.logEvent("job not looked up", jobField(l.id), zap.Error(err))
+	if l.fallback != nil {
+		c.reply(l.handle, *l.fallback)
+		return
+	}
 	c.reply(l.handle, Answer{Status: Unavailable, Reason: "the store that keeps jobs cannot be read now", RetryAfter: c.config.Timing.RetryAfter})
 }
 
@@ -141,7 +147,20 @@
 		c.lookup(lookup{handle: m.Handle, id: m.ID, route: m.Route})
 		return
 	}
-	c.reply(m.Handle, c.stateOf(j))
+	c.replyState(m.Handle, j)
+}
+
+// replyState answers a caller that asks for the state of a job that is open here.
+//
+// This keeps an invariant: once some instance has shown the outcome of a job, none shows an
+// earlier state. Before the home hears that the outcome is recorded, others may read it.
+func (c *Control) replyState(h Handle, j *job) {
+	state := c.stateOf(j)
+	if j.stored != nil && j.stored.phase == ending {
+		c.lookup(lookup{handle: h, id: j.ID, route: j.route.Name, fallback: &state})
+		return
+	}
+	c.reply(h, state)
 }
 
 // cancel ends a job at the request of a caller, whichever instance is its home.
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -135,12 +135,11 @@
 		j.handles = append(j.handles, m.Handle)
 		c.home.byHandle[m.Handle] = j.ID
 	default:
-		c.reply(m.Handle, c.stateOf(j))
+		c.replyState(m.Handle, j)
 	}
 }
 
-// stateOf returns the answer to a caller that asks for the state of a job that is open
-// here.
+// stateOf returns the state of a job that is open here.
 func (c *Control) stateOf(j *job) Answer {
 	if j.mayHaveStarted() {
 		return Answer{Status: Running}
