--- a/cmd/crocus-gate/soak_test.go
+++ b/cmd/crocus-gate/soak_test.go
@@ -74,6 +74,7 @@
 	unreadWindow    = 200 * time.Millisecond // a younger request may not have been read by the gate
 	soakHost        = "seats.example"
 	soakService     = "booking"
+	rareLabel       = "rare" // of one worker in each domain
 	// faultFreePeriod is the time after the last fault from which on a planned stop must
 	// not break off any request.
 	faultFreePeriod = 4 * time.Second
@@ -200,7 +201,11 @@
 	s.workers.With(func(w *model.World) {
 		for i, x := range w.Endpoints {
 			x.Info.Address = s.toWorkers[i].address()
-			if i%((p.workers+p.addedWorkers)/p.domains) >= p.workers/p.domains {
+			inDomain := i % ((p.workers + p.addedWorkers) / p.domains)
+			if inDomain == 0 {
+				x.Info.Labels = []string{rareLabel}
+			}
+			if inDomain >= p.workers/p.domains {
 				x.Up, x.Listed = false, false
 				s.added = append(s.added, x)
 			}
@@ -337,12 +342,15 @@
 	return nil
 }
 
-// shortJob draws a job of tasks up to 0.3 s, half of them stored.
+// shortJob draws a job of tasks up to 0.3 s, half of them stored. Some of these may run at few workers.
 func shortJob(r *rand.Rand) *workload.Job {
 	estimate := time.Duration(20+r.IntN(300)) * time.Millisecond
 	j := &workload.Job{ID: workload.JobID(fmt.Sprintf("%016x", r.Uint64())), Spec: "seat", Ephemeral: r.IntN(2) == 0, Steps: []workload.Step{{
 		Count: 1 + r.IntN(4), Estimate: estimate, Need: workload.Resources{MilliCPU: 11000 + r.IntN(25000), MemoryMB: 64},
 	}}}
+	if !j.Ephemeral && j.ID[len(j.ID)-1] < '2' {
+		j.Steps[0].Label = rareLabel // by the id, so that the draws of a seed stay
+	}
 	if !j.Ephemeral && r.IntN(4) == 0 {
 		j.Steps = append(j.Steps, workload.Step{Count: 2, Estimate: 40 * time.Millisecond, Need: workload.Resources{MilliCPU: 9000, MemoryMB: 64}, After: []int{0}})
 	}
