--- a/pkg/placement/waiting_count.go
+++ b/pkg/placement/waiting_count.go
@@ -62,8 +62,8 @@
 // keepLostWaiting keeps the numbers of waiting jobs of a member that is about to count no more.
 func (c *Control) keepLostWaiting(m *member) {
 	for route, n := range m.heartbeat.Waiting {
-		earlier := c.home.lostWaiting[route]
-		c.home.lostWaiting[route] = lostWaiting{total: c.waitingJobs(route), lost: earlier.lost + n, until: c.now.Add(maxWaitingAge)}
+		former := c.home.lostWaiting[route]
+		c.home.lostWaiting[route] = lostWaiting{total: c.waitingJobs(route), lost: former.lost + n, until: c.now.Add(maxWaitingAge)}
 	}
 }
 
