A job is not refused after an unanswered start (REFUSED)

A start was not answered and its stop was accepted: the run counted as one that never ran, and its job could be refused with 503, while a copy of the start could still reach the endpoint's next life.

NeverRan says whether a copy of the start was not answered. The home then answers that the job may have run instead of refusing it.

TestJobIsNotRefusedAfterAnUnansweredStart fails without the change (Refused instead of TimedOut) and passes with it.

--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -708,7 +708,8 @@
 	if j.stored != nil {
 		c.recordRunOutcome(j, from, m)
 	}
-	if hasRun(m.How) {
+	// A caller must not be told that a job was refused if a start of it may still be on its way.
+	if hasRun(m.How) || (m.StartUnanswered && j.stored == nil) {
 		j.started = true
 	}
 	switch m.How {
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -434,6 +434,9 @@
 	// start order, until that incarnation has received the token of its next holder, or
 	// a second RunEnded without it follows.
 	MayStartLater bool
+	// StartUnanswered says of a run that never ran that some copy of its start was not answered: the
+	// holder has excluded that it starts in the endpoint's present life, but not in a later one.
+	StartUnanswered bool
 }
 
 // OutcomesRecorded tells a holder that the home has stored the outcomes of runs, so
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -148,6 +148,32 @@
 	assert.Equal(t, len(effectsOf[Start](b)), 1, "one of the two waiting jobs fits")
 }
 
+// Guards against a job that is refused although a task of it starts: the stop of an unanswered start
+// is accepted, but a copy of the start may still reach the endpoint's next life.
+func TestJobIsNotRefusedAfterAnUnansweredStart(t *testing.T) {
+	b := newBench(t)
+	start := b.submit(1, 40000)[0]
+	b.answerStart(&start, Unanswered)
+	b.answerStart(&effectsOf[Start](b)[0], Unanswered)
+	stops := effectsOf[StopRun](b)
+	assert.Equal(t, len(stops), 1)
+	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: stops[0].Run, Outcome: Accepted, Reading: b.reading()})
+	b.advanceBy(time.Millisecond)
+	b.report(nil, nil)
+	for range 600 {
+		for _, r := range effectsOf[Reply](b) {
+			assert.Equal(t, r.Answer.Status, TimedOut)
+			return
+		}
+		for _, s := range effectsOf[Start](b) {
+			assert.Equal(t, s.Copy, 1)
+			b.answerStart(&s, Unwell)
+		}
+		b.advanceBy(10 * time.Millisecond)
+	}
+	t.Fatal("the caller got no answer")
+}
+
 // A stop order that the endpoint does not answer is sent again, and the run counts as
 // running until then.
 func TestUnansweredStopIsRepeated(t *testing.T) {
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -451,6 +451,7 @@
 	if e := r.endpoint; e != nil {
 		ended.Endpoint, ended.Born = e.info.ID.Name, e.info.ID.Born
 		ended.Elapsed = c.now.Sub(r.orderedAt)
+		ended.StartUnanswered = how == workload.NeverRan && c.lateStartOf(r) != nil
 		if how != workload.Unknown {
 			c.noteStartSeen(r)
 		}
