--- a/pkg/placement/cancel_notices_test.go
+++ b/pkg/placement/cancel_notices_test.go
@@ -95,3 +95,23 @@
 		}
 	})
 }
+
+// Guards against an audit that asks a store in trouble again and again: it waits for the answers of the
+// last one, and a while after that.
+func TestAuditOfRowsSparesAStoreInTrouble(t *testing.T) {
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	l := load([]model.Kind{{Name: "job", Tasks: 1, Work: time.Minute, MilliCPU: 27000, Stored: true}}, 0)
+	for range 16 {
+		w.SubmitTo(w.Nodes[0], &l, &l.Kinds[0])
+	}
+	w.Run(time.Second)
+	w.Nodes[5].Kill()
+	w.Run(1500 * time.Millisecond)
+	w.Store.UnreadablePrefix = "open:"
+	home := w.Nodes[0]
+	before := home.LogEvents["open jobs not audited"]
+	w.Run(20 * time.Second)
+	failed := home.LogEvents["open jobs not audited"] - before
+	assert.Check(t, failed > 0 && failed <= 20*16, "%d reads of partitions have failed in 20 s", failed)
+}
