Adopted jobs do not wait for good for an endpoint that nobody reaches (LOST)

An adopted job goes on when each listed endpoint of its service is accounted for. One that was silent from the beginning of its hold, or that nobody holds as its domain has no instance, never was: one such entry held up every adopted job of its service.

--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -549,7 +549,7 @@
 		return
 	}
 	for name, e := range c.holder.listed.All() {
-		if e.Service == j.route.Service && !q.covered[name] && !c.leasesLapsed(j, e) {
+		if e.Service == j.route.Service && !q.covered[name] && !c.leasesLapsed(j, e) && !c.nobodyReaches(j, e) {
 			return
 		}
 	}
@@ -586,6 +586,20 @@
 	return len(q.unanswered) == 0
 }
 
+// nobodyReaches reports whether an endpoint of a domain without instances, which another one may
+// hold only if it reaches it, has not been accounted for so long that no run can be left there.
+func (c *Control) nobodyReaches(j *job, e *workload.Endpoint) bool {
+	if e.Domain == c.config.Domain || c.anySuspected() || c.now.Sub(j.stored.unknownRunsSince) <= c.config.Timing.unreachedTimeout() {
+		return false
+	}
+	for _, m := range c.membership.members.All() {
+		if m.row.Domain == e.Domain && !m.dead {
+			return false
+		}
+	}
+	return true
+}
+
 // leasesLapsed reports whether all runs that an endpoint had when runs of the job became
 // unknown have ended. No instance takes over a draining endpoint, so its leases run out
 // without its holder. While a member is suspected, it may be a holder that still renews
--- a/pkg/placement/adoption_test.go
+++ b/pkg/placement/adoption_test.go
@@ -114,3 +114,58 @@
 		assert.Check(t, o.AllDone(), "job %s", id)
 	}
 }
+
+// Guards against adopted jobs that wait for good for an endpoint which is listed and which no
+// instance reaches.
+func TestAdoptedJobsDoNotWaitForAnEndpointThatNobodyReaches(t *testing.T) {
+	for name, domain := range map[string]string{"held": "domain-b", "in a domain without instances": "nowhere"} {
+		t.Run(name, func(t *testing.T) {
+			eachSeed(t, func(t *testing.T, seed uint64) {
+				w := model.New(deployment(seed))
+				x := w.AddEndpoint(domain, model.EndpointConfig{Capacity: workload.Resources{MilliCPU: 64000, MemoryMB: 1024}, Speed: 1})
+				x.Up = false
+				w.Run(4 * time.Second)
+				submitBacklog(w, w.Nodes[0], "0006", 20)
+				w.Run(time.Second)
+				w.Nodes[0].Kill()
+				w.Run(30 * time.Second)
+				for id, o := range w.Jobs {
+					assert.Check(t, o.AllDone(), "job %s", id)
+				}
+				assert.Check(t, len(w.Breaches) == 0, "%v", w.Breaches)
+			})
+		})
+	}
+}
+
+// An endpoint that instances lose for a while is waited for until its leases are over: nothing
+// runs twice when it is back.
+func TestEndpointThatIsBackAfterAnAdoptionRunsNothingTwice(t *testing.T) {
+	for _, away := range []time.Duration{2 * time.Second, 8 * time.Second, 25 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) {
+			eachSeed(t, func(t *testing.T, seed uint64) {
+				w := model.New(deployment(seed))
+				w.Run(4 * time.Second)
+				submitBacklog(w, w.Nodes[0], "0006", 150)
+				w.Run(time.Second)
+				cut := func(yes bool) {
+					for _, x := range w.Endpoints[:6] {
+						for _, n := range w.Nodes {
+							w.Cut(x.Info.ID.Name, n.ID.Instance, yes)
+						}
+					}
+				}
+				cut(true)
+				w.Run(300 * time.Millisecond)
+				w.Nodes[0].Kill()
+				w.Run(away)
+				cut(false)
+				w.Run(40 * time.Second)
+				for id, o := range w.Jobs {
+					assert.Check(t, o.AllDone(), "job %s", id)
+				}
+				assert.Check(t, len(w.Breaches) == 0, "%v", w.Breaches)
+			})
+		})
+	}
+}
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -129,6 +129,10 @@
 	return t.EchoTimeout + t.StopRetry + t.leaseExpiry()
 }
 
+// unreachedTimeout returns the time after which no run of an earlier holder is left at an endpoint
+// that no instance reaches, and none can start there.
+func (t Timing) unreachedTimeout() time.Duration { return t.holderLossTimeout() + lateOrderWindow }
+
 // Control is the control state of one instance. It is not safe for concurrent
 // use: one goroutine owns it.
 type Control struct {
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -29,6 +29,7 @@
 	state                endpointState
 	runs                 *runTable
 	reserved             workload.Resources
+	heldSince            time.Time
 	reportReceivedAt     time.Time           // when the last report arrived
 	reportRequestedAt    time.Time           // when that report was requested
 	reportTruncated      bool                // that report may not list all ended runs
@@ -368,7 +369,7 @@
 	if old, ok := c.holder.endpoints.Get(name); ok {
 		c.loseEndpoint(old, workload.Unknown, "it was taken again")
 	}
-	e := &endpoint{info: *info, token: token, runs: table.New[workload.Run, *run]()}
+	e := &endpoint{info: *info, token: token, heldSince: c.now, runs: table.New[workload.Run, *run]()}
 	if speed, ok := c.membership.speeds[name]; ok {
 		e.speed.setPrior(speed)
 	}
--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -318,8 +318,14 @@
 // endpoint is in use, which needs a report, the last report lists all ends, and the endpoint
 // is not unresponsive unless all its leases are over. The ends that are not listed yet
 // follow as soon as the listed ones are recorded, which waits for no account.
+//
+// Of an endpoint that is silent while it is verified there is nothing left to know once every lease
+// there is over and no late start can happen any more.
 func (c *Control) accountsFor(e *endpoint) bool {
-	if e.state != active || e.reportTruncated {
+	switch {
+	case e.state == verifying:
+		return e.unresponsive && c.now.Sub(later(e.heldSince, e.leaseRenewedAt)) >= c.config.Timing.unreachedTimeout()
+	case e.reportTruncated:
 		return false
 	}
 	return !e.unresponsive || c.now.Sub(e.leaseRenewedAt) >= c.config.Timing.leaseExpiry()
