A second home hears of an unanswered start too (REFUSED)

The answer to a second home of a run that never ran left out that a copy of its start was not answered, so that home could refuse the job. TestSecondHomeHearsOfAnUnansweredStart fails without the field in endForOtherHome and passes with it.

--- a/pkg/placement/late_orders_test.go
+++ b/pkg/placement/late_orders_test.go
@@ -253,15 +253,41 @@
 	return ends
 }
 
+// connectSecondHome sets up sessions with benchPeer and with another home.
+func (b *bench) connectSecondHome() instance.ID {
+	second := instance.ID{Instance: "c", Incarnation: 1}
+	b.connectPeer()
+	b.step(PeerUp{Peer: second}, b.receivedFrom(second, &Heartbeat{Configuration: 1}))
+	return second
+}
+
+// Guards against a job that a second home refuses, as it is not told that a copy of the start for the
+// first one was not answered.
+func TestSecondHomeHearsOfAnUnansweredStart(t *testing.T) {
+	b := newBench(t)
+	second := b.connectSecondHome()
+	b.step(b.receivedFrom(benchPeer, placeRequest(1)))
+	start := effectsOf[Start](b)[0]
+	b.step(b.receivedFrom(second, placeRequest(1)))
+	b.answerStart(&start, Unanswered)
+	b.answerStart(&effectsOf[Start](b)[0], Unanswered)
+	b.step(StopDone{Endpoint: benchEndpoint.ID, Token: benchToken, Run: start.Run, Outcome: Accepted, Reading: b.reading()})
+	b.now = b.now.Add(time.Millisecond)
+	b.report(nil, nil)
+	for _, home := range []instance.ID{benchPeer, second} {
+		ends := b.outcomesTo(home)
+		assert.Equal(t, len(ends), 1)
+		assert.Assert(t, ends[0].How == workload.NeverRan && ends[0].StartUnanswered, "%v", ends[0])
+	}
+}
+
 // Guards against two runs of a task at once: a second home that has placed the same run is told
 // that it never ran, although its end is uncertain and the endpoint's next life may start it.
 func TestSecondHomeHearsOfAnUncertainEndWhatTheFirstHears(t *testing.T) {
-	second := instance.ID{Instance: "c", Incarnation: 1}
 	for name, placedAfterTheEnd := range map[string]bool{"before the end": false, "after the end": true} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
-			b.connectPeer()
-			b.step(PeerUp{Peer: second}, b.receivedFrom(second, &Heartbeat{Configuration: 1}))
+			second := b.connectSecondHome()
 			b.step(b.receivedFrom(benchPeer, placeRequest(1)))
 			starts := effectsOf[Start](b)
 			assert.Equal(t, len(starts), 1)
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -488,7 +488,10 @@
 	if r.endMessage.How == workload.Unknown {
 		return r.endMessage
 	}
-	return &RunEnded{Run: r.id, How: workload.NeverRan, Detail: "a run of this number was there for another home"}
+	return &RunEnded{
+		Run: r.id, How: workload.NeverRan, StartUnanswered: r.endMessage.StartUnanswered,
+		Detail: "a run of this number was there for another home",
+	}
 }
 
 // ownFreeCapacity returns the free capacity of the held endpoints where runs may
