The wait for a late start counts from its order (LOST)

A task stood still for 22 s after a silent loss of its endpoint: its start may be carried out up to 15 s late, and the home counted these from the moment when it heard of the loss, 7 s after the order.

The holder's report says how long the start may still be carried out.

--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -367,7 +367,7 @@
 	}
 	open.lateStartEndpoint = ""
 	if m.MayStartLater {
-		open.lateStartEndpoint, open.lateUntil = m.Endpoint, c.now.Add(lateOrderWindow)
+		open.lateStartEndpoint, open.lateUntil = m.Endpoint, c.now.Add(m.lateWindow())
 	}
 	former.runs.Put(m.Run, open)
 }
@@ -733,7 +733,7 @@
 		c.logGivenUp(m.Run, from, m, c.config.Timing.leaseExpiry(), m.Detail)
 		c.markLost(j, t, c.now.Add(c.config.Timing.leaseExpiry()))
 		if m.MayStartLater {
-			t.lateStartEndpoint, t.lateStartUntil = m.Endpoint, c.now.Add(lateOrderWindow)
+			t.lateStartEndpoint, t.lateStartUntil = m.Endpoint, c.now.Add(m.lateWindow())
 		}
 		return
 	default:
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -434,11 +434,21 @@
 	// start order, until that incarnation has received the token of its next holder, or
 	// a second RunEnded without it follows.
 	MayStartLater bool
+	// LateFor is how long it may at the latest, if the sender knows when the start was ordered.
+	LateFor time.Duration
 	// StartUnanswered says of a run that never ran that some copy of its start was not answered: the
 	// holder has excluded that it starts in the endpoint's present life, but not in a later one.
 	StartUnanswered bool
 }
 
+// lateWindow returns how long a start may still be carried out after a message with MayStartLater.
+func (m *RunEnded) lateWindow() time.Duration {
+	if m.LateFor <= 0 {
+		return lateOrderWindow
+	}
+	return min(m.LateFor, lateOrderWindow)
+}
+
 // OutcomesRecorded tells a holder that the home has stored the outcomes of runs, so
 // that the endpoints may forget these runs.
 type OutcomesRecorded struct{ Runs []workload.Run }
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -451,6 +451,9 @@
 	if e := r.endpoint; e != nil {
 		ended.Endpoint, ended.Born = e.info.ID.Name, e.info.ID.Born
 		ended.Elapsed = c.now.Sub(r.orderedAt)
+		if l := c.lateStartOf(r); l != nil && ended.MayStartLater {
+			ended.LateFor = l.orderedAt.Add(lateOrderWindow).Sub(c.now)
+		}
 		ended.StartUnanswered = how == workload.NeverRan && c.lateStartOf(r) != nil
 		if how != workload.Unknown {
 			c.noteStartSeen(r)
--- a/pkg/placement/tried_test.go
+++ b/pkg/placement/tried_test.go
@@ -95,3 +95,21 @@
 		assert.Equal(t, state.Status, placement.Failed)
 	})
 }
+
+// Guards against a task that stands still for longer than a start can be carried out late: its
+// endpoint was lost for good, silently, just before the start was sent there.
+func TestTaskGoesOnWhenItsStartCanNotBeLateAnyMore(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w, rare := rareWorld(seed, 2)
+		full := workload.Resources{MilliCPU: 4000, MemoryMB: 64}
+		rare[0].Up = false
+		jobs := []*model.Outcome{submitRare(w, "00000000000000a1", full, time.Second), submitRare(w, "10000000000000a2", full, time.Second)}
+		w.Run(4500 * time.Millisecond)
+		rare[0].Listed = false // its entry expires
+		w.Run(12500 * time.Millisecond)
+		for _, o := range jobs {
+			assert.Check(t, o.AllDone(), "job %s", o.Job.ID)
+		}
+		assert.Check(t, len(w.Breaches) == 0, "%v", w.Breaches)
+	})
+}
