--- a/cmd/crocus-gate/flood_test.go
+++ b/cmd/crocus-gate/flood_test.go
@@ -84,18 +84,22 @@
 	maxDescriptors atomic.Int64
 }
 
-func startFlood(t *testing.T, binary string) *flood {
-	s := newSoak(t, floodProfile, 1, binary)
-	p := s.gates[0]
-	p.setup["MemoryMB"] = floodMemoryMB
-	p.setup["Descriptors"] = floodDescriptors
-	text, err := json.Marshal(p.setup)
-	assert.NilError(t, err)
-	assert.NilError(t, os.WriteFile(p.settings, text, 0o600))
-	s.start(p, binary)
+func startFlood(t *testing.T, binary string) *flood { return startFloodOf(t, binary, floodProfile) }
+
+// startFloodOf starts all gates of a profile with the limits of the flood tests. The first one is flooded.
+func startFloodOf(t *testing.T, binary string, profile profile) *flood {
+	s := newSoak(t, profile, 1, binary)
+	for _, p := range s.gates {
+		p.setup["MemoryMB"] = floodMemoryMB
+		p.setup["Descriptors"] = floodDescriptors
+		text, err := json.Marshal(p.setup)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(p.settings, text, 0o600))
+		s.start(p, binary)
+	}
 	s.awaitServing()
 	assert.Equal(t, len(s.breaches), 0, "%v", s.breaches)
-	f := &flood{soak: s, gate: p, address: gateAddress(0, portCallers).String()}
+	f := &flood{soak: s, gate: s.gates[0], address: gateAddress(0, portCallers).String()}
 	t.Cleanup(func() {
 		for _, c := range f.conns {
 			_ = c.Close() // the gate may have closed it
