The limit of a lease is computed once a step

Callers saw: no answer from an instance beside jobs of very small tasks. Change: a start lowers the limit to its own run's. All runs are gone over once a step, as before. Why it works: in one step the limits of the other runs only rise, or updateLeaseLimit is called for the one that has fallen.

--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -42,6 +42,7 @@
 	unresponsive         bool                // reports are missing, so the lease is not renewed
 	leaseWithheld        bool                // the endpoint accepts no stop of an orphan, so the lease is not renewed
 	leaseLimit           time.Time           // latest time to which the lease may be renewed; zero without a run
+	leaseLimitAt         time.Time           // when it was last computed for all runs
 	watchLimit           time.Time           // leaseLimit as the watch knows it
 	leaseGranted         time.Time           // latest time to which a start, or the watch until its last change, has extended the lease
 	unknownRunsStoppedAt time.Time           // when stop orders for unknown runs were last sent
@@ -688,7 +689,7 @@
 // whole endpoint and is never shortened: the limit is that of all runs there, and a run starts
 // only where the lease that was granted before does not exceed its own (bestEndpoint).
 func (c *Control) updateLeaseLimit(e *endpoint) {
-	e.leaseLimit = time.Time{}
+	e.leaseLimit, e.leaseLimitAt = time.Time{}, c.now
 	for _, r := range e.runs.All() {
 		if limit := c.leaseLimitOf(r); e.leaseLimit.IsZero() || limit.Before(e.leaseLimit) {
 			e.leaseLimit = limit
@@ -699,6 +700,21 @@
 	}
 }
 
+// includeInLeaseLimit lowers the limit of an endpoint's lease to that of a run that starts there. Those of the
+// other runs are computed once a step: in the same step they only rise, or updateLeaseLimit is called.
+func (c *Control) includeInLeaseLimit(e *endpoint, r *run) {
+	if !e.leaseLimitAt.Equal(c.now) {
+		c.updateLeaseLimit(e)
+		return
+	}
+	if limit := c.leaseLimitOf(r); e.leaseLimit.IsZero() || limit.Before(e.leaseLimit) {
+		e.leaseLimit = limit
+	}
+	if limitMoved(e.watchLimit, e.leaseLimit) {
+		c.watchEndpoint(e)
+	}
+}
+
 // limitMoved reports whether a watch has to be told a new limit of the lease. A limit that
 // rises is told in steps, as it rises with each message of a home.
 func limitMoved(known, limit time.Time) bool {
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -263,7 +263,7 @@
 	} else {
 		c.counters.RepeatedStarts++
 	}
-	c.updateLeaseLimit(e)
+	c.includeInLeaseLimit(e, r)
 	e.leaseGranted = later(e.leaseGranted, c.leaseEnd(e))
 	r.startsSent++
 	c.noteCopy(r)
