Log events of a step are bounded

Callers saw: no answer from an instance beside jobs of very small tasks. Cause: the events of a step are kept until it has ended, and the log drops most of them then: 20 to 24 MB of fields in heap profiles of ephemeral and stored jobs of small tasks. One line named all 1,000 tasks of a job. Change: 1,000 events of a step are kept, 3,000 with warnings; EventsLeftOut counts the others. A line names 20 runs. Result: TestEventsOfAStepAreBounded; it fails without the bound, as 20,000 refused jobs made more than 20,000 events.

--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -158,6 +158,7 @@
 	now      time.Time
 	random   *rand.Rand
 	effects  []Effect
+	logged   int // events of the present step
 	counters Counters
 
 	disabledRules disabledRules
@@ -260,7 +261,7 @@
 	c.runStop()
 	c.runCallerCheck()
 	effects := c.effects
-	c.effects = nil
+	c.effects, c.logged = nil, 0
 	tick := c.config.Timing.HeartbeatInterval / busyStepsPerHeartbeat
 	if c.home.jobs.Len() == 0 && c.holder.runs.Len() == 0 {
 		tick = c.config.Timing.HeartbeatInterval / idleStepsPerHeartbeat
@@ -554,6 +555,7 @@
 	Starved           int64 // runs started before more urgent ones because they had waited for too long
 	GivenBack         int64 // queued runs given back because they could no longer end in time
 	Unexpected        int64 // recovered panics
+	EventsLeftOut     int64 // events that were not logged as there were too many in one step
 	UnshownLives      int64 // orders accepted in a life of their endpoint that the answer did not show
 	Evacuations       int64 // evacuations of failure domains that this instance has learned of
 	EvacuatedStarts   int64 // unanswered starts stopped instead of repeated, as their domain was evacuated
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -722,7 +722,7 @@
 		m.sequence++
 		p.Sequence = m.sequence
 	}
-	c.logEvent("tasks placed", jobField(p.Job), zap.Int("Step", p.Step), zap.Array("Runs", placedNames{p}),
+	c.logEvent("tasks placed", jobField(p.Job), zap.Int("Step", p.Step), zap.Int("Tasks", len(p.Tasks)), zap.Array("Runs", placedNames{p}),
 		zap.Stringer("Holder", holder), zap.Duration("AdvertAge", c.advertAge(holder)), zap.Duration("Left", p.CallerTimeout))
 	if holder != c.self {
 		c.uplink.enqueue(c.now, len(p.Spec)+orderOverheadBytes)
--- a/pkg/placement/logging.go
+++ b/pkg/placement/logging.go
@@ -11,15 +11,30 @@
 	"crocusseam/pkg/workload"
 )
 
+// Events of one step beyond these numbers are left out, as all of them are kept until the step has ended.
+const (
+	maxStepEvents   = 1000
+	maxStepWarnings = 3000
+	maxNamesInLine  = 20 // of runs
+)
+
 // logEvent logs an event at level info, of which the log may leave some out when there are
 // many in a second.
 func (c *Control) logEvent(event string, fields ...zap.Field) {
+	if c.logged++; c.logged > maxStepEvents {
+		c.counters.EventsLeftOut++ // the log would leave it out too
+		return
+	}
 	c.emit(LogEvent{Event: event, Fields: fields})
 }
 
 // logWarning logs an event that explains why a run has ended before its time, or why this
 // instance takes it for ended. The log leaves out such events last.
 func (c *Control) logWarning(event string, fields ...zap.Field) {
+	if c.logged++; c.logged > maxStepWarnings {
+		c.counters.EventsLeftOut++
+		return
+	}
 	c.emit(LogEvent{Event: event, Level: zapcore.WarnLevel, Fields: fields})
 }
 
@@ -153,19 +168,20 @@
 	c.logWarning(event, append(fields, zap.Strings("Holders", holders), zap.Strings("Dropped", runNames(runs)))...)
 }
 
+// runNames returns the names of the first maxNamesInLine runs.
 func runNames(runs []workload.Run) []string {
-	names := make([]string, len(runs))
-	for i := range runs {
+	names := make([]string, min(len(runs), maxNamesInLine))
+	for i := range names {
 		names[i] = runs[i].Name()
 	}
 	return names
 }
 
-// placedNames writes the runs of a placement request.
+// placedNames writes the first maxNamesInLine runs of a placement request.
 type placedNames struct{ request *PlaceRequest }
 
 func (n placedNames) MarshalLogArray(out zapcore.ArrayEncoder) error {
-	for _, t := range n.request.Tasks {
+	for _, t := range n.request.Tasks[:min(len(n.request.Tasks), maxNamesInLine)] {
 		id := workload.Run{Task: workload.TaskID{Job: n.request.Job, Step: n.request.Step, Index: t.Index}, Number: t.Number}
 		out.AppendString(id.Name())
 	}
--- a/pkg/placement/logging_test.go
+++ b/pkg/placement/logging_test.go
@@ -13,6 +13,7 @@
 	"crocusseam/pkg/hazard"
 	"crocusseam/pkg/model"
 	"crocusseam/pkg/placement"
+	"crocusseam/pkg/workload"
 )
 
 // observedStart is a start as an endpoint sees it.
@@ -155,3 +156,24 @@
 	}
 	return list
 }
+
+// Guards against log events that are kept in memory without a bound until a step has ended.
+func TestEventsOfAStepAreBounded(t *testing.T) {
+	const tasks = 20_000
+	c := placement.New(placement.Config{Domain: "d", Share: 1, Timing: placement.DefaultTiming()})
+	now := time.Unix(1000, 0)
+	c.Step(now, nil)
+	inputs := make([]placement.Input, tasks)
+	for i := range inputs {
+		inputs[i] = placement.Submit{Handle: placement.Handle(i), Job: &workload.Job{ID: workload.JobID(fmt.Sprintf("%016x", i)), Steps: []workload.Step{{Count: 1}}}, CallerTimeout: time.Second}
+	}
+	effects, _ := c.Step(now, inputs)
+	events := 0
+	for _, e := range effects {
+		if _, ok := e.(placement.LogEvent); ok {
+			events++
+		}
+	}
+	assert.Check(t, events > 0 && events <= 3000, "%d events", events)
+	assert.Check(t, c.Overview().Counters.EventsLeftOut > 0)
+}
