Reports wait until the control thread has taken the last one

Callers saw: memory that went on growing after a crowd had gone (81, 105, 127, 146 MB at 20, 40, 60, 80 s). Cause: watches of endpoints put one report after the other into an unbounded mailbox while the control thread was busy: 13 MB after 15 s in a heap profile. Why it works: a report repeats what was not acknowledged, so one of each endpoint says all.

--- a/pkg/mailbox/mailbox.go
+++ b/pkg/mailbox/mailbox.go
@@ -11,6 +11,7 @@
 
 	mu     sync.Mutex
 	inputs []T
+	taken  chan struct{} // closed when inputs are taken, nil if nobody waits for that
 }
 
 // New returns an empty queue.
@@ -21,6 +22,23 @@
 	q.mu.Lock()
 	q.inputs = append(q.inputs, in)
 	q.mu.Unlock()
+	q.wake()
+}
+
+// PutAwaited appends an input. The channel that it returns is closed when the input has been taken.
+func (q *Queue[T]) PutAwaited(in T) <-chan struct{} {
+	q.mu.Lock()
+	q.inputs = append(q.inputs, in)
+	if q.taken == nil {
+		q.taken = make(chan struct{})
+	}
+	taken := q.taken
+	q.mu.Unlock()
+	q.wake()
+	return taken
+}
+
+func (q *Queue[T]) wake() {
 	select {
 	case q.Signal <- struct{}{}:
 	default:
@@ -33,5 +51,9 @@
 	defer q.mu.Unlock()
 	taken := q.inputs
 	q.inputs = nil
+	if q.taken != nil {
+		close(q.taken)
+		q.taken = nil
+	}
 	return taken
 }
--- a/service/gate/watch.go
+++ b/service/gate/watch.go
@@ -124,7 +124,8 @@
 		}
 		clock, clockAt = report.Clock, received
 		q.Wait = reportWait
-		s.deliver(placement.Reported{Endpoint: q.Endpoint, Token: q.Token, Sent: sent, Received: received, Report: report})
+		taken := s.mailbox.PutAwaited(placement.Reported{Endpoint: q.Endpoint, Token: q.Token, Sent: sent, Received: received, Report: report})
+		s.awaitTaken(ctx, taken)
 		confirmed = max(confirmed, q.Acknowledged)
 		q.Acknowledged = s.lastToAcknowledge(ctx, w, report.Ended)
 		if q.Acknowledged <= confirmed {
@@ -133,6 +134,22 @@
 	}
 }
 
+// awaitTaken waits until the control goroutine has taken a report, so that reports do not pile up while it
+// is busy. It waits for reportWait at most, as the next request renews the lease.
+func (s *Server) awaitTaken(ctx context.Context, taken <-chan struct{}) {
+	select {
+	case <-taken:
+		return
+	default:
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	select {
+	case <-taken:
+	case <-ctx.Done():
+	}
+}
+
 // probe checks whether an endpoint can be reached. It sends token 0, which changes
 // nothing: an endpoint that is held refuses it.
 func (s *Server) probe(ctx context.Context, m placement.Probe) {
