--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -78,6 +78,7 @@
 	mailbox   *mailbox.Queue[placement.Input]
 	links     *peer.Sessions[placement.Envelope]
 	endpoints *platform.Endpoints
+	orders    *orderQueues
 	timers    *timer.Service
 	group     *errgroup.Group
 	logger    *zap.Logger
@@ -185,7 +186,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	s.group = group
+	s.group, s.orders = group, newOrderQueues(group)
 	group.Go(func() error { return s.timers.Run(ctx) })
 	group.Go(func() error { return s.runControl(ctx) })
 	group.Go(func() error { return s.links.Run(ctx) })
@@ -324,6 +325,10 @@
 		s.metrics.recordLatency(m)
 	case placement.Stopped:
 		s.stopOnce.Do(func() { close(s.stopped) })
+	case placement.Start:
+		s.order(ctx, m.Address, func(ctx context.Context) { s.orderStart(ctx, &m) })
+	case placement.StopRun:
+		s.order(ctx, m.Address, func(ctx context.Context) { s.orderStop(ctx, &m) })
 	default:
 		s.group.Go(func() error {
 			s.performBlocking(ctx, e)
@@ -332,19 +337,28 @@
 	}
 }
 
+// order has an order carried out. One that has waited for orderTimeout is not sent any more.
+func (s *Server) order(ctx context.Context, endpoint netip.AddrPort, call func(context.Context)) {
+	s.orders.put(ctx, endpoint, order{call, s.timers.Now().Add(orderTimeout)})
+}
+
+func (s *Server) orderStart(ctx context.Context, m *placement.Start) {
+	sent := s.timers.SinceBoot()
+	done := s.endpoints.Start(ctx, m)
+	done.Reading.Sent, done.Reading.Received = sent, s.timers.SinceBoot()
+	s.deliver(done)
+}
+
+func (s *Server) orderStop(ctx context.Context, m *placement.StopRun) {
+	sent := s.timers.SinceBoot()
+	done := s.endpoints.Stop(ctx, m)
+	done.Reading.Sent, done.Reading.Received = sent, s.timers.SinceBoot()
+	s.deliver(done)
+}
+
 // performBlocking performs an effect that waits for an endpoint or the store.
 func (s *Server) performBlocking(ctx context.Context, e placement.Effect) {
 	switch m := e.(type) {
-	case placement.Start:
-		sent := s.timers.SinceBoot()
-		done := s.endpoints.Start(ctx, &m)
-		done.Reading.Sent, done.Reading.Received = sent, s.timers.SinceBoot()
-		s.deliver(done)
-	case placement.StopRun:
-		sent := s.timers.SinceBoot()
-		done := s.endpoints.Stop(ctx, &m)
-		done.Reading.Sent, done.Reading.Received = sent, s.timers.SinceBoot()
-		s.deliver(done)
 	case placement.Probe:
 		s.probe(ctx, m)
 	case placement.RequestReport:
