Placed tasks and kept runs are bounded by number

Callers saw: no answers, and up to 462 MB of 100, beside stored jobs that are complete and legal. Cause: a home placed all tasks of all jobs at once. Each had a run at its holder, before, during and 5 s after it ran, that nothing counted, and each step of the home and of the holder went over all of them. Change: MaxRuns, a tenth of the memory at 1 KB a run. The other tasks wait at their home, which counts tasks by phase and passes over steps without any to place or to watch. Starts are compared with the most capacity that is free at an endpoint before all endpoints are. Why it works: what a task takes outside of its job's table is bounded, a task that waits costs nothing, and nothing is refused.

--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -39,8 +39,10 @@
 	// number, do not reach, and the second 15 MB, which jobs of eight tasks (3.7 KB each) do not
 	// reach even if one waits for each descriptor. Together they leave nearly half of
 	// memoryShare to requests that are read, to buffers and to the idle process.
-	storedJobsShare    = 0.3
-	openJobsShare      = 0.1
+	storedJobsShare = 0.3
+	openJobsShare   = 0.1
+	// runsShare is the share of the memory setting that runs may take: queued, started, and ended lately.
+	runsShare          = 0.1
 	shareUnit          = 0.01 // processors for each unit of an instance's share of endpoints
 	signalBuffer       = 4    // signals that are kept while the process starts
 	gcPercent          = 50   // growth between collections; memory is scarcer than processor time here
@@ -126,6 +128,7 @@
 		OverloadControl: s.OverloadControl, AdaptivePlacement: s.AdaptivePlacement,
 		Domain: s.Domain, Share: holderShare(s.Processor), FarFactor: s.FarFactor, Retention: time.Duration(s.Retention), LinkRate: s.LinkMbps * bytesPerMegabit,
 		MaxStoredBytes: shareOfMemory(s, storedJobsShare), MaxOpenBytes: shareOfMemory(s, openJobsShare),
+		MaxRuns:  int(shareOfMemory(s, runsShare) / placement.RunBytes),
 		ColdOver: s.ColdOver, ColdSlack: s.ColdSlack,
 		Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Advertised: s.Advertised, Metrics: s.Metrics, EvacuationBound: time.Duration(s.EvacuationBound),
 		Limits: ingress.LimitsOf(int64(s.MemoryMB)<<20, s.Descriptors),
--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -457,7 +457,7 @@
 		case j.stored == nil && !j.anyTask(func(t *task) bool { return t.lateStartEndpoint != "" }):
 			continue
 		case j.stored == nil:
-		case j.stored.phase != open || !j.anyTask(func(t *task) bool { return t.phase == lost }):
+		case j.stored.phase != open || !j.anyIn(lost):
 			continue
 		case j.stored.unknownRunsSince.IsZero():
 			j.stored.unknownRunsSince = c.now
@@ -569,7 +569,7 @@
 			case q.live[workload.TaskID{Job: j.ID, Step: s, Index: i}] || c.now.Before(t.endedBy) || t.lateStartEndpoint != "":
 				unresolved = true
 			default:
-				t.phase = blocked
+				c.setPhase(j, t, blocked)
 			}
 		}
 	}
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -45,6 +45,9 @@
 	// MaxStoredJobs bounds the open stored jobs of the instance, accepted and adopted ones; 0 means
 	// the default.
 	MaxStoredJobs int
+	// MaxRuns bounds the runs that the instance keeps as a holder, with those that have ended lately,
+	// and by that the tasks that it places as a home, see run_limits.go; 0 means no limit.
+	MaxRuns int
 	// EvacuationBound is the time within which nothing may start any more in a failure domain that
 	// the operator evacuates. Above 0 nothing starts before the evacuated domains are known.
 	EvacuationBound time.Duration
@@ -496,6 +499,12 @@
 	// that are being adopted, and of the ephemeral jobs that wait for their answer.
 	StoredBytes int64
 	OpenBytes   int64
+	// Placed is the number of tasks of this instance's jobs that have a holder, Dropped that of runs of closed jobs that may go
+	// on, Queued that of runs that wait here for an endpoint, and Ended that of runs that have ended here lately.
+	Placed  int
+	Dropped int
+	Queued  int
+	Ended   int
 	// ReadsList says that this instance has to read the endpoint list from discovery.
 	ReadsList bool
 	// EvacuationKnown says that the set of evacuated failure domains is known, as of EvacuationVersion.
@@ -515,6 +524,7 @@
 		Ready:   c.stop == serving && c.configuration.inUse != nil && !c.evacuationUnknown() && c.anyCapacity(),
 		Version: c.configurationVersion(), Jobs: c.home.jobs.Len(), Runs: c.holder.runs.Len(), Held: c.holder.held, Cold: c.holder.cold,
 		StoredBytes: c.home.memory.stored + c.home.memory.adopting, OpenBytes: c.home.memory.ephemeral,
+		Placed: c.home.placed, Dropped: c.home.dropped, Queued: len(c.holder.queue), Ended: c.holder.ended.Len(),
 		Members: c.membership.members.Len(), ReadsList: c.endpointList.reading, Counters: c.counters,
 		EvacuationKnown: c.evacuation.known, EvacuationVersion: uint64(c.evacuation.version), Evacuated: c.evacuatedDomains(),
 		Overload: c.overload.list(c.now),
--- a/pkg/placement/export_test.go
+++ b/pkg/placement/export_test.go
@@ -1,5 +1,7 @@
 package placement
 
+import "fmt"
+
 // Rule names a rule that tests can disable.
 type Rule string
 
@@ -42,3 +44,24 @@
 		c.disabledRules.evacuation = true
 	}
 }
+
+// CheckPhases returns an error if the counts of phases disagree with the tasks.
+func (c *Control) CheckPhases() error {
+	all := 0
+	for _, j := range c.home.jobs.All() {
+		for s := range j.steps {
+			var counts phaseCounts
+			for i := range j.steps[s] {
+				counts[j.steps[s][i].phase]++
+			}
+			if counts != j.counts[s] {
+				return fmt.Errorf("job %s, step %d: %v are counted as %v", j.ID, s, counts, j.counts[s])
+			}
+			all += int(counts[placed])
+		}
+	}
+	if all != c.home.placed {
+		return fmt.Errorf("%d placed tasks are counted as %d", all, c.home.placed)
+	}
+	return nil
+}
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -22,12 +22,13 @@
 	expiry     time.Time // after this time an answer no longer helps the caller
 	deadline   time.Time
 	steps      [][]task
-	memory     int64        // estimated, see estimateMemory
-	remaining  int          // number of tasks that are not done
-	started    bool         // some run has started; for an ephemeral job, may have started
-	stored     *storedState // nil for an ephemeral job
-	afterCheck uint64       // number of the check of callers after which an ephemeral job is placed
-	deferred   bool         // accepted before this instance knew of any capacity; not examined yet
+	counts     []phaseCounts // of the tasks of each step
+	memory     int64         // estimated, see estimateMemory
+	remaining  int           // number of tasks that are not done
+	started    bool          // some run has started; for an ephemeral job, may have started
+	stored     *storedState  // nil for an ephemeral job
+	afterCheck uint64        // number of the check of callers after which an ephemeral job is placed
+	deferred   bool          // accepted before this instance knew of any capacity; not examined yet
 	// registration is the job's registration with the directory of homes, if it is ephemeral.
 	registration registration
 	// withdrawnAt is when overload control took the job's tasks back, withdrawnCause why.
@@ -37,24 +38,14 @@
 	overdue time.Duration
 }
 
-// phase is the progress of a task as its home knows it.
-type phase int
-
-const (
-	blocked phase = iota // an earlier step is not done
-	ready                // can be placed with a holder
-	placed               // sent to a holder
-	lost                 // its holder cannot be asked; the run may still be going on
-	done
-)
-
 // task is one task of a job.
 type task struct {
 	phase         phase
-	runNumber     int // number of the last run
+	step          uint8 // it is of
+	waiting       bool  // its holder has no free capacity for it
+	runNumber     int   // number of the last run
 	holder        instance.ID
 	placed        time.Time // when its last run was placed
-	waiting       bool      // its holder has no free capacity for it
 	expectedStart time.Time // of a waiting run, as its holder estimates it
 	failedRuns    []int     // numbers of the failed runs, see countFailure
 	rejections    int       // runs that holders ended without a start, since the last failed run
@@ -71,6 +62,8 @@
 // home is the state of this instance as the home of jobs.
 type home struct {
 	jobs           *table.Table[workload.JobID, *job] // changed by addJob and removeJob
+	placed         int                                // tasks with a holder, of all jobs
+	dropped        int                                // runs in droppedRuns, as of the last forgetDroppedRuns
 	memory         jobMemory
 	byHandle       map[Handle]workload.JobID
 	moveDue        time.Time // when waiting tasks are next considered for a move
@@ -250,17 +243,15 @@
 	j := &job{
 		Job: m.Job, route: m.Route, handles: []Handle{m.Handle}, arrived: c.now,
 		objective: c.now.Add(objective - c.alreadyWaited(&m)), deadline: c.now.Add(remaining - answerMargin), expiry: c.now.Add(min(expiryFactor*objective, remaining-answerMargin)),
-		steps: make([][]task, len(m.Job.Steps)), memory: estimateMemory(m.Job), remaining: m.Job.Tasks(),
+		memory: estimateMemory(m.Job), remaining: m.Job.Tasks(),
 	}
+	j.makeTasks()
 	if c.overloadControlled(j) {
 		j.expiry = j.deadline // callers have a use for a late answer as long as they wait
 	}
 	if !m.Job.Ephemeral {
 		j.expiry = c.now.Add(storedJobTimeout)
 	}
-	for i := range j.steps {
-		j.steps[i] = make([]task, m.Job.Steps[i].Count)
-	}
 	return j
 }
 
@@ -319,7 +310,8 @@
 			continue
 		}
 		t := &j.steps[r.Task.Step][r.Task.Index]
-		t.phase, t.holder, t.runNumber, t.placed = placed, open.holder, r.Number, c.now
+		c.setPhase(j, t, placed)
+		t.holder, t.runNumber, t.placed = open.holder, r.Number, c.now
 		if !open.endedBy.IsZero() {
 			c.markLost(j, t, open.endedBy)
 			t.lateStartEndpoint, t.lateStartUntil = open.lateStartEndpoint, former.at.Add(lateOrderWindow)
@@ -333,6 +325,7 @@
 // time within which a late order can still take effect. A job is released when none of its runs
 // can be going on.
 func (c *Control) forgetDroppedRuns() {
+	c.home.dropped = 0
 	for id, former := range c.home.droppedRuns.All() {
 		goingOn := false
 		for r, open := range former.runs.All() {
@@ -345,6 +338,7 @@
 		if !goingOn {
 			c.release(id, &former.registration, former.completed)
 		}
+		c.home.dropped += former.runs.Len()
 		if former.runs.Len() == 0 {
 			c.home.droppedRuns.Delete(id)
 		}
@@ -532,6 +526,9 @@
 	former := &droppedRuns{runs: table.New[workload.Run, openRun](), at: c.now, callersKnownAt: c.home.callers.confirmedAt}
 	drops := table.New[instance.ID, *Drop]()
 	for s := range j.steps {
+		if !j.in(s, placed, lost) {
+			continue
+		}
 		for i := range j.steps[s] {
 			t := &j.steps[s][i]
 			if t.phase == lost {
@@ -540,7 +537,7 @@
 			if t.phase != placed {
 				continue
 			}
-			t.phase = done
+			c.setPhase(j, t, done)
 			d, ok := drops.Get(t.holder)
 			if !ok {
 				d = &Drop{}
@@ -552,6 +549,7 @@
 		}
 	}
 	if former.runs.Len() > 0 {
+		c.home.dropped += former.runs.Len()
 		c.home.droppedRuns.Put(j.ID, former)
 	}
 	for holder, d := range drops.All() {
@@ -614,16 +612,17 @@
 
 // unblock makes the tasks of a step ready if all steps that it depends on are done.
 func (c *Control) unblock(j *job, step int) {
+	if !j.in(step, blocked) {
+		return
+	}
 	for _, a := range j.Steps[step].After {
-		for i := range j.steps[a] {
-			if j.steps[a][i].phase != done {
-				return
-			}
+		if j.in(a, blocked, ready, placed, lost) {
+			return
 		}
 	}
 	for i := range j.steps[step] {
 		if t := &j.steps[step][i]; t.phase == blocked {
-			t.phase = ready
+			c.setPhase(j, t, ready)
 		}
 	}
 }
@@ -640,6 +639,10 @@
 // ephemeral job's only while its caller is known to wait: one that has left submits the job
 // to another instance.
 func (c *Control) placeStep(j *job, step int) {
+	room := c.placeable(j)
+	if !j.in(step, ready) || room <= 0 {
+		return
+	}
 	if j.stored != nil && !(c.anyReady(j, step) && c.verified(j)) {
 		return
 	}
@@ -656,6 +659,9 @@
 		if t.phase != ready || c.now.Before(t.retryAt) {
 			continue
 		}
+		if room--; room < 0 {
+			break
+		}
 		if !refreshed {
 			refreshed = true
 			c.refreshOwnCapacity()
@@ -672,7 +678,8 @@
 			p = c.newPlaceRequest(j, step)
 			requests.Put(holder, p)
 		}
-		t.phase, t.holder, t.placed, t.waiting = placed, holder, c.now, false
+		c.setPhase(j, t, placed)
+		t.holder, t.placed, t.waiting = holder, c.now, false
 		t.runNumber++
 		p.Tasks = append(p.Tasks, c.placedTaskOf(j, step, i))
 	}
@@ -737,6 +744,9 @@
 func (c *Control) resendPlaceRequests(id instance.ID) {
 	for _, j := range c.home.jobs.All() {
 		for s := range j.steps {
+			if !j.in(s, placed) {
+				continue
+			}
 			p := c.newPlaceRequest(j, s)
 			if !j.withdrawnAt.IsZero() {
 				p.Expiry = 0
@@ -831,7 +841,7 @@
 		c.counters.Retries++
 		t.tried.note(m, c.now)
 	}
-	t.phase = ready
+	c.setPhase(j, t, ready)
 	if c.overloadControlled(j) && (m.TooLate || c.hopeless(j)) {
 		c.withdraw(j, "it can no longer end before its caller's deadline")
 		return
@@ -876,7 +886,7 @@
 // taskDone completes a task. It closes the job after its last task, and otherwise places
 // the tasks of steps that waited for this one.
 func (c *Control) taskDone(j *job, t *task, step int) {
-	t.phase = done
+	c.setPhase(j, t, done)
 	j.remaining--
 	if j.remaining == 0 {
 		c.counters.Completed++
@@ -893,7 +903,8 @@
 // started, and has certainly ended by endedAt.
 func (c *Control) markLost(j *job, t *task, endedAt time.Time) {
 	j.started = j.started || j.stored == nil || c.startAssumed(j, t)
-	t.phase, t.endedBy = lost, endedAt
+	c.setPhase(j, t, lost)
+	t.endedBy = endedAt
 }
 
 // markRunsLost marks the tasks placed with a holder that is gone as lost. Each run
@@ -902,6 +913,9 @@
 func (c *Control) markRunsLost(holder instance.ID, heardAt time.Time) {
 	for _, j := range c.home.jobs.All() {
 		for s := range j.steps {
+			if !j.in(s, placed) {
+				continue
+			}
 			for i := range j.steps[s] {
 				if t := &j.steps[s][i]; t.phase == placed && t.holder == holder {
 					endedBy := later(heardAt, t.placed).Add(c.config.Timing.holderLossTimeout())
@@ -964,17 +978,7 @@
 // mayHaveStarted reports whether a run of the job has started, or may start at any
 // moment because a holder has it.
 func (j *job) mayHaveStarted() bool {
-	if j.started {
-		return true
-	}
-	for s := range j.steps {
-		for i := range j.steps[s] {
-			if p := j.steps[s][i].phase; p == placed || p == lost {
-				return true
-			}
-		}
-	}
-	return false
+	return j.started || j.anyIn(placed, lost)
 }
 
 // mayHaveRun reports whether a task of the job may have run, here or from another home that has not
@@ -985,14 +989,7 @@
 
 // hasUnstarted reports whether some task of the job has not been started yet.
 func (j *job) hasUnstarted() bool {
-	for s := range j.steps {
-		for i := range j.steps[s] {
-			if t := &j.steps[s][i]; t.phase == blocked || t.phase == ready || (t.phase == placed && t.waiting) {
-				return true
-			}
-		}
-	}
-	return false
+	return j.anyIn(blocked, ready) || j.anyPlaced(func(t *task) bool { return t.waiting })
 }
 
 // timeOut ends a job whose callers stop waiting, or whose answer would come too late
@@ -1015,6 +1012,9 @@
 // makes lost tasks of ephemeral jobs ready once their last run has certainly ended.
 func (c *Control) checkLost(j *job) {
 	for s := range j.steps {
+		if !j.in(s, placed, lost) {
+			continue
+		}
 		for i := range j.steps[s] {
 			t := &j.steps[s][i]
 			if t.phase == placed {
@@ -1027,7 +1027,7 @@
 				}
 			}
 			if t.phase == lost && j.stored == nil && t.lateStartEndpoint == "" && !c.now.Before(t.endedBy) {
-				t.phase = ready
+				c.setPhase(j, t, ready)
 			}
 		}
 	}
@@ -1038,6 +1038,9 @@
 // not give up a run that has begun in the meantime.
 func (c *Control) moveWaiting(j *job) {
 	for s := range j.steps {
+		if !j.in(s, placed) {
+			continue
+		}
 		for i := range j.steps[s] {
 			t := &j.steps[s][i]
 			if t.phase != placed || !t.waiting || t.expectedStart.Sub(c.now) < minMoveGain {
--- a/pkg/placement/job_memory.go
+++ b/pkg/placement/job_memory.go
@@ -23,11 +23,13 @@
 	// jobEntryBytes is what a job takes in the tables of jobs, handles and registrations.
 	jobEntryBytes = 400
 	jobBytes      = int64(unsafe.Sizeof(job{})+unsafe.Sizeof(workload.Job{})+unsafe.Sizeof(storedState{})) + jobEntryBytes
-	stepBytes     = int64(unsafe.Sizeof(workload.Step{}) + unsafe.Sizeof([]task{}))
+	stepBytes     = int64(unsafe.Sizeof(workload.Step{}) + unsafe.Sizeof([]task{}) + unsafe.Sizeof(phaseCounts{}))
 	taskBytes     = int64(unsafe.Sizeof(task{}))
 	// maxEstimate bounds what a row may say, so that sums do not overflow.
 	maxEstimate = 1 << 30
 	afterBytes  = int64(unsafe.Sizeof(int(0)))
+	// RunBytes is about what a run takes at its holder, with its request and what tells its end.
+	RunBytes = 1 << 10
 )
 
 // estimateMemory returns about how much memory an open job takes at its home.
--- a/pkg/placement/overload.go
+++ b/pkg/placement/overload.go
@@ -240,7 +240,7 @@
 // although its estimates are too long by estimateError.
 func (c *Control) hopeless(j *job) bool {
 	share := 1.0
-	if j.started || j.anyTask(func(t *task) bool { return t.phase == lost || t.phase == done || (t.phase == placed && !t.waiting) }) {
+	if j.started || j.anyIn(lost, done) || j.anyPlaced(func(t *task) bool { return !t.waiting }) {
 		share = 1 / estimateError
 	}
 	for s := range j.steps {
@@ -248,10 +248,8 @@
 		if !c.now.Add(needed + hopelessCheckSlack).After(j.deadline) {
 			continue
 		}
-		for i := range j.steps[s] {
-			if t := &j.steps[s][i]; t.phase == ready || t.phase == blocked || (t.phase == placed && t.waiting) {
-				return true
-			}
+		if j.in(s, ready, blocked) || j.anyPlacedOf(s, func(t *task) bool { return t.waiting }) {
+			return true
 		}
 	}
 	return false
@@ -289,7 +287,7 @@
 
 // answerWithdrawn answers the callers of a withdrawn job once no holder has a run of it any more.
 func (c *Control) answerWithdrawn(j *job) {
-	if open, ok := c.home.jobs.Get(j.ID); !ok || open != j || j.anyTask(func(t *task) bool { return t.phase == placed }) {
+	if open, ok := c.home.jobs.Get(j.ID); !ok || open != j || j.anyIn(placed) {
 		return
 	}
 	if j.mayHaveRun() {
@@ -313,7 +311,7 @@
 		c.observeTask(j, m.Run.Task.Step, m.Work)
 		c.taskDone(j, t, m.Run.Task.Step)
 	default:
-		t.phase = blocked
+		c.setPhase(j, t, blocked)
 	}
 	c.answerWithdrawn(j)
 }
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -38,6 +38,7 @@
 	for _, n := range w.Nodes {
 		o := n.Control.Overview()
 		assert.Check(t, o.Jobs > 0 || (o.StoredBytes == 0 && o.OpenBytes == 0), "%s counts %d and %d bytes for no jobs", n.ID.Instance, o.StoredBytes, o.OpenBytes)
+		assert.Check(t, o.Jobs > 0 || o.Placed == 0, "%s counts %d placed tasks of no jobs", n.ID.Instance, o.Placed)
 	}
 }
 
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -520,7 +520,7 @@
 		isCurrent := m.Run.Number == t.runNumber && (t.phase == placed || t.phase == lost)
 		if !j.failed(t) && isCurrent {
 			c.counters.Retries++
-			t.phase = ready
+			c.setPhase(j, t, ready)
 			c.placeStep(j, m.Run.Task.Step)
 		}
 	}
--- a/pkg/placement/records.go
+++ b/pkg/placement/records.go
@@ -137,9 +137,10 @@
 		for k := range j.steps[i] {
 			t := &j.steps[i][k]
 			t.runNumber = row.Round * runsPerRound
-			t.phase, t.endedBy = lost, endedAt
+			j.setPhase(t, lost)
+			t.endedBy = endedAt
 			if row.Done[i][k/8]&(1<<(k%8)) != 0 {
-				t.phase = done
+				j.setPhase(t, done)
 				j.remaining--
 			}
 		}
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -129,6 +129,7 @@
 func (c *Control) startRuns(first int) {
 	h := &c.holder
 	kept := h.queue[:first]
+	most := h.mostFree()
 	var returned, stranded, hopeless []*run
 	for _, r := range h.queue[first:] {
 		if r.state != queued {
@@ -146,9 +147,11 @@
 			returned = append(returned, r)
 			continue
 		}
-		if e := c.bestEndpoint(r); e != nil && !c.callerUnknown(r) {
-			c.startRun(r, e)
-			continue
+		if c.mayStartMore(r) && r.request.Need.Fits(most) {
+			if e := c.bestEndpoint(r); e != nil && !c.callerUnknown(r) {
+				c.startRun(r, e)
+				continue
+			}
 		}
 		if c.now.Add(time.Duration(float64(r.request.Estimate) * bestCaseShare)).After(r.expiry) {
 			returned = append(returned, r)
--- a/pkg/placement/waiting_count.go
+++ b/pkg/placement/waiting_count.go
@@ -111,7 +111,7 @@
 // hasBegun reports whether a start of a job is known or can be assumed. A lost task has not begun
 // for certain.
 func (c *Control) hasBegun(j *job) bool {
-	return j.started || j.anyTask(func(t *task) bool { return t.phase == done || (t.phase == placed && c.startAssumed(j, t)) })
+	return j.started || j.anyIn(done) || j.anyPlaced(func(t *task) bool { return c.startAssumed(j, t) })
 }
 
 // startAssumed reports whether the placed run of a task has started, as its holder has been heard
