Callers, stored jobs and runs share one part of the memory

Callers saw: nothing yet; the limits added up to more than the soft limit of the heap: a third for requests, 0.3 for stored jobs, 0.1 for ephemeral ones, and runs. Change: 0.55 of the memory for all of them. What stored jobs and runs take beyond the rest lowers the limit of requests. Why it works: stored jobs and runs have limits of their own, 0.4 together, so 0.15 is always left to requests. Result: TestAcceptedJobsLowerTheLimitOfCallers.

--- a/pkg/cmds/gate.go
+++ b/pkg/cmds/gate.go
@@ -34,11 +34,11 @@
 const (
 	memoryShare = 0.75 // of the memory setting: the soft limit above which the garbage collector runs more often
 	// storedJobsShare and openJobsShare are the shares of the memory setting that open stored
-	// jobs and ephemeral ones may take. On the smallest machines (144 MB, 3,075 descriptors) the
-	// first is 45 MB, which 20,000 stored jobs of one task (1.8 KB each), the limit of their
-	// number, do not reach, and the second 15 MB, which jobs of eight tasks (3.7 KB each) do not
-	// reach even if one waits for each descriptor. Together they leave nearly half of
-	// memoryShare to requests that are read, to buffers and to the idle process.
+	// jobs and ephemeral ones may take; large jobs may take four fifths of them. On the smallest
+	// machines (144 MB, 3,075 descriptors) the first is 45 MB, which 20,000 stored jobs of one task (1.8 KB each),
+	// the limit of their number, do not reach, and the second 15 MB, which jobs of eight tasks (3.7 KB each) do not
+	// reach even if one waits for each descriptor. ingress.Limits.Shared bounds stored jobs, runs and
+	// callers' requests together.
 	storedJobsShare = 0.3
 	openJobsShare   = 0.1
 	// runsShare is the share of the memory setting that runs may take: queued, started, and ended lately.
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -55,6 +55,9 @@
 	// ephemeral jobs that wait for their answer; 0 means no limit.
 	MaxStoredBytes int64
 	MaxOpenBytes   int64
+	// SmallJobsShare is the part of both that large jobs leave to small ones: 5 stands for a fifth, 0
+	// for nothing.
+	SmallJobsShare int
 	Seed           uint64
 	Timing         Timing
 	// OverloadControl orders waiting work by its urgency and admits only jobs that can end in
--- a/pkg/placement/job_memory.go
+++ b/pkg/placement/job_memory.go
@@ -78,6 +78,13 @@
 	return &c.home.memory.stored
 }
 
+// JobMemory returns the estimated memory of stored jobs and of runs. Ephemeral jobs count with
+// their callers' requests.
+func (c *Control) JobMemory() int64 {
+	m := &c.home.memory
+	return m.stored + m.adopting + int64(c.holder.runs.Len()+c.holder.ended.Len()+c.home.dropped)*RunBytes
+}
+
 // memoryFor reports whether a new job may be opened within the limits of memory. A single job
 // is, whatever its size.
 func (c *Control) memoryFor(j *job) bool {
@@ -86,6 +93,9 @@
 	if j.Ephemeral {
 		open, limit, counter = m.ephemeral, c.config.MaxOpenBytes, &c.counters.OpenOverMemory
 	}
+	if j.large() && c.config.SmallJobsShare > 0 {
+		limit -= limit / int64(c.config.SmallJobsShare)
+	}
 	if limit == 0 || open == 0 || open+j.memory <= limit {
 		return true
 	}
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -119,6 +119,7 @@
 	budgetSweepPeriod = 250 * time.Millisecond
 	unreadCheckPeriod = 5 * time.Millisecond
 	orderConnections  = 8 // to one endpoint, for concurrent reports and orders
+	smallJobsShare    = 5 // see placement.Config
 	overviewPeriod    = 100 * time.Millisecond
 	orderTimeout      = time.Second // the control state repeats an order sooner, and accepts a late answer
 )
@@ -169,7 +170,7 @@
 	s.control = placement.New(placement.Config{
 		OverloadControl: config.OverloadControl, AdaptivePlacement: config.AdaptivePlacement,
 		Self: config.Self, Domain: config.Domain, Address: advertised, Share: config.Share, FarFactor: config.FarFactor, Retention: config.Retention, LinkRate: config.LinkRate,
-		MaxStoredBytes: config.MaxStoredBytes, MaxOpenBytes: config.MaxOpenBytes, MaxRuns: config.MaxRuns,
+		MaxStoredBytes: config.MaxStoredBytes, MaxOpenBytes: config.MaxOpenBytes, MaxRuns: config.MaxRuns, SmallJobsShare: smallJobsShare,
 		ColdOver: config.ColdOver, ColdSlack: config.ColdSlack,
 		EvacuationBound: config.EvacuationBound, Seed: config.Self.Incarnation, Timing: config.Timing,
 	})
@@ -282,6 +283,7 @@
 		inputs := s.mailbox.Take()
 		now := s.timers.SinceBoot()
 		effects, next := s.control.Step(now, inputs)
+		s.budget.SetJobs(s.control.JobMemory())
 		for _, e := range effects {
 			s.perform(ctx, e)
 		}
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -85,6 +85,8 @@
 	start  time.Time
 	report func(Event) // called without the lock
 
+	jobs atomic.Int64 // bytes of accepted jobs
+
 	mu          sync.Mutex
 	used        int64                  // bytes
 	peak        int64                  // the most that was used at a time
@@ -158,10 +160,21 @@
 	b.peak = max(b.peak, b.used)
 }
 
+// SetJobs sets what accepted jobs occupy beside what their callers' requests count as.
+func (b *Budget) SetJobs(bytes int64) { b.jobs.Store(bytes) }
+
+// limit returns the most that callers may occupy now.
+func (b *Budget) limit() int64 {
+	if b.limits.Shared == 0 {
+		return b.limits.Memory
+	}
+	return min(b.limits.Memory, b.limits.Shared-b.jobs.Load())
+}
+
 // makeRoom sheds requests until a number of bytes fits, and reports whether it does. The requests
 // that it sheds release their memory at once. It may shed the request that asks.
 func (b *Budget) makeRoom(now time.Time, n int64, small bool, asking *Request) bool {
-	limit := b.limits.Memory
+	limit := b.limit()
 	if !small {
 		limit -= b.limits.SmallReserve
 	}
@@ -354,6 +367,7 @@
 // Snapshot is the state of a budget for metrics.
 type Snapshot struct {
 	Memory, MemoryLimit, MemoryPeak int64
+	Jobs                            int64 // bytes of accepted jobs
 	Connections, ConnectionLimit    int
 	IdleConnections, Reading        int
 	// ClosedBeforeRead counts connections that were closed before their request was read in full,
@@ -367,7 +381,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := Snapshot{
-		Memory: b.used, MemoryLimit: b.limits.Memory, MemoryPeak: b.peak, Connections: len(b.connections), ConnectionLimit: b.limits.Connections,
+		Memory: b.used, MemoryLimit: b.limit(), Jobs: b.jobs.Load(), MemoryPeak: b.peak, Connections: len(b.connections), ConnectionLimit: b.limits.Connections,
 		IdleConnections: b.idle.Len(), Reading: b.reading.Len(), ClosedBeforeRead: b.closedBeforeRead, ClosedAfterRead: b.closedAfterRead, ByReason: make(map[string]int64),
 	}
 	for r, n := range b.counts {
--- a/service/ingress/budget_test.go
+++ b/service/ingress/budget_test.go
@@ -307,3 +307,17 @@
 	assert.Check(t, closed(unread) && !closed(other))
 	assert.Check(t, cmp.Equal(w.budget.Snapshot().ClosedAfterRead, int64(1)))
 }
+
+// Guards against callers and accepted jobs that together take more than there is.
+func TestAcceptedJobsLowerTheLimitOfCallers(t *testing.T) {
+	w := newWorld(t, Limits{Memory: 10 << 20, Shared: 16 << 20, Connections: 4})
+	r := w.begin(time.Minute)
+	assert.NilError(t, r.Resize(8<<20))
+	w.budget.SetJobs(7 << 20)
+	assert.Check(t, cmp.Equal(w.budget.Snapshot().MemoryLimit, int64(9<<20)))
+	var shed *ErrShed
+	assert.Check(t, errors.As(w.begin(time.Minute).Resize(2<<20), &shed))
+	w.budget.SetJobs(1 << 20)
+	assert.NilError(t, w.begin(time.Minute).Resize(2<<20))
+	r.End()
+}
--- a/service/ingress/limits.go
+++ b/service/ingress/limits.go
@@ -13,6 +13,9 @@
 	// Memory is the most that callers may occupy at a time: connections, bodies that are being read or
 	// decoded, and jobs that wait for their answer, in bytes.
 	Memory int64
+	// Shared is the most that callers and the jobs that have been accepted may occupy together. What
+	// SetJobs counts beyond the rest of it lowers Memory.
+	Shared int64
 	// SmallReserve is the part of Memory that only requests of up to SmallBytes may use.
 	SmallReserve int64
 	// Connections is the most that callers may have open.
@@ -45,6 +48,9 @@
 	// The process needs the rest of its memory for its own state, for garbage (its soft limit is 0.75
 	// of the memory) and for unread bytes.
 	memoryShare = 3
+	// sharedShare is the part of the memory that callers and accepted jobs may take together, in hundredths. What
+	// is left of the soft limit is for the idle process and for garbage.
+	sharedShare = 55
 	// unreadShare is the part of the memory that unread bytes in sockets may take.
 	unreadShare       = 6
 	smallReserveShare = 4   // of Memory
@@ -70,7 +76,7 @@
 	sockets := max(descriptors, minDescriptors) - fileDescriptors
 	limit := memory / memoryShare
 	return Limits{
-		Memory: limit, SmallReserve: limit / smallReserveShare,
+		Memory: limit, Shared: memory / 100 * sharedShare, SmallReserve: limit / smallReserveShare,
 		Connections: max(minConnections, min(sockets-sockets/ownSocketsShare, int(memory/unreadShare/(2*socketBuffer)))),
 	}
 }
