Refusals repeat 100 bytes of a path at most

Callers saw: nothing. A path or host of 16 KB was repeated in the answer and twice in a log line. Cause: refusals of unknown routes, job ids and deadlines quoted what the caller had sent. Result: go test ./service/gate ./platform passes; no test of its own.

--- a/service/gate/callers.go
+++ b/service/gate/callers.go
@@ -93,7 +93,7 @@
 	}
 	route, rest, ok := routes.find(request.Host, request.URL.Path)
 	if !ok {
-		return s.refuseUnread(c, http.StatusNotFound, fmt.Sprintf("no route for host %q and path %q in version %d", request.Host, request.URL.Path, routes.configuration.Version), 0)
+		return s.refuseUnread(c, http.StatusNotFound, fmt.Sprintf("no route for host %.100q and path %.100q in version %d", request.Host, request.URL.Path, routes.configuration.Version), 0)
 	}
 	if rest == "" && request.Method == http.MethodGet {
 		return s.exchange(c, func(h placement.Handle) placement.Input { return placement.Count{Handle: h, Route: route.Name} })
@@ -250,7 +250,7 @@
 
 // refuseEarly refuses a request that has not reached the control state.
 func (s *Server) refuseEarly(c echo.Context, status int, reason string, retryAfter time.Duration) error {
-	s.logger.Info("request refused", zap.String("Path", c.Request().URL.Path), zap.Int("Status", status), zap.String("Reason", reason))
+	s.logger.Info("request refused", zap.String("Path", fmt.Sprintf("%.100s", c.Request().URL.Path)), zap.Int("Status", status), zap.String("Reason", reason))
 	return s.respond(c, platform.Refuse(status, reason, retryAfter))
 }
 
