crocus-entry: accepted submissions are bounded by memory

Callers saw: an instance with 545 MB (bound 160) after 80 clients had sent a submission of 3.7 MB until it was accepted. Cause: the budget for bodies gave a submission back once it was decoded. Nothing counted it while it waited for the control state, nor what that had accepted. A refused one was kept for half a minute. The control state counts a submission until it is forgotten, after its answer without payloads; bodies count until it has taken them.

--- a/pkg/cmds/entry.go
+++ b/pkg/cmds/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 	"time"
@@ -94,6 +95,7 @@
 }
 
 func newEntry(o *entryOptions) (*entry.Server, error) {
+	debug.SetGCPercent(gcPercent)
 	logger, err := newLogger(o.Log)
 	if err != nil {
 		return nil, err
@@ -113,7 +115,7 @@
 	now := time.Now()
 	return entry.New(entry.Config{
 		Instance: o.Instance, Incarnation: uint64(now.UnixNano()), Domain: o.Domain, Capacity: o.Capacity,
-		Callers: o.Callers.AddrPort, Peers: o.Peers.AddrPort, Limits: limits, Timing: timing, MaxBodyBytes: o.MaxBodyBytes, MaxReadBytes: o.MaxReadBytes, MaxConnections: o.MaxConnections,
+		Callers: o.Callers.AddrPort, Peers: o.Peers.AddrPort, Limits: limits, Timing: timing, MaxBodyBytes: o.MaxBodyBytes, MaxReadBytes: o.MaxReadBytes, MaxOpenBytes: o.MaxOpenBytes, MaxConnections: o.MaxConnections,
 		CallersTLS: callersTLS, PeersTLS: peersTLS, Seed: uint64(now.UnixNano()),
 		Logger: filterLayers(logger, o.LogLayers).Named(o.Instance),
 		Platform: platform.NewStore(platform.StoreConfig{
--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -30,7 +30,7 @@
 	case c.isUnclaimedEligibleElsewhere(s, class):
 		c.refuse(h, s, submission.NotServing, 0, fmt.Sprintf("HomeDomain is %q; only instances of that domain run it", s.HomeDomain))
 	default:
-		return c.admitDemands(h, s) && c.admitLoad(h, s, class) && c.admitPlatform(h, s)
+		return c.admitDemands(h, s) && c.admitMemory(h, s) && c.admitLoad(h, s, class) && c.admitPlatform(h, s)
 	}
 	return false
 }
--- a/pkg/dispatch/control.go
+++ b/pkg/dispatch/control.go
@@ -29,7 +29,10 @@
 	Callers     netip.AddrPort // where callers connect
 	Capacity    int            // relative to other instances of the domain
 	Seed        uint64         // of the random numbers
-	Timing      Timing
+	// MaxOpenBytes bounds the estimated memory of the jobs that the instance has accepted and not forgotten
+	// yet; 0 means no limit.
+	MaxOpenBytes int64
+	Timing       Timing
 	// Document is in force until the table names another one. It may be nil.
 	Document        *document.Document
 	DocumentVersion uint64
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -45,9 +45,10 @@
 	token           string          // identifies the claim of this home
 	version         storage.Version // of the claim row
 	takeoverTried   bool
-	unclaimed       bool // started without a claim, which is written afterwards
-	abandoned       bool // refused or cancelled before a task started; none may start any more
-	started         bool // a task may have started
+	unclaimed       bool  // started without a claim, which is written afterwards
+	abandoned       bool  // refused or cancelled before a task started; none may start any more
+	started         bool  // a task may have started
+	memory          int64 // estimated, see estimateMemory
 	tasks           []taskState
 	unfinishedTasks int
 	waiters         []waiter
@@ -107,7 +108,8 @@
 	models            *table.Table[string, *routing.RunTimeModel] // by team and kind
 	acks              *table.Table[PeerID, []uint64]              // results to acknowledge, by holder
 	ackDue            time.Time
-	openJobs          int // jobs that are not finished
+	openJobs          int   // jobs that are not finished
+	memory            int64 // of all jobs
 	lastJobNumber     uint64
 	lastAttemptNumber uint64
 	nextDue           time.Time // when runHome has something to do next
@@ -187,7 +189,7 @@
 	digest := s.Digest()
 	if j, ok := c.home.jobs.Get(s.Key); ok {
 		if j.phase == finished && j.abandoned {
-			c.home.jobs.Delete(s.Key)
+			c.removeJob(j)
 		} else {
 			c.attachCaller(j, m.Handle, s, digest)
 			return
@@ -217,6 +219,7 @@
 		j.tasks[i].work = c.runTimeModel(s.Team, t.Kind).Predict(t.DeclaredRunTime)
 	}
 	c.home.jobs.Put(s.Key, j)
+	c.setMemory(j, estimateMemory(s))
 	c.home.openJobs++
 	c.home.byDeadline.push(j)
 	return j
@@ -253,7 +256,11 @@
 		return
 	}
 	if j.sub == nil {
+		if !c.admitMemory(h, s) {
+			return
+		}
 		j.sub, j.digest = s, digest
+		c.setMemory(j, estimateMemory(s))
 	}
 	if j.phase == finished {
 		c.reply(h, j.reply)
@@ -554,8 +561,10 @@
 	j.reply = submission.Reply{Refusal: &r}
 	j.recorded = true
 	c.closeJob(j)
-	if current, ok := c.home.jobs.Get(j.key); ok && current == j {
-		c.home.jobs.Delete(j.key)
+	c.removeJob(j)
+	if n := len(c.home.answered) - 1; n >= 0 && c.home.answered[n] == j {
+		c.home.answered[n] = nil
+		c.home.answered = c.home.answered[:n] // nothing of it is kept
 	}
 }
 
@@ -568,6 +577,7 @@
 	j.finished = c.now
 	c.withdrawTasks(j)
 	c.home.openJobs--
+	c.countAnswered(j)
 	c.home.answered = append(c.home.answered, j)
 	for _, w := range j.waiters {
 		if w.handle != 0 {
@@ -635,6 +645,7 @@
 	j.addWaiter(waiter{handle: m.Handle})
 	c.home.byHandle[m.Handle] = j
 	c.home.jobs.Put(m.Key, j)
+	c.setMemory(j, jobEntryBytes)
 	c.home.followed.Put(j, struct{}{})
 	c.home.openJobs++
 	c.get(ClaimKey(m.Key), func(row storage.Row, err error) { c.awaitRowRead(j, row, err) })
--- /dev/null
+++ b/pkg/dispatch/job_memory_test.go
@@ -0,0 +1,45 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusseam/pkg/submission"
+)
+
+// Guards against submissions that are accepted without a bound of their memory, a refusal of a small one
+// beside them, and memory that counts after its job is forgotten.
+func TestAcceptedSubmissionsKeepTheLimitOfMemory(t *testing.T) {
+	const limit, large, tasks = 1 << 20, 8, 300
+	config := defaultWorld(1)
+	config.maxOpenBytes = limit
+	w := withRunningWorld(t, config)
+	var replies []func() *submission.Reply
+	for k := range large {
+		h := w.submit("a1", w.job(fmt.Sprint("large", k), tasks, 20*time.Millisecond))
+		replies = append(replies, func() *submission.Reply { return w.replyTo(h) })
+	}
+	small := w.submit("a1", w.job("small", 2, 100*time.Millisecond))
+	w.run(5 * time.Second)
+	accepted := 0
+	for _, replyOf := range replies {
+		r := replyOf()
+		if r.Refusal == nil {
+			complete(t, r)
+			accepted++
+			continue
+		}
+		assert.Equal(t, r.Refusal.Reason, submission.Overloaded)
+		assert.Check(t, r.Refusal.NotRun && r.Refusal.RetryAfter > 0)
+	}
+	assert.Check(t, accepted >= 1 && accepted <= 2, "%d of %d large submissions are accepted", accepted, large)
+	complete(t, w.replyTo(small))
+	status := w.nodes["a1"].control.Status()
+	assert.Equal(t, status.Counters.OverMemory, uint64(large-accepted))
+	assert.Check(t, status.OpenBytes > 0 && status.OpenBytes < limit/4, "%d bytes of answered jobs", status.OpenBytes)
+	w.run(time.Minute)
+	assert.Equal(t, w.nodes["a1"].control.Status().OpenBytes, int64(0))
+}
--- a/pkg/dispatch/status.go
+++ b/pkg/dispatch/status.go
@@ -20,6 +20,7 @@
 	ActiveVersion uint64
 	StagedVersion uint64
 	OpenJobs      int
+	OpenBytes     int64 // estimated memory of the jobs that are not forgotten yet
 	WaitingTasks  int
 	OccupiedSlots int
 	Endpoints     []EndpointStatus
@@ -60,7 +61,7 @@
 		Instance: c.self.Instance, Incarnation: c.self.Incarnation, Domain: c.config.Domain,
 		State: c.stateName(), Lead: c.home.leadID.Instance, PlatformAway: c.platformAway(),
 		Stale:         c.now.Sub(c.membership.lastScan) > c.config.Timing.MemberTimeout,
-		ActiveVersion: c.membership.rollout.active.Version, OpenJobs: c.home.openJobs,
+		ActiveVersion: c.membership.rollout.active.Version, OpenJobs: c.home.openJobs, OpenBytes: c.home.memory,
 		WaitingTasks: c.waitingTasks(), OccupiedSlots: c.holder.occupied,
 		Counters: c.counters, Document: c.document,
 	}
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -588,9 +588,7 @@
 			return
 		}
 		h.answered = h.answered[1:]
-		if current, ok := h.jobs.Get(j.key); ok && current == j {
-			h.jobs.Delete(j.key)
-		}
+		c.removeJob(j)
 	}
 }
 
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -28,6 +28,7 @@
 	random *rand.Rand
 
 	nodes         map[string]*node
+	maxOpenBytes  int64
 	names         []string
 	endpoints     map[netip.AddrPort]*fakeEndpoint
 	sessions      map[[2]dispatch.PeerID]*session
@@ -180,6 +181,8 @@
 	timing    *dispatch.Timing
 	switchOff []dispatch.Rule
 	hop       time.Duration
+	// maxOpenBytes is the limit of each instance; 0 means none.
+	maxOpenBytes int64
 }
 
 func defaultWorld(seed uint64) worldConfig {
@@ -203,7 +206,7 @@
 		nodes: map[string]*node{}, endpoints: map[netip.AddrPort]*fakeEndpoint{},
 		sessions: map[[2]dispatch.PeerID]*session{}, store: storage.NewMemory(),
 		cuts: map[[2]string]bool{}, hooks: map[string]func(){}, versions: map[string]uint64{},
-		probeCommits: map[commitKey]bool{}, probeAttempts: map[routing.Attempt]bool{}, switchOff: config.switchOff, timing: dispatch.DefaultTiming(), hop: config.hop,
+		probeCommits: map[commitKey]bool{}, probeAttempts: map[routing.Attempt]bool{}, switchOff: config.switchOff, maxOpenBytes: config.maxOpenBytes, timing: dispatch.DefaultTiming(), hop: config.hop,
 		ledger: ledger{
 			starts: map[string][]start{}, byEndpoint: map[netip.AddrPort]int{},
 			replies: map[dispatch.Handle]replyRecord{}, requests: map[dispatch.Handle]*request{}, repeatable: map[submission.Key]bool{},
@@ -251,6 +254,7 @@
 	n.control = dispatch.New(dispatch.Config{
 		Instance: name, Incarnation: incarnation, Domain: domain, Address: address, Callers: address,
 		Capacity: 1, Seed: uint64(index) + 1, Timing: w.timing, Document: w.document, DocumentVersion: 1,
+		MaxOpenBytes: w.maxOpenBytes,
 	})
 	for _, r := range w.switchOff {
 		n.control.SwitchOff(r)
--- a/service/entry/ingress.go
+++ b/service/entry/ingress.go
@@ -208,15 +208,15 @@
 	}
 }
 
-// readSubmission reads and decodes a submission. The memory of the body is given back when it
-// is decoded: what the control state keeps of it has its own limits.
-func (s *Server) readSubmission(c echo.Context) (*submission.Submission, error) {
+// readSubmission reads and decodes a submission. Its memory counts until the caller calls done, also after an
+// error.
+func (s *Server) readSubmission(c echo.Context) (sub *submission.Submission, done func(), err error) {
 	body, done, err := s.readBody(c.Response(), c.Request())
-	defer done()
 	if err != nil {
-		return nil, err
+		return nil, done, err
 	}
-	return api.DecodeSubmission(body, s.config.Limits)
+	sub, err = api.DecodeSubmission(body, s.config.Limits)
+	return sub, done, err
 }
 
 // refuseBody answers a request whose submission could not be read or decoded.
--- a/service/entry/routes.go
+++ b/service/entry/routes.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -74,6 +75,7 @@
 		return struct {
 			dispatch.Counters
 			OpenJobs          int
+			OpenBytes         int64
 			WaitingTasks      int
 			OccupiedSlots     int
 			PeerBytesSent     int64
@@ -82,7 +84,7 @@
 			PeerFramesSent    int64
 			ShedCallers       int64
 		}{
-			status.Counters, status.OpenJobs, status.WaitingTasks, status.OccupiedSlots,
+			status.Counters, status.OpenJobs, status.OpenBytes, status.WaitingTasks, status.OccupiedSlots,
 			traffic.SentBytes.Load(), traffic.ReceivedBytes.Load(), traffic.SentMessages.Load(), traffic.SentFrames.Load(), s.shed.Load(),
 		}
 	}))
@@ -133,7 +135,9 @@
 }
 
 func (s *Server) postSubmission(c echo.Context) error {
-	sub, err := s.readSubmission(c)
+	sub, done, err := s.readSubmission(c)
+	release := sync.OnceFunc(done)
+	defer release()
 	if err != nil {
 		return s.refuseBody(c, err)
 	}
@@ -145,8 +149,15 @@
 		return refuseUnauthorized(c)
 	}
 	h, answer := s.pendingRequests.Register()
-	s.deliver(dispatch.Submit{Handle: h, Submission: sub})
-	return s.answer(c, sub.Key, h, answer)
+	taken := s.mailbox.PutAwaited(dispatch.Submit{Handle: h, Submission: sub})
+	select {
+	case <-taken: // what the control state accepts it counts itself
+	case <-c.Request().Context().Done():
+	}
+	key := sub.Key
+	sub = nil
+	release()
+	return s.answer(c, key, h, answer)
 }
 
 func refuseUnauthorized(c echo.Context) error {
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -57,6 +57,8 @@
 	// defaults.
 	MaxReadBytes   int64
 	MaxConnections int
+	// MaxOpenBytes bounds the memory of the submissions that are accepted and not forgotten yet.
+	MaxOpenBytes int64
 	// CallersTLS and PeersTLS are nil for listeners without TLS.
 	CallersTLS *tls.Config
 	PeersTLS   *tls.Config
@@ -101,6 +103,7 @@
 	defaultMaxBodyBytes    = 8 << 20
 	defaultMaxReadBytes    = 64 << 20
 	defaultMaxConnections  = 4000
+	openBytesFactor        = 4 // default of MaxOpenBytes, as a multiple of MaxReadBytes
 	headerTimeout          = 5 * time.Second
 	maxHeaderBytes         = 16 << 10
 	stopGrace              = 3 * time.Second // for callers to close their connections, and again for the last answers
@@ -112,6 +115,7 @@
 func New(config Config) (*Server, error) {
 	config.MaxBodyBytes = cmp.Or(config.MaxBodyBytes, defaultMaxBodyBytes)
 	config.MaxReadBytes = cmp.Or(config.MaxReadBytes, max(defaultMaxReadBytes, 3*config.MaxBodyBytes))
+	config.MaxOpenBytes = cmp.Or(config.MaxOpenBytes, openBytesFactor*config.MaxReadBytes)
 	config.MaxConnections = cmp.Or(config.MaxConnections, defaultMaxConnections)
 	s := &Server{
 		config: config, mailbox: mailbox.New[dispatch.Input](), timers: timer.New(), controlStopped: make(chan struct{}),
@@ -147,7 +151,7 @@
 	s.publishMetrics()
 	s.control = dispatch.New(dispatch.Config{
 		Instance: config.Instance, Incarnation: config.Incarnation, Domain: config.Domain, Capacity: config.Capacity,
-		Address: s.peerSessions.Address(), Callers: s.Address(), Seed: config.Seed, Timing: config.Timing,
+		Address: s.peerSessions.Address(), Callers: s.Address(), Seed: config.Seed, Timing: config.Timing, MaxOpenBytes: config.MaxOpenBytes,
 	})
 	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.noteConnection}
 	return s, nil
