--- a/pkg/dispatch/holder.go
+++ b/pkg/dispatch/holder.go
@@ -214,6 +214,10 @@
 	if !r.started.IsZero() {
 		r.result.RunTime = c.now.Sub(r.started)
 	}
+	// The home may still have the request, and resend it.
+	withoutPayload := *r.placeRequest
+	withoutPayload.Payload = nil
+	r.placeRequest = &withoutPayload
 	c.holder.ended = append(c.holder.ended, r)
 	c.holder.endedAttempts = append(c.holder.endedAttempts, r.placeRequest.Attempt)
 	if r.dropped {
@@ -402,16 +406,20 @@
 }
 
 // forgetRuns removes ended runs that their homes have not acknowledged within
-// runRetention.
+// runRetention, and with them those that were acknowledged since.
 func (c *Control) forgetRuns() {
 	o := &c.holder
-	for len(o.ended) > 0 && c.now.Sub(o.ended[0].ended) > runRetention {
+	for len(o.ended) > 0 {
 		r := o.ended[0]
-		o.ended = o.ended[1:]
 		if current, ok := o.runs.Get(r.placeRequest.Attempt); ok && current == r {
+			if c.now.Sub(r.ended) <= runRetention {
+				return
+			}
 			o.runs.Delete(r.placeRequest.Attempt)
 			c.recordForgotten(r)
 		}
+		o.ended[0] = nil
+		o.ended = o.ended[1:]
 	}
 }
 
