--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -330,9 +330,9 @@
 	case placement.Stopped:
 		s.stopOnce.Do(func() { close(s.stopped) })
 	case placement.Start:
-		s.order(ctx, m.Address, func(ctx context.Context) { s.orderStart(ctx, &m) })
+		s.order(ctx, orderTarget{m.Endpoint, m.Address}, func(ctx context.Context) { s.orderStart(ctx, &m) })
 	case placement.StopRun:
-		s.order(ctx, m.Address, func(ctx context.Context) { s.orderStop(ctx, &m) })
+		s.order(ctx, orderTarget{m.Endpoint, m.Address}, func(ctx context.Context) { s.orderStop(ctx, &m) })
 	default:
 		s.group.Go(func() error {
 			s.performBlocking(ctx, e)
@@ -342,8 +342,8 @@
 }
 
 // order has an order carried out. One that has waited for orderTimeout is not sent any more.
-func (s *Server) order(ctx context.Context, endpoint netip.AddrPort, call func(context.Context)) {
-	s.orders.put(ctx, endpoint, order{call, s.timers.Now().Add(orderTimeout)})
+func (s *Server) order(ctx context.Context, target orderTarget, call func(context.Context)) {
+	s.orders.put(ctx, target, order{call, s.timers.Now().Add(orderTimeout)})
 }
 
 func (s *Server) orderStart(ctx context.Context, m *placement.Start) {
