crocus-entry: a submission beside a request for its answer has tasks

Callers saw: the instance ended (panic: index out of range in startJob) when a request for the answer of an id and the submission of that id arrived within the same read of the claim row. Cause: the request for the answer makes a job without tasks while its claim row is read. A submission that attached itself to it gave it its body only, so the job was claimed and started with no tasks, no token and the default class. Admission was passed over but for memory. Evidence: TestSubmissionBesideARequestForItsAnswer panics without this change, with no row and with a row of a job that was not run. Change: such a submission is admitted as any other, and setSubmission gives the job all that newJob gave it.

--- a/pkg/dispatch/edge_test.go
+++ b/pkg/dispatch/edge_test.go
@@ -80,11 +80,7 @@
 	}
 	s := w.job("one", 1, 100*time.Millisecond)
 	s.Deadline = w.now.Add(30 * time.Second)
-	row := dispatch.ClaimRow{Team: s.Team, ID: s.ID, Digest: s.Digest(), Home: "c1", Incarnation: 1, Token: "x", State: dispatch.StateNotRun}
-	value, err := json.Marshal(row)
-	assert.NilError(t, err)
-	_, err = w.store.Commit(context.Background(), []storage.Write{{Key: dispatch.ClaimKey(s.Key), Value: value}})
-	assert.NilError(t, err)
+	writeNotRunClaim(t, w, s)
 	for _, e := range w.endpoints {
 		e.dead = false
 	}
@@ -94,6 +90,34 @@
 	complete(t, w.replyTo(h))
 }
 
+// Guards against a submission that arrives while a request for the same id reads its claim row: the job that
+// the request made has no tasks. Attempt 1 finds no row, attempt 2 one of a submission that was not run.
+func TestSubmissionBesideARequestForItsAnswer(t *testing.T) {
+	w := withRunningWorld(t, defaultWorld(1))
+	for _, attempt := range []int{1, 2} {
+		s := w.job(fmt.Sprint("asked", attempt), 3, 100*time.Millisecond)
+		s.Attempt = attempt
+		if attempt == 2 {
+			writeNotRunClaim(t, w, s)
+		}
+		asked := w.await("a1", s.Key)
+		submitted := w.submit("a1", s)
+		w.run(3 * time.Second)
+		complete(t, w.replyTo(submitted))
+		complete(t, w.replyTo(asked))
+	}
+	assert.Equal(t, w.ledger.startCount, 6)
+}
+
+func writeNotRunClaim(t *testing.T, w *world, s *submission.Submission) {
+	t.Helper()
+	row := dispatch.ClaimRow{Team: s.Team, ID: s.ID, Digest: s.Digest(), Home: "c1", Incarnation: 1, Token: "x", State: dispatch.StateNotRun}
+	value, err := json.Marshal(row)
+	assert.NilError(t, err)
+	_, err = w.store.Commit(context.Background(), []storage.Write{{Key: dispatch.ClaimKey(s.Key), Value: value}})
+	assert.NilError(t, err)
+}
+
 func TestTaskThatNoEndpointHoldsIsRefused(t *testing.T) {
 	w := withRunningWorld(t, defaultWorld(1))
 	s := w.job("one", 1, 100*time.Millisecond)
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -207,22 +207,29 @@
 func (j *job) addWaiter(w waiter) { j.waiters = append(j.waiters, w) }
 
 func (c *Control) newJob(s *submission.Submission, digest submission.Digest) *job {
-	class, _ := c.classOf(s)
+	j := &job{key: s.Key, arrived: c.now}
+	c.home.jobs.Put(s.Key, j)
+	c.home.openJobs++
+	c.setSubmission(j, s, digest)
+	return j
+}
+
+// setSubmission gives a job its submission, which has been admitted. A request for an answer makes a job
+// that has none yet.
+func (c *Control) setSubmission(j *job, s *submission.Submission, digest submission.Digest) {
+	j.sub, j.digest = s, digest
+	j.class, _ = c.classOf(s)
 	c.home.lastJobNumber++
-	j := &job{
-		key: s.Key, sub: s, digest: digest, class: class, number: c.home.lastJobNumber,
-		arrived: c.now, deadline: c.now.Add(s.Deadline.Sub(c.now)), tasks: make([]taskState, len(s.Tasks)), unfinishedTasks: len(s.Tasks),
-		token: c.newToken(),
-	}
+	j.number = c.home.lastJobNumber
+	j.token = c.newToken()
+	j.deadline = c.now.Add(s.Deadline.Sub(c.now))
+	j.tasks, j.unfinishedTasks = make([]taskState, len(s.Tasks)), len(s.Tasks)
 	for i := range s.Tasks {
 		t := &s.Tasks[i]
 		j.tasks[i].work = c.runTimeModel(s.Team, t.Kind).Predict(t.DeclaredRunTime)
 	}
-	c.home.jobs.Put(s.Key, j)
 	c.setMemory(j, estimateMemory(s))
-	c.home.openJobs++
 	c.home.byDeadline.push(j)
-	return j
 }
 
 // newToken returns the token of a new claim, which no other claim has.
@@ -255,17 +262,16 @@
 		c.refuseDigest(h, digest, j.digest)
 		return
 	}
-	if j.sub == nil {
-		if !c.admitMemory(h, s) {
-			return
-		}
-		j.sub, j.digest = s, digest
-		c.setMemory(j, estimateMemory(s))
-	}
 	if j.phase == finished {
 		c.reply(h, j.reply)
 		return
 	}
+	if j.sub == nil {
+		if !c.admit(h, s) {
+			return
+		}
+		c.setSubmission(j, s, digest)
+	}
 	j.addWaiter(waiter{handle: h})
 	c.home.byHandle[h] = j
 }
