crocus-entry: closed jobs leave the queue of deadlines

Callers saw: an instance that ended as its memory was used up, by submissions that are all refused. Clients that send other bodies under ids which another instance has claimed take 40 KB each for up to an hour. Cause: finished jobs left the queue of deadlines only from its head. Behind one open job with an earlier deadline all of them stayed, with their submissions, until that deadline; removeJob had taken them off the count of MaxOpenBytes. Change: a job leaves the queue when it is closed.

--- a/cmd/crocus-entry/flood_test.go
+++ b/cmd/crocus-entry/flood_test.go
@@ -32,6 +32,23 @@
 	maxFloodDescriptors = 160
 )
 
+// startFloodPlatform starts a stand-in of the platform and returns a function that starts an instance with the limits of
+// the flood tests.
+func startFloodPlatform(t *testing.T) func(a *addresses, instance string) *exec.Cmd {
+	dir := buildPrograms(t)
+	file := filepath.Join(dir, "document.json")
+	var platform addresses
+	startProcess(t, &platform, dir+"/crocus-standin", "--domain", "east", "--endpoints", "6", "--team", "capstone", "--document", file)
+	out, err := exec.Command(dir+"/crocus", "apply", file, "--platform", platform.Platform.String(), "--by", "test").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return func(a *addresses, instance string) *exec.Cmd {
+		cmd := startProcess(t, a, dir+"/crocus-entry", "--instance", instance, "--domain", "east", "--platform", platform.Platform.String(),
+			"--max-body-bytes", fmt.Sprint(floodBodyBytes), "--max-read-bytes", fmt.Sprint(16<<20), "--max-connections", "100")
+		awaitReady(t, a.Callers)
+		return cmd
+	}
+}
+
 // flood opens connections, sends each request, and keeps the connections open until the test
 // ends. The instance may close any of them.
 func flood(t *testing.T, address netip.AddrPort, requests []string) {
@@ -55,12 +72,7 @@
 // every body whole in memory, and every connection. Checked are survival, the peak of memory, descriptors
 // and an answer to an ordinary request, which depend on no speed.
 func TestFloodsOfUntrustedClients(t *testing.T) {
-	dir := buildPrograms(t)
-	file := filepath.Join(dir, "document.json")
-	var platform addresses
-	startProcess(t, &platform, dir+"/crocus-standin", "--domain", "east", "--endpoints", "6", "--team", "capstone", "--document", file)
-	out, err := exec.Command(dir+"/crocus", "apply", file, "--platform", platform.Platform.String(), "--by", "test").CombinedOutput()
-	assert.NilError(t, err, string(out))
+	start := startFloodPlatform(t)
 	head := "POST " + api.PathSubmissions + " HTTP/1.1\r\nHost: x\r\n"
 	filler := strings.Repeat("x", floodBodyBytes-1)
 	pieces := strings.Repeat("10\r\n"+strings.Repeat("x", 16)+"\r\n", floodBodyBytes/22)
@@ -73,9 +85,7 @@
 	for i, name := range names {
 		t.Run(name, func(t *testing.T) {
 			var a addresses
-			cmd := startProcess(t, &a, dir+"/crocus-entry", "--instance", fmt.Sprint("east-", i), "--domain", "east", "--platform", platform.Platform.String(),
-				"--max-body-bytes", fmt.Sprint(floodBodyBytes), "--max-read-bytes", fmt.Sprint(16<<20), "--max-connections", "100")
-			awaitReady(t, a.Callers)
+			cmd := start(&a, fmt.Sprint("east-", i))
 			requests := make([]string, floodConnections)
 			for k := range requests {
 				requests[k] = floods[name]
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -42,6 +42,7 @@
 	number          uint64          // names the job to the lead
 	arrived         time.Time       // for a followed job, when following began
 	deadline        time.Time       // on the monotonic clock
+	deadlinePlace   int             // in the deadline queue, from 1; 0 if it is not in it
 	token           string          // identifies the claim of this home
 	version         storage.Version // of the claim row
 	takeoverTried   bool
@@ -581,6 +582,7 @@
 	}
 	j.phase = finished
 	j.finished = c.now
+	c.home.byDeadline.remove(j)
 	c.withdrawTasks(j)
 	c.home.openJobs--
 	c.countAnswered(j)
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -12,24 +12,43 @@
 	"crocusseam/pkg/submission"
 )
 
-// deadlineQueue is a heap of jobs, the earliest deadline first.
+// deadlineQueue is a heap of the jobs that are not finished, the earliest deadline first.
 type deadlineQueue struct {
 	jobs []*job
 }
 
 func (q *deadlineQueue) Len() int           { return len(q.jobs) }
 func (q *deadlineQueue) Less(i, j int) bool { return q.jobs[i].deadline.Before(q.jobs[j].deadline) }
-func (q *deadlineQueue) Swap(i, j int)      { q.jobs[i], q.jobs[j] = q.jobs[j], q.jobs[i] }
-func (q *deadlineQueue) Push(x any)         { q.jobs = append(q.jobs, x.(*job)) }
+
+func (q *deadlineQueue) Swap(i, j int) {
+	q.jobs[i], q.jobs[j] = q.jobs[j], q.jobs[i]
+	q.jobs[i].deadlinePlace, q.jobs[j].deadlinePlace = i+1, j+1
+}
+
+func (q *deadlineQueue) Push(x any) {
+	j := x.(*job)
+	q.jobs = append(q.jobs, j)
+	j.deadlinePlace = len(q.jobs)
+}
 
 func (q *deadlineQueue) Pop() any {
-	last := q.jobs[len(q.jobs)-1]
-	q.jobs = q.jobs[:len(q.jobs)-1]
+	n := len(q.jobs) - 1
+	last := q.jobs[n]
+	last.deadlinePlace = 0
+	q.jobs[n] = nil
+	q.jobs = q.jobs[:n]
 	return last
 }
 
 func (q *deadlineQueue) push(j *job) { heap.Push(q, j) }
 
+// remove takes a job out, if it is in the queue.
+func (q *deadlineQueue) remove(j *job) {
+	if j.deadlinePlace > 0 {
+		heap.Remove(q, j.deadlinePlace-1)
+	}
+}
+
 // requestSlots asks the lead for slots for all tasks of a job. While claims are
 // fast, insertClaim calls it before the claim is won, so that the round trip to
 // the lead overlaps with the commit; no task starts before the claim is won.
@@ -505,14 +524,12 @@
 	q := &c.home.byDeadline
 	for len(q.jobs) > 0 {
 		j := q.jobs[0]
-		if j.phase != finished && c.now.Before(j.deadline) {
+		if c.now.Before(j.deadline) {
 			c.home.nextDue = earlier(j.deadline, c.home.nextDue)
 			return
 		}
 		heap.Pop(q)
-		if j.phase != finished {
-			c.expireJob(j)
-		}
+		c.expireJob(j)
 	}
 }
 
