crocus-entry: no answer of another body after a request for an answer

Callers saw: the answer of another body under the same id, or a wait for it, where an instance follows the job because somebody asked for its answer. Elsewhere they get 409 with both digests. Cause: only the digest of a submission that the instance has itself was compared, not that of the claim row. Evidence: TestOtherBodyBesideARequestForAnAnswerIsRefused fails without this change, the second body waits for the answer. Change: the digest of the row that was read is compared too.

--- a/pkg/dispatch/edge_test.go
+++ b/pkg/dispatch/edge_test.go
@@ -109,6 +109,26 @@
 	assert.Equal(t, w.ledger.startCount, 6)
 }
 
+// Guards against the answer of another body for a submission whose id was asked for before.
+func TestOtherBodyBesideARequestForAnAnswerIsRefused(t *testing.T) {
+	w := withRunningWorld(t, defaultWorld(1))
+	s := w.job("one", 1, time.Second)
+	w.submit("a1", s)
+	w.run(200 * time.Millisecond)
+	asked := w.await("b1", s.Key)
+	other := *s
+	other.Repeatable = true
+	for _, wait := range []time.Duration{200 * time.Millisecond, 2 * time.Second} { // while the job is followed, and after its end
+		w.run(wait)
+		h := w.submit("b1", &other)
+		w.run(100 * time.Millisecond)
+		r := w.replyTo(h)
+		assert.Assert(t, r != nil && r.Refusal != nil, "%+v", r)
+		assert.Equal(t, r.Refusal.Reason, submission.DigestDiffers)
+	}
+	complete(t, w.replyTo(asked))
+}
+
 func writeNotRunClaim(t *testing.T, w *world, s *submission.Submission) {
 	t.Helper()
 	row := dispatch.ClaimRow{Team: s.Team, ID: s.ID, Digest: s.Digest(), Home: "c1", Incarnation: 1, Token: "x", State: dispatch.StateNotRun}
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -233,6 +233,15 @@
 	c.home.byDeadline.push(j)
 }
 
+// claimedDigest returns the digest of the body that has the job's id, unless neither a submission nor its
+// claim row is known yet.
+func (j *job) claimedDigest() (digest submission.Digest, known bool) {
+	if j.sub != nil {
+		return j.digest, true
+	}
+	return j.row.Digest, j.row.Home != ""
+}
+
 // newToken returns the token of a new claim, which no other claim has.
 func (c *Control) newToken() string {
 	var b [tokenBytes]byte
@@ -259,8 +268,8 @@
 // has finished.
 func (c *Control) attachCaller(j *job, h Handle, s *submission.Submission, digest submission.Digest) {
 	c.counters.Attached++
-	if !c.ruleSwitches.noDigest && j.sub != nil && j.digest != digest {
-		c.refuseDigest(h, digest, j.digest)
+	if claimed, known := j.claimedDigest(); known && !c.ruleSwitches.noDigest && claimed != digest {
+		c.refuseDigest(h, digest, claimed)
 		return
 	}
 	if j.phase == finished {
