--- a/pkg/dispatch/job_memory.go
+++ b/pkg/dispatch/job_memory.go
@@ -59,9 +59,22 @@
 	j.memory = bytes
 }
 
+// memoryIsShort reports whether answered jobs are forgotten early, so that others are accepted.
+func (c *Control) memoryIsShort() bool {
+	return c.config.MaxOpenBytes > 0 && c.home.memory > c.config.MaxOpenBytes/2
+}
+
 // countAnswered counts a job that is answered as what is kept of it. The payloads of a large one are released.
 func (c *Control) countAnswered(j *job) {
-	if current, ok := c.home.jobs.Get(j.key); !ok || current != j || j.sub == nil {
+	if current, ok := c.home.jobs.Get(j.key); !ok || current != j {
+		return
+	}
+	var answerBytes int64
+	if j.reply.Answer != nil {
+		answerBytes = int64(outputBytes(j.reply.Answer.Results))
+	}
+	if j.sub == nil {
+		c.setMemory(j, jobEntryBytes+answerBytes)
 		return
 	}
 	if j.memory > smallJobBytes {
@@ -72,7 +85,7 @@
 		}
 		j.sub = &kept
 	}
-	c.setMemory(j, estimateTasks(j.sub, answeredTaskBytes))
+	c.setMemory(j, estimateTasks(j.sub, answeredTaskBytes)+answerBytes)
 }
 
 // removeJob forgets a job, unless another one has taken its place.
--- a/pkg/dispatch/job_memory_test.go
+++ b/pkg/dispatch/job_memory_test.go
@@ -43,3 +43,36 @@
 	w.run(time.Minute)
 	assert.Equal(t, w.nodes["a1"].control.Status().OpenBytes, int64(0))
 }
+
+// Guards against outputs that no limit counts: those of small tasks may have megabytes, and answers are kept.
+func TestOutputsCountAsMemory(t *testing.T) {
+	const jobs, tasks = 50, 4
+	for _, limit := range []int64{0, 1 << 20} {
+		config := defaultWorld(1)
+		config.maxOpenBytes = limit
+		w := withRunningWorld(t, config)
+		var first submission.Submission
+		for k := range jobs {
+			s := w.job(fmt.Sprint("long", k), tasks, 20*time.Millisecond)
+			h := w.submit("a1", s)
+			w.run(500 * time.Millisecond)
+			complete(t, w.replyTo(h))
+			if k == 0 {
+				first = *s
+				w.await("b1", s.Key)
+			}
+		}
+		w.run(time.Second)
+		open := w.nodes["a1"].control.Status().OpenBytes
+		if limit == 0 {
+			assert.Check(t, open >= jobs*tasks*longOutput, "%d bytes", open)
+		} else {
+			assert.Check(t, open <= limit, "%d bytes", open)
+		}
+		assert.Check(t, w.nodes["b1"].control.Status().OpenBytes >= tasks*longOutput, "of an answer that was asked for")
+		first.Attempt = 2
+		again := w.submit("a1", &first) // may have been forgotten
+		w.run(time.Second)
+		complete(t, w.replyTo(again))
+	}
+}
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -324,6 +324,7 @@
 	t.phase = taskDone
 	t.output = output
 	j.output += len(output)
+	c.setMemory(j, j.memory+int64(len(output)))
 	if j.output > maxJobOutputBytes {
 		c.failJob(j, submission.TaskFailed, fmt.Sprintf("the job's output is longer than %d bytes", maxJobOutputBytes))
 		return
@@ -596,12 +597,12 @@
 }
 
 // forgetJobs drops answered jobs from memory when their outcome is recorded and
-// Timing.JobRetention has passed.
+// Timing.JobRetention has passed, or earlier while jobs take much memory.
 func (c *Control) forgetJobs() {
 	h := &c.home
 	for len(h.answered) > 0 {
 		j := h.answered[0]
-		if !j.recorded || c.now.Sub(j.finished) < c.config.Timing.JobRetention {
+		if !j.recorded || (c.now.Sub(j.finished) < c.config.Timing.JobRetention && !c.memoryIsShort()) {
 			return
 		}
 		h.answered = h.answered[1:]
