Lookups of callers take a bounded number of reads

Callers saw: an instance beyond its memory when clients ask for jobs that nobody knows, or cancel them, and leave. Cause: each question began a read of the store with a goroutine at once, and went on without its caller. While the store is slow they pile up in front of its 16 connections, and the instance's own commits wait behind them. Change: 32 such reads at a time, 4,000 lookups wait for up to 3 s, the others are answered 503. The question of a caller that has left is dropped.

--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -579,6 +579,7 @@
 	// Jobs refused and adoptions put off for the memory that open jobs take here.
 	StoredOverMemory    int64 // stored jobs refused at MaxStoredBytes
 	OpenOverMemory      int64 // ephemeral jobs refused at MaxOpenBytes
+	LookupsRefused      int64 // of callers that asked for or cancelled a job that is not open here, as too many did
 	AdoptionsOverMemory int64 // scans of which jobs were left for a later adoption at MaxStoredBytes
 }
 
--- a/pkg/placement/export_test.go
+++ b/pkg/placement/export_test.go
@@ -65,3 +65,8 @@
 	}
 	return nil
 }
+
+// Lookups returns how many reads for callers are going on, and how many lookups wait.
+func (c *Control) Lookups() (reading, waiting int) {
+	return c.home.lookups.reading, c.home.lookups.queued.Len() + len(c.home.pendingCancels)
+}
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -68,6 +68,7 @@
 	byHandle       map[Handle]workload.JobID
 	moveDue        time.Time // when waiting tasks are next considered for a move
 	pendingCancels []delayedLookup
+	lookups        lookupQueue
 	timeouts       map[string]*timeoutCounts // by route
 	lostWaiting    map[string]lostWaiting    // by route
 	// droppedRuns holds the runs of jobs that were closed before the holders reported the
@@ -108,6 +109,7 @@
 		jobs: table.New[workload.JobID, *job](), byHandle: make(map[Handle]workload.JobID),
 		droppedRuns: table.New[workload.JobID, *droppedRuns](), timeouts: make(map[string]*timeoutCounts),
 		lostWaiting: make(map[string]lostWaiting), releases: table.New[instance.ID, []ReleasedJob](),
+		lookups: lookupQueue{queued: table.New[Handle, queuedLookup]()},
 	}
 }
 
@@ -1060,6 +1062,7 @@
 func (c *Control) abandon(m Abandon) {
 	id, ok := c.home.byHandle[m.Handle]
 	if !ok {
+		c.abandonLookup(m.Handle)
 		return
 	}
 	delete(c.home.byHandle, m.Handle)
--- a/pkg/placement/lookup.go
+++ b/pkg/placement/lookup.go
@@ -26,10 +26,10 @@
 	cancelDelay    = 30 * time.Millisecond // lets the job's home cancel it first
 )
 
-// lookup reads the rows of a job, the open row before that of the outcome: in this order
+// startLookup reads the rows of a job, the open row before that of the outcome: in this order
 // a job that ends between the two reads is still found.
-func (c *Control) lookup(l lookup) {
-	c.scan(storedKey(openTable, l.id), func(m ScanDone) {
+func (c *Control) startLookup(l lookup) {
+	c.readForLookup(storedKey(openTable, l.id), func(m ScanDone) {
 		switch row := rowOf(m.Rows, storedKey(openTable, l.id)); {
 		case m.Err != nil:
 			c.replyUnavailable(l, m.Err)
@@ -63,7 +63,7 @@
 
 // lookupEnded answers a lookup from the row of the job's outcome.
 func (c *Control) lookupEnded(l lookup) {
-	c.scan(storedKey(endedTable, l.id), func(m ScanDone) {
+	c.readForLookup(storedKey(endedTable, l.id), func(m ScanDone) {
 		if m.Err != nil {
 			c.replyUnavailable(l, m.Err)
 			return
@@ -167,6 +167,8 @@
 func (c *Control) cancel(m Cancel) {
 	j, ok := c.home.jobs.Get(m.ID)
 	switch {
+	case !ok && c.lookupsFull():
+		c.refuseLookup(lookup{handle: m.Handle, id: m.ID})
 	case !ok:
 		c.broadcastCancel(m.ID)
 		c.home.pendingCancels = append(c.home.pendingCancels, delayedLookup{lookup: lookup{handle: m.Handle, id: m.ID, route: m.Route, cancel: true}, at: c.now.Add(cancelDelay)})
