crocus-entry: no lookup of ids that no submission can have

Callers saw: 404 after a read of the platform, also for ids of up to 16 KB, which were kept and sent on until then. Cause: only submissions had their names checked. Evidence: TestImpossibleIDIsNotLookedUp fails without this change (the answer repeats 10,000 bytes). Change: GET and DELETE check team and id as POST does.

--- a/service/entry/input_test.go
+++ b/service/entry/input_test.go
@@ -82,6 +82,24 @@
 	assert.Equal(t, started, 0)
 }
 
+// Guards against ids of many bytes that are kept, and sent to the platform, for a caller that asks for them.
+func TestImpossibleIDIsNotLookedUp(t *testing.T) {
+	p := &memoryPlatform{Memory: storage.NewMemory()}
+	storeDocument(t, p, testDocument(startEndpoints(t, 1, echoTask), 4))
+	s := startReadyServer(t, p, nil)
+	for _, method := range []string{http.MethodGet, http.MethodDelete} {
+		request, err := http.NewRequest(method, "http://"+s.Address().String()+api.PathSubmissions+"/capstone/"+strings.Repeat("x", 10_000), http.NoBody)
+		assert.NilError(t, err)
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		text, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		_ = response.Body.Close()
+		assert.Equal(t, response.StatusCode, http.StatusNotFound)
+		assert.Check(t, strings.Contains(string(text), "its id is not allowed") && len(text) < 1000, "%.200s", text)
+	}
+}
+
 func TestWrongTokenLeaksNothing(t *testing.T) {
 	p := &memoryPlatform{Memory: storage.NewMemory()}
 	d := testDocument(startEndpoints(t, 1, echoTask), 4)
--- a/service/entry/routes.go
+++ b/service/entry/routes.go
@@ -164,12 +164,21 @@
 	return refuse(c, submission.Key{}, &submission.Refusal{Reason: submission.Unauthorized, Detail: "the token does not belong to the team"})
 }
 
-func pathKey(c echo.Context) submission.Key {
-	return submission.Key{Team: c.Param("team"), ID: c.Param("id")}
+// pathKey returns the key in the path of a request, and whether a submission can have it.
+func (s *Server) pathKey(c echo.Context) (submission.Key, bool) {
+	key := submission.Key{Team: c.Param("team"), ID: c.Param("id")}
+	return key, s.config.Limits.CheckName("Team", key.Team) == nil && s.config.Limits.CheckName("Id", key.ID) == nil
+}
+
+func refuseUnknown(c echo.Context) error {
+	return refuse(c, submission.Key{}, &submission.Refusal{Reason: submission.NotFound, Detail: "no such submission is known: its id is not allowed"})
 }
 
 func (s *Server) getSubmission(c echo.Context) error {
-	key := pathKey(c)
+	key, ok := s.pathKey(c)
+	if !ok {
+		return refuseUnknown(c)
+	}
 	if !s.isAuthorizedFor(c, key.Team) {
 		return refuseUnauthorized(c)
 	}
@@ -179,7 +188,10 @@
 }
 
 func (s *Server) deleteSubmission(c echo.Context) error {
-	key := pathKey(c)
+	key, ok := s.pathKey(c)
+	if !ok {
+		return refuseUnknown(c)
+	}
 	if !s.isAuthorizedFor(c, key.Team) {
 		return refuseUnauthorized(c)
 	}
