crocus-entry: a bounded number of reads for callers

Callers saw: an instance that ended as its memory was used up, by clients that ask for the answers of unknown ids, or cancel them, and leave while the platform is slow. Its own calls timed out behind them, which counts as an outage of the platform. Cause: each request began a read with a goroutine at once, which went on without its caller.

--- a/cmd/crocus-entry/flood_jobs_test.go
+++ b/cmd/crocus-entry/flood_jobs_test.go
@@ -36,7 +36,7 @@
 // Guards against an instance that clients end by submissions which are complete and within all limits:
 // nothing bounded the memory of what it had accepted.
 func TestFloodOfCompleteSubmissions(t *testing.T) {
-	start := startFloodPlatform(t)
+	start, _ := startFloodPlatform(t)
 	var a addresses
 	cmd := start(&a, "east-0")
 	requests := make([]string, floodConnections)
@@ -50,7 +50,7 @@
 // Guards against an instance that clients end by submissions which are all refused, as another body has their id.
 // Each was kept until its deadline while a job with an earlier one was open.
 func TestFloodOfRefusedSubmissions(t *testing.T) {
-	start := startFloodPlatform(t)
+	start, _ := startFloodPlatform(t)
 	var first, second addresses
 	start(&first, "east-0")
 	cmd := start(&second, "east-1")
--- a/cmd/crocus-entry/flood_test.go
+++ b/cmd/crocus-entry/flood_test.go
@@ -32,9 +32,9 @@
 	maxFloodDescriptors = 160
 )
 
-// startFloodPlatform starts a stand-in of the platform and returns a function that starts an instance with the limits of
-// the flood tests.
-func startFloodPlatform(t *testing.T) func(a *addresses, instance string) *exec.Cmd {
+// startFloodPlatform starts a stand-in of the platform. It returns a function that starts an instance with the limits of
+// the flood tests, and the platform's address.
+func startFloodPlatform(t *testing.T) (start func(a *addresses, instance string) *exec.Cmd, platformAddress netip.AddrPort) {
 	dir := buildPrograms(t)
 	file := filepath.Join(dir, "document.json")
 	var platform addresses
@@ -46,7 +46,7 @@
 			"--max-body-bytes", fmt.Sprint(floodBodyBytes), "--max-read-bytes", fmt.Sprint(16<<20), "--max-connections", "100")
 		awaitReady(t, a.Callers)
 		return cmd
-	}
+	}, platform.Platform
 }
 
 // flood opens connections, sends each request, and keeps the connections open until the test
@@ -72,7 +72,7 @@
 // every body whole in memory, and every connection. Checked are survival, the peak of memory, descriptors
 // and an answer to an ordinary request, which depend on no speed.
 func TestFloodsOfUntrustedClients(t *testing.T) {
-	start := startFloodPlatform(t)
+	start, _ := startFloodPlatform(t)
 	head := "POST " + api.PathSubmissions + " HTTP/1.1\r\nHost: x\r\n"
 	filler := strings.Repeat("x", floodBodyBytes-1)
 	pieces := strings.Repeat("10\r\n"+strings.Repeat("x", 16)+"\r\n", floodBodyBytes/22)
--- a/pkg/dispatch/claims.go
+++ b/pkg/dispatch/claims.go
@@ -108,9 +108,10 @@
 	relayTrustedUntil time.Time
 	probeCount        int // commits sent while the platform was away and no relay worked
 
-	gets       *table.Table[uint64, func(storage.Row, error)]
-	objects    *table.Table[uint64, func([]byte, error)]
-	putRetries *table.Table[*job, time.Time] // when to store a job's results again after a failure
+	gets        *table.Table[uint64, func(storage.Row, error)]
+	queuedReads []queuedRead
+	objects     *table.Table[uint64, func([]byte, error)]
+	putRetries  *table.Table[*job, time.Time] // when to store a job's results again after a failure
 }
 
 const (
@@ -166,24 +167,6 @@
 	c.claims.pending = append(c.claims.pending, p)
 }
 
-// get reads one row of the table.
-func (c *Control) get(key string, done func(storage.Row, error)) {
-	c.claims.lastID++
-	c.claims.gets.Put(c.claims.lastID, done)
-	c.emit(Get{ID: c.claims.lastID, Key: key})
-}
-
-// getDone passes the row that was read to the callback of get.
-func (c *Control) getDone(m GetDone) {
-	done, ok := c.claims.gets.Get(m.ID)
-	if !ok {
-		return
-	}
-	c.claims.gets.Delete(m.ID)
-	c.recordPlatformResult(m.Err)
-	done(m.Row, m.Err)
-}
-
 // recordPlatformResult counts failed calls in a row. After
 // Timing.BreakerFailures of them the breaker opens, and commits go out only as
 // jittered probes.
--- a/pkg/dispatch/counters.go
+++ b/pkg/dispatch/counters.go
@@ -12,6 +12,7 @@
 	Attached           uint64 // submissions that joined a job known to this instance
 	Refused            uint64 // requests refused
 	Shed               uint64 // of the refused requests, those refused for load
+	ReadsRefused       uint64 // of the refused requests, those that needed a read while too many waited
 	OverMemory         uint64 // of the refused requests, those refused at MaxOpenBytes
 	Completed          uint64 // jobs answered Complete
 	Failed             uint64 // jobs answered Failed
@@ -93,6 +94,7 @@
 	n.Attached += other.Attached
 	n.Refused += other.Refused
 	n.Shed += other.Shed
+	n.ReadsRefused += other.ReadsRefused
 	n.OverMemory += other.OverMemory
 	n.Completed += other.Completed
 	n.Failed += other.Failed
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -313,7 +313,7 @@
 	if j.sub.Attempt > 1 || (j.sub.Attempt == 0 && isUnclaimedEligible(j.sub, j.class)) {
 		j.phase = reading
 		c.home.followed.Put(j, struct{}{})
-		c.get(ClaimKey(j.key), func(row storage.Row, err error) { c.claimRowRead(j, row, err) })
+		c.getForCaller(ClaimKey(j.key), j.isReading, func(row storage.Row, err error) { c.claimRowRead(j, row, err) })
 		return
 	}
 	j.phase = claiming
@@ -658,6 +658,9 @@
 		c.home.byHandle[m.Handle] = j
 		return
 	}
+	if c.refuseUnread(m.Handle) {
+		return
+	}
 	j := &job{key: m.Key, class: document.DefaultClass(), phase: reading, arrived: c.now, deadline: c.now.Add(c.config.Timing.ClaimWait + minFollowWait)}
 	j.addWaiter(waiter{handle: m.Handle})
 	c.home.byHandle[m.Handle] = j
@@ -665,9 +668,13 @@
 	c.setMemory(j, jobEntryBytes)
 	c.home.followed.Put(j, struct{}{})
 	c.home.openJobs++
-	c.get(ClaimKey(m.Key), func(row storage.Row, err error) { c.awaitRowRead(j, row, err) })
+	c.getForCaller(ClaimKey(m.Key), j.isReading, func(row storage.Row, err error) { c.awaitRowRead(j, row, err) })
 }
 
+func (j *job) isReading() bool { return j.phase == reading }
+
+func always() bool { return true }
+
 // awaitRowRead continues await with the claim row that was read. A submission
 // that came in meanwhile is claimed.
 func (c *Control) awaitRowRead(j *job, row storage.Row, err error) {
@@ -684,7 +691,7 @@
 	}
 }
 
-// abandon drops a request whose caller has gone. The job goes on.
+// abandon drops a request whose caller has gone. The job goes on, but not the read of an answer that nobody awaits.
 func (c *Control) abandon(m Abandon) {
 	j, ok := c.home.byHandle[m.Handle]
 	if !ok {
@@ -694,9 +701,12 @@
 	for i, w := range j.waiters {
 		if w.handle == m.Handle {
 			j.waiters = append(j.waiters[:i], j.waiters[i+1:]...)
-			return
+			break
 		}
 	}
+	if j.phase == reading && j.sub == nil && len(j.waiters) == 0 {
+		c.finishRefused(j, submission.Refusal{Reason: submission.Cancelled, Detail: "its caller has left"})
+	}
 }
 
 // cancel cancels a job at its caller's request, here or at its home.
@@ -706,7 +716,10 @@
 		c.reply(m.Handle, j.reply)
 		return
 	}
-	c.get(ClaimKey(m.Key), func(row storage.Row, err error) { c.cancelRowRead(m, row, err) })
+	if c.refuseUnread(m.Handle) {
+		return
+	}
+	c.getForCaller(ClaimKey(m.Key), always, func(row storage.Row, err error) { c.cancelRowRead(m, row, err) })
 }
 
 // cancelRowRead continues cancel with the claim row, which names the job's home.
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -645,7 +645,7 @@
 		return
 	}
 	j.nextPoll = time.Time{}
-	c.get(ClaimKey(j.key), func(row storage.Row, err error) {
+	c.getForCaller(ClaimKey(j.key), func() bool { return j.phase == following }, func(row storage.Row, err error) {
 		if j.phase != following {
 			return
 		}
