crocus-entry: claims come through beside submissions under taken ids

Callers saw: 503 for their submissions as long as others submit bodies under ids that other bodies have claimed: such a submission takes a few hundred bytes and is refused. Cause: a commit of several claims fails with one of them. The others were queued again beside the next taken ids, until ClaimWait was over. Evidence: TestClaimsBesideTakenIDs (two such submissions a millisecond) fails without this change: refused, PlatformUnavailable. Change: rows that had no conflict in a failed commit go into the next one without other rows.

--- a/pkg/dispatch/claims.go
+++ b/pkg/dispatch/claims.go
@@ -62,6 +62,7 @@
 	expires  time.Time // end of the caller's wait; zero if there is none
 	queuedAt time.Time
 	job      *job // the job that cannot start before this claim is won; otherwise nil
+	proven   bool // it had no conflict in a commit that failed on other rows
 	// done is called once the row is known to have been written (conflict is
 	// nil), when another write is found in its place (conflict is the present
 	// row), or when the wait has expired (err is set).
@@ -292,7 +293,9 @@
 	return due
 }
 
-// flushBatch sends the next batch. A batch has at most one write of each row.
+// flushBatch sends the next batch. A batch has at most one write of each row. Rows that stood beside a
+// conflict go without others, which may have conflicts too: else callers who submit under taken ids would keep the claims
+// of others from being written.
 func (c *Control) flushBatch() {
 	w := &c.claims
 	b := &batch{}
@@ -301,9 +304,10 @@
 	bytes := 0
 	// Claims that jobs wait for go before claims written afterwards and outcomes.
 	slices.SortStableFunc(w.pending, func(p, q *pendingWrite) int { return p.rank() - q.rank() })
+	onlyProven := slices.ContainsFunc(w.pending, func(p *pendingWrite) bool { return p.proven })
 	for _, p := range w.pending {
 		full := len(b.writes) >= c.config.Timing.MaxRowsPerCommit || bytes > maxCommitBytes
-		if full || taken[p.write.Key] {
+		if full || taken[p.write.Key] || (onlyProven && !p.proven) {
 			rest = append(rest, p)
 			continue
 		}
@@ -436,6 +440,7 @@
 		row, differs := present[p.write.Key]
 		switch {
 		case !differs:
+			p.proven = true
 			again = append(again, p)
 		case string(row.Value) == string(p.write.Value):
 			p.done(row.Version, nil, nil)
--- a/pkg/dispatch/clients_test.go
+++ b/pkg/dispatch/clients_test.go
@@ -68,3 +68,27 @@
 	s.HomeDomain = []string{"", "a", "b"}[random.IntN(3)]
 	return w.submit(name, s)
 }
+
+// Guards against claims that do not come through beside submissions under ids that other bodies have claimed: a commit of
+// several claims fails with one of them.
+func TestClaimsBesideTakenIDs(t *testing.T) {
+	const taken, refusals = 200, 6000
+	w := withRunningWorld(t, defaultWorld(1))
+	for k := range taken {
+		writeNotRunClaim(t, w, w.job(fmt.Sprint("taken", k), 1, 10*time.Millisecond))
+	}
+	var ordinary []dispatch.Handle
+	for k := range refusals {
+		s := w.job(fmt.Sprint("taken", k%taken), 1, 10*time.Millisecond)
+		s.Deadline = w.now.Add(20 * time.Second)
+		w.submit("a1", s)
+		if k%1000 == 500 {
+			ordinary = append(ordinary, w.submit("a1", w.job(fmt.Sprint("ordinary", k), 1, 10*time.Millisecond)))
+		}
+		w.run(500 * time.Microsecond)
+	}
+	w.run(10 * time.Second)
+	for _, h := range ordinary {
+		complete(t, w.replyTo(h))
+	}
+}
