Stored jobs are recorded beside submissions of jobs that have ended

Callers saw: no answer to stored jobs, and no progress of accepted ones, while others submit jobs again that have ended, or other bodies under their ids: small requests that are answered at once. Cause: a commit of the jobs of a partition fails with one of them. The others were queued again beside the next ones that conflict. Change: jobs without a conflict in a failed commit go into the next one without other jobs.

--- a/pkg/placement/clients_test.go
+++ b/pkg/placement/clients_test.go
@@ -29,9 +29,13 @@
 			asked, answered := 0, 0
 			count := func(placement.Answer) { answered++ }
 			var outcomes []*model.Outcome
+			for k := range randomJobs {
+				j := clientJob(k, "")
+				w.Jobs[j.ID] = &model.Outcome{Job: j}
+			}
 			for range 1000 {
 				n := w.Nodes[random.IntN(3)]
-				j := randomJob(random)
+				j := clientJob(random.IntN(randomJobs), fmt.Sprint(random.IntN(2)))
 				switch random.IntN(8) {
 				case 0, 1:
 					asked++
@@ -44,9 +48,6 @@
 				case 4, 5:
 					o := &model.Outcome{Job: j, Submitted: w.Now}
 					outcomes = append(outcomes, o)
-					if w.Jobs[j.ID] == nil {
-						w.Jobs[j.ID] = o
-					}
 					w.Resubmit(n, o, clientRoute, 10*time.Second)
 				default:
 					asked++
@@ -60,7 +61,7 @@
 			for i, o := range outcomes {
 				assert.Check(t, o.Answer.Status != 0, "submission %d of %s is not answered", i, o.Job.ID)
 			}
-			assert.Check(t, len(w.Breaches) == 0, "%.5v", w.Breaches)
+			assert.Check(t, len(w.Breaches) == 0, "%d, first %v", len(w.Breaches), w.Breaches[:min(len(w.Breaches), 3)])
 			for _, n := range w.Nodes {
 				o := n.Control.Overview()
 				reading, waiting := n.Control.Lookups()
@@ -73,13 +74,47 @@
 	}
 }
 
-var clientRoute = workload.Route{Name: "job", MaxAttempts: 3, Stretch: 3, Slack: time.Minute}
+var clientRoute = workload.Route{Name: "job", Service: deployment(1).Service, MaxAttempts: 3, Stretch: 3, Slack: time.Minute}
+
+const randomJobs = 16
 
-// randomJob returns one of few jobs, with one of two bodies.
-func randomJob(random *rand.Rand) *workload.Job {
-	k := random.IntN(16)
+// clientJob returns a job of a random client, of which each second one is stored.
+func clientJob(number int, spec string) *workload.Job {
 	return &workload.Job{
-		ID: workload.JobID(fmt.Sprintf("000c%012x", k)), Spec: fmt.Sprint(random.IntN(2)), Ephemeral: k%2 == 0,
-		Steps: []workload.Step{{Count: 1 + k%3*10, Need: workload.Resources{MilliCPU: 50}, Estimate: 10 * time.Millisecond}},
+		ID: workload.JobID(fmt.Sprintf("000c%012x", number)), Spec: spec, Ephemeral: number%2 == 0,
+		Steps: []workload.Step{{Count: 1 + number%3*10, Need: workload.Resources{MilliCPU: 50}, Estimate: 10 * time.Millisecond}},
+	}
+}
+
+// Guards against stored jobs that are not recorded beside submissions of jobs that have ended: a commit of several jobs
+// fails with one of them.
+func TestJobsAreRecordedBesideEndedOnes(t *testing.T) {
+	const known, submissions = 200, 8000
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	job := func(k int) *workload.Job {
+		return &workload.Job{ID: workload.JobID(fmt.Sprintf("000d%012x", k)), Steps: []workload.Step{{Count: 1, Need: workload.Resources{MilliCPU: 50}, Estimate: 10 * time.Millisecond}}}
+	}
+	for k := range known {
+		w.Submit(w.Nodes[4], job(k), clientRoute, 10*time.Second)
+	}
+	w.Run(5 * time.Second)
+	states := make(map[workload.JobID]placement.Status)
+	var ordinary []*model.Outcome
+	for k := range submissions {
+		w.Resubmit(w.Nodes[0], &model.Outcome{Job: job(k % known)}, clientRoute, 10*time.Second)
+		if k%1000 == 500 {
+			ordinary = append(ordinary, w.Submit(w.Nodes[0], job(known+k), clientRoute, 10*time.Second))
+		}
+		w.Run(500 * time.Microsecond)
+		if k == submissions-1 { // while the crowd goes on
+			for _, o := range ordinary[:len(ordinary)-2] {
+				w.State(w.Nodes[4], o.Job.ID, func(a placement.Answer) { states[o.Job.ID] = a.Status })
+			}
+		}
+	}
+	w.Run(100 * time.Millisecond)
+	for _, o := range ordinary[:len(ordinary)-2] {
+		assert.Check(t, o.Answer.Status == placement.Queued && states[o.Job.ID] == placement.Completed, "%s: answered %v, now %v", o.Job.ID, o.Answer, states[o.Job.ID])
 	}
 }
--- a/pkg/placement/recorder.go
+++ b/pkg/placement/recorder.go
@@ -41,6 +41,7 @@
 	dropped        []droppedRun        // runs dropped when the outcome was decided
 	unrecorded     []unrecordedOutcome // outcomes of runs that the next commit records
 	pendingCancels []Handle            // callers to answer once the job has ended
+	proven         bool                // it had no conflict in its last commit, which failed on other jobs
 }
 
 // unrecordedOutcome is a run whose outcome its holder keeps until it is recorded.
@@ -64,6 +65,7 @@
 // recorderPartition is the state of the commits of one partition.
 type recorderPartition struct {
 	jobs      *table.Table[workload.JobID, *job] // to be written by the next commit
+	proven    int                                // of the jobs of a commit that failed, those without a conflict
 	writing   bool                               // a commit is in progress
 	notBefore time.Time                          // of the next commit
 }
@@ -171,24 +173,35 @@
 	outcomes []unrecordedOutcome // outcomes that this commit records
 }
 
-// writePartition commits the rows of up to maxJobsPerCommit changed jobs of a partition.
+// writePartition commits the rows of up to maxJobsPerCommit changed jobs of a partition. After a conflict
+// those without one go without others, which may have conflicts too: else callers who submit jobs that have ended would keep
+// the jobs of others from being recorded.
 func (c *Control) writePartition(p *recorderPartition) {
 	var writes []storage.Write
 	var batch []commitEntry
+	onlyProven := p.proven > 0
+	p.proven = 0
 	for id, j := range p.jobs.All() {
 		if len(batch) == maxJobsPerCommit {
 			break
 		}
+		if onlyProven && !j.stored.proven {
+			continue
+		}
 		p.jobs.Delete(id)
 		if known, ok := c.home.jobs.Get(id); !ok || known != j {
 			continue
 		}
+		j.stored.proven = false
 		batch = append(batch, commitEntry{job: j, sent: c.now, phase: j.stored.phase, verifies: j.stored.unverified, outcomes: j.stored.unrecorded})
 		j.stored.unrecorded = nil
 		writes = append(writes, c.recordWrites(j)...)
 		batch[len(batch)-1].sequence = j.stored.sequence
 	}
 	if len(batch) == 0 {
+		if onlyProven { // they have been closed meanwhile
+			c.writePartition(p)
+		}
 		return
 	}
 	p.writing = true
@@ -378,6 +391,8 @@
 	endedRow, endedDiffers := rows[storedKey(endedTable, j.ID)]
 	switch {
 	case !openDiffers && !endedDiffers:
+		j.stored.proven = true
+		c.recorder.partition(j.ID).proven++
 		c.recordAgain(e)
 	case endedDiffers && endedRow.Version > 0:
 		c.conflictWithEnded(e, &endedRow)
