Counts of waiting jobs go over the jobs once a step

Callers saw: an instance that stands still for tenths of a second at a time while a crowd asks for the number of waiting jobs, a request without a body; its peers take one that is silent so long for lost. Cause: each such request went over all jobs of the home. Change: the callers of one step get the same number.

--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -267,7 +267,7 @@
 	c.runStop()
 	c.runCallerCheck()
 	effects := c.effects
-	c.effects, c.logged = nil, 0
+	c.effects, c.logged, c.home.waitingNow = nil, 0, nil
 	tick := c.config.Timing.HeartbeatInterval / busyStepsPerHeartbeat
 	if c.home.jobs.Len() == 0 && c.holder.runs.Len() == 0 {
 		tick = c.config.Timing.HeartbeatInterval / idleStepsPerHeartbeat
@@ -317,7 +317,7 @@
 	case Cancel:
 		c.cancel(m)
 	case Count:
-		c.reply(m.Handle, Answer{Status: Counted, Waiting: c.waitingJobs(m.Route)})
+		c.reply(m.Handle, Answer{Status: Counted, Waiting: c.countForCaller(m.Route)})
 	case Abandon:
 		c.abandon(m)
 	case CallersChecked:
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -71,6 +71,7 @@
 	lookups        lookupQueue
 	timeouts       map[string]*timeoutCounts // by route
 	lostWaiting    map[string]lostWaiting    // by route
+	waitingNow     map[string]int            // what callers of this step were told, by route
 	// droppedRuns holds the runs of jobs that were closed before the holders reported the
 	// ends of these runs.
 	droppedRuns *table.Table[workload.JobID, *droppedRuns]
--- a/pkg/placement/waiting_count.go
+++ b/pkg/placement/waiting_count.go
@@ -40,6 +40,21 @@
 	return max(n, lost)
 }
 
+// countForCaller returns the number of waiting jobs of a route. It goes over all jobs, so the callers of one step get the
+// same number.
+func (c *Control) countForCaller(route string) int {
+	n, ok := c.home.waitingNow[route]
+	if ok {
+		return n
+	}
+	if c.home.waitingNow == nil {
+		c.home.waitingNow = make(map[string]int)
+	}
+	n = c.waitingJobs(route)
+	c.home.waitingNow[route] = n
+	return n
+}
+
 // lostWaitingCounts returns the waiting jobs of lost instances by route.
 func (c *Control) lostWaitingCounts() map[string]int {
 	var counts map[string]int
--- a/pkg/placement/waiting_count_test.go
+++ b/pkg/placement/waiting_count_test.go
@@ -161,3 +161,25 @@
 		assert.Check(t, len(counts.low) == 0, "%d numbers are too low, the first: %v", len(counts.low), counts.low[:min(1, len(counts.low))])
 	})
 }
+
+// BenchmarkCounts measures how a home with many waiting jobs answers a crowd that asks for their number.
+func BenchmarkCounts(b *testing.B) {
+	const jobs, requests = 6000, 500
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	for k := range jobs {
+		j := &workload.Job{ID: workload.JobID(fmt.Sprintf("000e%012x", k)), Steps: []workload.Step{{Count: 1, Need: workload.Resources{MilliCPU: 27000}, Estimate: time.Minute}}}
+		w.Submit(w.Nodes[0], j, clientRoute, time.Hour)
+		if k%200 == 0 {
+			w.Run(50 * time.Millisecond)
+		}
+	}
+	w.Run(5 * time.Second)
+	for b.Loop() {
+		for range requests {
+			w.Waiting(w.Nodes[0], clientRoute.Name, func(a placement.Answer) { assert.Assert(b, a.Waiting > jobs/2) })
+		}
+		w.Run(time.Millisecond)
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*requests), "µs/request")
+}
