--- a/cmd/crocus-gate/flood_test.go
+++ b/cmd/crocus-gate/flood_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -272,3 +273,12 @@
 	assert.Check(f.t, memory < floodMemoryMB<<20, "the gate has used %d MB of its %d MB", memory>>20, floodMemoryMB)
 	assert.Check(f.t, descriptors < floodDescriptors-floodFileReserve, "the gate has had %d descriptors open of its %d", descriptors, floodDescriptors-floodFileReserve)
 }
+
+// Guards against a planned stop that does not end because clients hold requests open.
+func TestFloodBesideStop(t *testing.T) {
+	f := startFlood(t, buildGate(t))
+	f.run(floodBodies, func(f *flood, c net.Conn, j *workload.Job, complete bool) { f.sendBody(c, j, complete, floodBodyBytes) })
+	f.gate.signal(syscall.SIGTERM)
+	f.gate.waitExit()
+	assert.Equal(t, len(f.breaches), 0, "%v", f.breaches)
+}
