--- a/cmd/crocus-entry/flood_jobs_test.go
+++ b/cmd/crocus-entry/flood_jobs_test.go
@@ -57,8 +57,11 @@
 	for k := range floodConnections {
 		assert.Assert(t, submitOrdinary(first.Callers, fmt.Sprint("taken", k)))
 	}
-	go sendRequest(second.Callers, submissionRequest(t, "long", 1, `{"Work":"1m"}`, 5*time.Minute)) // its deadline is before the others'
 	var group errgroup.Group
+	group.Go(func() error {
+		sendRequest(second.Callers, submissionRequest(t, "long", 1, `{"Work":"1m"}`, 5*time.Minute)) // its deadline is before the others'
+		return nil
+	})
 	for k := range floodConnections {
 		group.Go(func() error {
 			request := submissionRequest(t, fmt.Sprint("taken", k), 1, strings.Repeat(" ", floodPayloadBytes), 10*time.Minute)
