crocus-entry: an accepted submission counts 3 KB besides its tasks

Callers saw: nothing; MaxOpenBytes held less than it says for submissions of one task. Cause: the constant part of the estimate was 1 KB. Evidence: TestEstimatedMemoryCoversTheHeap (home, lead, holders, and the test's own record of them) fails without this change: 3,613 bytes of the heap for each of 1,000 submissions of one task, 2,126 counted. With 100 and 1,000 tasks the estimate was above the heap. Result: 4,174 counted.

--- a/pkg/dispatch/job_memory.go
+++ b/pkg/dispatch/job_memory.go
@@ -11,7 +11,7 @@
 
 const (
 	// jobEntryBytes is what a job takes in tables, and in the request that waits for its answer.
-	jobEntryBytes = 1 << 10
+	jobEntryBytes = 3 << 10
 	// answeredTaskBytes is what a task of an answered job takes besides its texts.
 	answeredTaskBytes = int64(unsafe.Sizeof(submission.Task{}) + unsafe.Sizeof(taskState{}))
 	// openTaskBytes adds its attempt, and what the lead and the holder have of it.
--- a/pkg/dispatch/job_memory_test.go
+++ b/pkg/dispatch/job_memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -76,3 +77,31 @@
 		complete(t, w.replyTo(again))
 	}
 }
+
+// Guards against an estimate that is below what accepted submissions occupy at their home, their lead and their holders.
+func TestEstimatedMemoryCoversTheHeap(t *testing.T) {
+	for _, shape := range []struct{ jobs, tasks, payload int }{{1000, 1, 16}, {100, 100, 16}, {10, 1000, 1000}} {
+		w := withRunningWorld(t, defaultWorld(1))
+		before := liveHeap()
+		for k := range shape.jobs {
+			s := w.job(fmt.Sprint("open", k), shape.tasks, time.Millisecond) // declared
+			for i := range s.Tasks {
+				s.Tasks[i].Payload = append(make([]byte, 0, shape.payload), "20s"...)
+			}
+			w.submit("a1", s)
+		}
+		w.run(2 * time.Second)
+		grown, counted := liveHeap()-before, w.nodes["a1"].control.Status().OpenBytes
+		t.Logf("%+v: %d bytes of the heap, %d counted", shape, grown, counted)
+		assert.Check(t, grown <= counted, "%+v: %d bytes of the heap, %d counted", shape, grown, counted)
+		runtime.KeepAlive(w)
+	}
+}
+
+func liveHeap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
