--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -31,7 +31,7 @@
 	MaxTasks       int    `long:"max-tasks" default:"1000" description:"most tasks of a submission"`
 	MaxBodyBytes   int64  `long:"max-body-bytes" default:"8388608" description:"longest body of a caller's request"`
 	MaxReadBytes   int64  `long:"max-read-bytes" default:"0" description:"memory for all bodies that are being read or decoded, of which those above 64 KB may use three quarters; 0 means 64 MB, or three times MaxBodyBytes if that is more"`
-	MaxOpenBytes   int64  `long:"max-open-bytes" default:"0" description:"memory for accepted submissions until they are forgotten, half a minute after their answer, of which those above 64 KB may use half; 0 means four times MaxReadBytes"`
+	MaxOpenBytes   int64  `long:"max-open-bytes" default:"0" description:"memory for accepted submissions and their outputs until they are forgotten, half a minute after their answer or, above half of it, as soon as that is recorded; submissions above 64 KB may use half; 0 means four times MaxReadBytes"`
 	MaxConnections int    `long:"max-connections" default:"4000" description:"most connections of callers; above it idle ones are closed, the longest idle first"`
 	WritesPerSec   int    `long:"writes-per-sec" default:"50" description:"commits a second that the instance may make for claims and outcomes"`
 	Log            string `long:"log" default:"off" description:"log level: off, debug, info, warn, error"`
