Ended runs hold neither their run nor their request, and runs count by bytes

Callers saw: an instance beyond its memory. 300 clients with jobs of one short task and 4,000 bytes of specification, 200 each, one after the other. Cause: a holder keeps ended runs for 5 s to answer repeated requests, and kept the run, its placement request and by that the specification. Each counted as 1 KB whatever its job has, against the budget of callers and against the bound of 0.1 of the memory. Change: an ended run is its home, its token and its RunEnded. Runs that go on count their part of the request. MaxRuns is MaxRunBytes now, and what a home may place at a time is its share of that, each task with a request of its own.

--- a/pkg/model/node.go
+++ b/pkg/model/node.go
@@ -89,7 +89,7 @@
 		Seed: n.world.Config.Seed, Timing: n.world.Config.Timing, Retention: n.world.Config.Retention,
 		OverloadControl: n.world.Config.OverloadControl, AdaptivePlacement: n.world.Config.AdaptivePlacement,
 		LinkRate: n.up.rate, ColdOver: n.world.Config.ColdOver, ColdSlack: n.world.Config.ColdSlack, MaxStoredJobs: n.world.Config.MaxStoredJobs, EvacuationBound: n.world.Config.EvacuationBound,
-		MaxStoredBytes: n.world.Config.MaxStoredBytes, MaxOpenBytes: n.world.Config.MaxOpenBytes, MaxRuns: n.world.Config.MaxRuns,
+		MaxStoredBytes: n.world.Config.MaxStoredBytes, MaxOpenBytes: n.world.Config.MaxOpenBytes, MaxRunBytes: n.world.Config.MaxRunBytes,
 	})
 	if n.Prepare != nil {
 		n.Prepare(n.Control)
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -48,8 +48,8 @@
 	LateStartExcused func(*Endpoint, workload.Token) bool
 	// MaxStoredBytes and MaxOpenBytes are the limits of each instance; 0 means none.
 	MaxStoredBytes, MaxOpenBytes int64
-	// MaxRuns bounds the runs of each instance; 0 means no limit.
-	MaxRuns int
+	// MaxRunBytes bounds the memory of the runs of each instance; 0 means no limit.
+	MaxRunBytes int64
 	// LifeConnections lets no start reach another life of an endpoint than the one meant, as
 	// the platform's client sends it only over a connection on which that life has shown itself. A start
 	// that the life meant has received may still be carried out late by the next one.
--- a/pkg/placement/clients_test.go
+++ b/pkg/placement/clients_test.go
@@ -19,7 +19,7 @@
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			config := deployment(seed)
-			config.MaxStoredBytes, config.MaxOpenBytes, config.MaxRuns = 64<<10, 64<<10, 100
+			config.MaxStoredBytes, config.MaxOpenBytes, config.MaxRunBytes = 64<<10, 64<<10, 100<<10
 			w := model.New(config)
 			w.Run(4 * time.Second)
 			random := rand.New(rand.NewPCG(seed, 62))
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -45,9 +45,9 @@
 	// MaxStoredJobs bounds the open stored jobs of the instance, accepted and adopted ones; 0 means
 	// the default.
 	MaxStoredJobs int
-	// MaxRuns bounds the runs that the instance keeps as a holder, with those that have ended lately,
-	// and by that the tasks that it places as a home, see run_limits.go; 0 means no limit.
-	MaxRuns int
+	// MaxRunBytes bounds the estimated memory of the ended runs that the instance keeps as a holder, and
+	// of the tasks that it places as a home, see run_limits.go; 0 means no limit.
+	MaxRunBytes int64
 	// EvacuationBound is the time within which nothing may start any more in a failure domain that
 	// the operator evacuates. Above 0 nothing starts before the evacuated domains are known.
 	EvacuationBound time.Duration
@@ -585,3 +585,6 @@
 
 // runTable holds runs by their identity.
 type runTable = table.Table[workload.Run, *run]
+
+// endedRunTable holds ended runs for endedRunRetention, to answer repeated placement requests.
+type endedRunTable = table.Table[workload.Run, endedRun]
--- a/pkg/placement/export_test.go
+++ b/pkg/placement/export_test.go
@@ -47,7 +47,7 @@
 
 // CheckPhases returns an error if the counts of phases disagree with the tasks.
 func (c *Control) CheckPhases() error {
-	all := 0
+	all, memory := 0, int64(0)
 	for _, j := range c.home.jobs.All() {
 		for s := range j.steps {
 			var counts phaseCounts
@@ -58,10 +58,11 @@
 				return fmt.Errorf("job %s, step %d: %v are counted as %v", j.ID, s, counts, j.counts[s])
 			}
 			all += int(counts[placed])
+			memory += int64(counts[placed]) * j.memoryOfRun()
 		}
 	}
-	if all != c.home.placed {
-		return fmt.Errorf("%d placed tasks are counted as %d", all, c.home.placed)
+	if all != c.home.placed || memory != c.home.placedMemory {
+		return fmt.Errorf("%d placed tasks of %d bytes are counted as %d of %d", all, memory, c.home.placed, c.home.placedMemory)
 	}
 	return nil
 }
--- a/pkg/placement/holder.go
+++ b/pkg/placement/holder.go
@@ -101,7 +101,16 @@
 	tooLate        bool   // it was given back as it could no longer end in time
 	stopCause      string // why its stop was first ordered
 	endMessage     *RunEnded
-	endedAt        time.Time
+	memory         int64 // estimated, with its part of the request
+}
+
+// endedRun is what a holder keeps of a run that has ended. It holds neither the run nor its request, so
+// that an ended run takes the same memory whatever its job has.
+type endedRun struct {
+	home    instance.ID
+	token   workload.Token // under which it was started, if it was
+	message *RunEnded
+	at      time.Time
 }
 
 // holder is the state of the holder role: the held endpoints and their runs.
@@ -112,7 +121,8 @@
 	missingSince       map[string]time.Time
 	endpoints          *table.Table[string, *endpoint]
 	runs               *runTable // that have not ended yet
-	ended              *runTable // kept for endedRunRetention, to answer repeated placement requests
+	runMemory          int64     // of the runs that have not ended, estimated
+	ended              *endedRunTable
 	lateStarts         *lateStartTable
 	lateStartsDue      time.Time // when they are next examined
 	queue              []*run
@@ -163,7 +173,7 @@
 func newHolder(config hold.Config) holder {
 	return holder{
 		registry: hold.New(config), listed: table.New[string, *workload.Endpoint](), missingSince: make(map[string]time.Time),
-		endpoints: table.New[string, *endpoint](), runs: table.New[workload.Run, *run](), ended: table.New[workload.Run, *run](), lateStarts: table.New[lateStartKey, *lateStart](),
+		endpoints: table.New[string, *endpoint](), runs: table.New[workload.Run, *run](), ended: table.New[workload.Run, endedRun](), lateStarts: table.New[lateStartKey, *lateStart](),
 		rowsRead: make(map[string]bool), capacityStale: true, fastSpeeds: make(map[string]float64),
 		advertisedCapacity: table.NewTrackedTable[string](func(a, b FreeCapacity) bool { return a == b }, maxRemovedEntries),
 	}
@@ -944,7 +954,7 @@
 // forgetEnded removes ended runs after endedRunRetention.
 func (c *Control) forgetEnded() {
 	for id, r := range c.holder.ended.All() {
-		if c.now.Sub(r.endedAt) < endedRunRetention {
+		if c.now.Sub(r.at) < endedRunRetention {
 			return
 		}
 		c.holder.ended.Delete(id)
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -63,6 +63,7 @@
 type home struct {
 	jobs           *table.Table[workload.JobID, *job] // changed by addJob and removeJob
 	placed         int                                // tasks with a holder, of all jobs
+	placedMemory   int64                              // of these tasks, see memoryOfRun
 	dropped        int                                // runs in droppedRuns, as of the last forgetDroppedRuns
 	memory         jobMemory
 	byHandle       map[Handle]workload.JobID
--- a/pkg/placement/job_memory.go
+++ b/pkg/placement/job_memory.go
@@ -26,10 +26,12 @@
 	stepBytes     = int64(unsafe.Sizeof(workload.Step{}) + unsafe.Sizeof([]task{}) + unsafe.Sizeof(phaseCounts{}))
 	taskBytes     = int64(unsafe.Sizeof(task{}))
 	// maxEstimate bounds what a row may say, so that sums do not overflow.
-	maxEstimate = 1 << 30
-	afterBytes  = int64(unsafe.Sizeof(int(0)))
-	// RunBytes is about what a run takes at its holder, with its request and what tells its end.
-	RunBytes = 1 << 10
+	maxEstimate   = 1 << 30
+	afterBytes    = int64(unsafe.Sizeof(int(0)))
+	runBytes      = 1 << 10 // of a run at its holder, without its request
+	endedRunBytes = 768
+	placedBytes   = 768     // of a placement request, without its specification
+	droppedBytes  = 1 << 10 // of a run of a closed job, at its former home
 )
 
 // estimateMemory returns about how much memory an open job takes at its home.
@@ -78,13 +80,28 @@
 	return &c.home.memory.stored
 }
 
-// JobMemory returns the estimated memory of stored jobs and of runs. Ephemeral jobs count with
+// JobMemory returns the estimated memory of stored jobs and of runs, those that have ended lately too. Ephemeral jobs count with
 // their callers' requests.
 func (c *Control) JobMemory() int64 {
 	m := &c.home.memory
-	return m.stored + m.adopting + int64(c.holder.runs.Len()+c.holder.ended.Len()+c.home.dropped)*RunBytes
+	return m.stored + m.adopting + c.holder.runMemory + c.endedMemory() + c.droppedMemory()
 }
 
+func (c *Control) endedMemory() int64 { return int64(c.holder.ended.Len()) * endedRunBytes }
+
+func (c *Control) droppedMemory() int64 { return int64(c.home.dropped) * droppedBytes }
+
+// memoryOfRun returns about how much memory one of the runs of a placement request takes at its holder, with
+// its part of the request.
+func (p *PlaceRequest) memoryOfRun() int64 {
+	request := placedBytes + len(p.Spec) + len(p.Label) + len(p.Rack)
+	return runBytes + int64(request/len(p.Tasks))
+}
+
+// memoryOfRun returns how much memory a run of a job takes at most at its holder. It has a request of its own if
+// no other task is placed there with it.
+func (j *job) memoryOfRun() int64 { return runBytes + placedBytes + int64(len(j.Spec)) }
+
 // memoryFor reports whether a new job may be opened within the limits of memory. A single job
 // is, whatever its size.
 func (c *Control) memoryFor(j *job) bool {
--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -193,7 +193,7 @@
 	if c.keptOutcomes.outcomes.Has(ended.Run) || (ended.How != workload.Done && ended.How != workload.Failed) {
 		return
 	}
-	if r, known := c.holder.ended.Get(ended.Run); known && r.endMessage.How == ended.How {
+	if r, known := c.holder.ended.Get(ended.Run); known && r.message.How == ended.How {
 		return
 	}
 	end := &RunEnded{Run: ended.Run, How: ended.How, Endpoint: e.info.ID.Name, Born: e.info.ID.Born, Detail: "found at a take-over"}
--- a/pkg/placement/late_starts.go
+++ b/pkg/placement/late_starts.go
@@ -85,6 +85,10 @@
 	return lateStartKey{r.id, r.endpoint.info.ID.Name, r.endpoint.token}
 }
 
+func (r *endedRun) lateStartKey() lateStartKey {
+	return lateStartKey{r.message.Run, r.message.Endpoint, r.token}
+}
+
 // lateStartOf returns the late start of a run, or nil if all copies of its start are answered.
 func (c *Control) lateStartOf(r *run) *lateStart {
 	l, _ := c.holder.lateStarts.Get(r.lateStartKey())
@@ -149,9 +153,9 @@
 
 // addHomeOfLateStart has another home hear when the start of an ended run cannot be carried out late
 // any more, and reports whether the first one still waits for that.
-func (c *Control) addHomeOfLateStart(r *run, home instance.ID) bool {
-	l := c.lateStartOf(r)
-	if l == nil || len(l.waiting) == 0 {
+func (c *Control) addHomeOfLateStart(key lateStartKey, home instance.ID) bool {
+	l, ok := c.holder.lateStarts.Get(key)
+	if !ok || len(l.waiting) == 0 {
 		return false
 	}
 	if !slices.Contains(l.waiting, home) {
--- a/pkg/placement/logging.go
+++ b/pkg/placement/logging.go
@@ -64,6 +64,15 @@
 	return append(all, fields...)
 }
 
+// logFields returns the fields of a line about an ended run at its holder.
+func (r *endedRun) logFields(fields ...zap.Field) []zap.Field {
+	all := runFields(r.message.Run, zap.Stringer("Home", r.home))
+	if r.message.Endpoint != "" {
+		all = append(all, zap.String("Endpoint", r.message.Endpoint), zap.Uint64("Token", uint64(r.token)))
+	}
+	return append(all, fields...)
+}
+
 // logFields returns the fields of a line about a held endpoint.
 func (e *endpoint) logFields(fields ...zap.Field) []zap.Field {
 	return append([]zap.Field{zap.String("Endpoint", e.info.ID.Name), zap.Uint64("Token", uint64(e.token))}, fields...)
@@ -109,10 +118,10 @@
 	switch {
 	case !ok:
 		return "it was started by an earlier holder"
-	case r.endMessage.Detail == "":
-		return "it has ended here as " + r.endMessage.How.String()
+	case r.message.Detail == "":
+		return "it has ended here as " + r.message.How.String()
 	}
-	return "it has ended here as " + r.endMessage.How.String() + ": " + r.endMessage.Detail
+	return "it has ended here as " + r.message.How.String() + ": " + r.message.Detail
 }
 
 // logUnexpectedEnds logs the ends in a report of runs that were not running here, once each:
@@ -127,7 +136,7 @@
 		if e.runs.Has(end.Run) {
 			continue
 		}
-		if r, ok := c.holder.ended.Get(end.Run); ok && r.endMessage.How == end.How {
+		if r, ok := c.holder.ended.Get(end.Run); ok && r.message.How == end.How {
 			continue
 		}
 		c.logWarning("unknown run ended", runFields(end.Run, e.logFields(zap.Stringer("How", end.How), zap.Int64("Sequence", end.Sequence), zap.String("Cause", c.formerEnd(end.Run)))...)...)
--- a/pkg/placement/orders_test.go
+++ b/pkg/placement/orders_test.go
@@ -674,7 +674,7 @@
 	assert.Equal(t, len(starts), 1)
 	b.startInNextLife(&starts[0])
 	ended, ok := b.control.holder.ended.Get(starts[0].Run)
-	assert.Assert(t, ok && ended.endMessage.How == workload.Unknown)
+	assert.Assert(t, ok && ended.message.How == workload.Unknown)
 	next := benchEndpoint
 	next.ID.Born++
 	b.step(Listed{Endpoints: []workload.Endpoint{next}})
--- a/pkg/placement/phases.go
+++ b/pkg/placement/phases.go
@@ -22,9 +22,11 @@
 func (c *Control) setPhase(j *job, t *task, p phase) {
 	if t.phase == placed {
 		c.home.placed--
+		c.home.placedMemory -= j.memoryOfRun()
 	}
 	if p == placed {
 		c.home.placed++
+		c.home.placedMemory += j.memoryOfRun()
 	}
 	j.setPhase(t, p)
 }
--- a/pkg/placement/run_limits.go
+++ b/pkg/placement/run_limits.go
@@ -14,7 +14,7 @@
 // reason, and nothing is refused: the bounds only delay a start.
 
 const (
-	// placedShare is the part of MaxRuns that the placed tasks of one home may take, at all
+	// placedShare is the part of MaxRunBytes that the placed tasks of one home may take, at all
 	// holders. Each holder has the runs of several homes.
 	placedShare = 4
 	// storedShare is the part of those that tasks of stored jobs may take. One that waits
@@ -27,29 +27,33 @@
 
 // placeable returns how many more tasks of a job this home may place.
 func (c *Control) placeable(j *job) int {
-	limit := c.config.MaxRuns / placedShare
-	switch {
-	case limit == 0:
+	limit := c.config.MaxRunBytes / placedShare
+	if limit == 0 {
 		return math.MaxInt
+	}
+	switch {
 	case j.stored != nil:
 		limit /= storedShare
 	case j.large():
 		limit -= limit / 4
 	}
-	return max(limit, 1) - c.home.placed - c.home.dropped
+	if c.home.placed+c.home.dropped == 0 {
+		limit = max(limit, j.memoryOfRun())
+	}
+	return int((limit - c.home.placedMemory - c.droppedMemory()) / j.memoryOfRun())
 }
 
 // large reports whether a job has more tasks than a small one.
 func (j *job) large() bool { return j.Tasks() > smallJobTasks }
 
 // mayStartMore reports whether a queued run may be started. Ended runs are kept for endedRunRetention, so their
-// number bounds the rate of starts. Runs of stored jobs leave a quarter to others.
+// memory bounds the rate of starts. Runs of stored jobs leave a quarter to others.
 func (c *Control) mayStartMore(r *run) bool {
-	limit := c.config.MaxRuns
+	limit := c.config.MaxRunBytes
 	if r.request.Stored {
 		limit -= limit / 4
 	}
-	return limit == 0 || c.holder.ended.Len() < limit
+	return limit == 0 || c.endedMemory() < limit
 }
 
 // mostFree returns the most free capacity of each resource at one held endpoint. What does not fit it fits
--- a/pkg/placement/run_limits_test.go
+++ b/pkg/placement/run_limits_test.go
@@ -17,7 +17,7 @@
 func TestPlacedTasksAreBounded(t *testing.T) {
 	const maxRuns, largeJobs = 400, 6
 	config := deployment(1)
-	config.MaxRuns = maxRuns
+	config.MaxRunBytes = maxRuns << 10
 	w := model.New(config)
 	w.Run(4 * time.Second)
 	route := workload.Route{Name: "job", Service: config.Service, MaxAttempts: 3, Stretch: 3, Slack: time.Minute}
@@ -57,7 +57,7 @@
 		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
 			for b.Loop() {
 				config := deployment(1)
-				config.MaxRuns = 10_000
+				config.MaxRunBytes = 10_000 << 10
 				w := model.New(config)
 				w.Run(4 * time.Second)
 				for k := range jobs {
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -55,21 +55,22 @@
 	if r, ok := h.ended.Get(id); ok {
 		switch {
 		case r.home == from:
-			c.send(from, r.endMessage)
+			c.send(from, r.message)
 			return
-		case r.endMessage.How == workload.Unknown && !p.Stored:
+		case r.message.How == workload.Unknown && !p.Stored:
 			c.logWarning("run of another home may go on", r.logFields(zap.Stringer("AskedBy", from))...)
-			end := *r.endMessage
-			end.MayStartLater = c.addHomeOfLateStart(r, from)
+			end := *r.message
+			end.MayStartLater = c.addHomeOfLateStart(r.lateStartKey(), from)
 			c.send(from, &end)
 			return
 		}
 	}
 	r := &run{
 		id: id, home: from, request: p, avoid: t.Avoid, excludeUntil: c.now.Add(t.Exclude), arrivedAt: c.now,
-		objective: c.now.Add(p.Objective), expiry: c.now.Add(p.Expiry),
+		objective: c.now.Add(p.Objective), expiry: c.now.Add(p.Expiry), memory: p.memoryOfRun(),
 	}
 	h.runs.Put(id, r)
+	h.runMemory += r.memory
 	// endRun keeps a refusal like any other outcome: if the same request arrives again,
 	// the answer must be the same.
 	if c.stop != serving {
@@ -542,12 +543,13 @@
 			c.holder.planDue = c.now // yield the endpoint to the instance that waits for it
 		}
 	}
-	r.state, r.endMessage, r.endedAt = finished, ended, c.now
+	r.state, r.endMessage = finished, ended
 	h := &c.holder
 	h.runs.Delete(r.id)
+	h.runMemory -= r.memory
 	h.ended.Delete(r.id)
 	if r.endpoint != nil || !c.disabledRules.keptRefusals {
-		h.ended.Put(r.id, r)
+		h.ended.Put(r.id, r.kept(c.now))
 	}
 	h.capacityStale, h.queueChanged, h.advertChanged = true, true, true
 	c.logRunEnded(r)
@@ -557,6 +559,15 @@
 	}
 }
 
+// kept returns what is kept of a run that ends.
+func (r *run) kept(now time.Time) endedRun {
+	ended := endedRun{home: r.home, message: r.endMessage, at: now}
+	if r.endpoint != nil {
+		ended.token = r.endpoint.token
+	}
+	return ended
+}
+
 // endForOtherHome returns what a home hears of the end of a run of the same number that was placed
 // for another home.
 //
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -52,8 +52,8 @@
 	// ephemeral jobs; 0 means no limit.
 	MaxStoredBytes int64
 	MaxOpenBytes   int64
-	// MaxRuns bounds the runs that the instance keeps; 0 means no limit. See placement.Config.
-	MaxRuns int
+	// MaxRunBytes bounds the memory of the runs that the instance keeps; 0 means no limit. See placement.Config.
+	MaxRunBytes int64
 	// Callers, Ready, Peers and Metrics are the addresses to listen at.
 	Callers netip.AddrPort
 	Ready   netip.AddrPort
@@ -170,7 +170,7 @@
 	s.control = placement.New(placement.Config{
 		OverloadControl: config.OverloadControl, AdaptivePlacement: config.AdaptivePlacement,
 		Self: config.Self, Domain: config.Domain, Address: advertised, Share: config.Share, FarFactor: config.FarFactor, Retention: config.Retention, LinkRate: config.LinkRate,
-		MaxStoredBytes: config.MaxStoredBytes, MaxOpenBytes: config.MaxOpenBytes, MaxRuns: config.MaxRuns, SmallJobsShare: smallJobsShare,
+		MaxStoredBytes: config.MaxStoredBytes, MaxOpenBytes: config.MaxOpenBytes, MaxRunBytes: config.MaxRunBytes, SmallJobsShare: smallJobsShare,
 		ColdOver: config.ColdOver, ColdSlack: config.ColdSlack,
 		EvacuationBound: config.EvacuationBound, Seed: config.Self.Incarnation, Timing: config.Timing,
 	})
