Holders keep no round of jobs that were not adopted

Callers saw: nothing yet; an instance's memory grew with the stored jobs of the last ten minutes, whoever sent them. Cause: a holder keeps the highest round of each stored job for ten minutes, to refuse what a former home sends. Round 0 was kept too, below which there is none. Evidence: TestNothingIsKeptOfEndedJobs fails without this change: the holder keeps 141 bytes a job that has ended 20 s to 5 minutes before; with 1,000 stored jobs a second 80 MB, which is reckoned. Change: only rounds above 0 are kept. Result: 6 bytes a job, which is room in maps.

--- a/pkg/placement/kept_outcomes.go
+++ b/pkg/placement/kept_outcomes.go
@@ -37,7 +37,8 @@
 	storedMark   = storedPrefix + "mark"
 )
 
-// latestRound is the highest round of a job in the messages of its homes.
+// latestRound is the highest round of a job in the messages of its homes. It is kept only of jobs that have had
+// more than one home.
 type latestRound struct {
 	round int
 	at    time.Time
@@ -59,8 +60,10 @@
 	if ok && round < seen.round {
 		return false
 	}
-	c.keptOutcomes.rounds.Delete(job)
-	c.keptOutcomes.rounds.Put(job, latestRound{round, c.now})
+	if round > 0 { // nothing is lower than the round of the first home
+		c.keptOutcomes.rounds.Delete(job)
+		c.keptOutcomes.rounds.Put(job, latestRound{round, c.now})
+	}
 	return true
 }
 
--- a/pkg/placement/run_memory_test.go
+++ b/pkg/placement/run_memory_test.go
@@ -72,3 +72,18 @@
 	runtime.KeepAlive(control)
 	return with - liveHeap()
 }
+
+// Guards against state that instances keep of each job for long after its end. The first waves are not counted: maps keep
+// the room of the most keys that they have had.
+func TestNothingIsKeptOfEndedJobs(t *testing.T) {
+	const jobs, waves, moreWaves, most = 300, 16, 16, 32
+	for _, ephemeral := range []bool{false, true} {
+		for of, role := range []string{"home", "holder"} {
+			job := workload.Job{Ephemeral: ephemeral, Spec: "s", Steps: []workload.Step{{Count: 1, Estimate: 20 * time.Millisecond}}}
+			before := heapOf(controlAfter(20*time.Second, of, waves, jobs, job))
+			took := (heapOf(controlAfter(20*time.Second, of, waves+moreWaves, jobs, job)) - before) / (jobs * moreWaves)
+			t.Logf("ephemeral %v: the %s keeps %d bytes a job", ephemeral, role, took)
+			assert.Check(t, took < most, "ephemeral %v: the %s keeps %d bytes a job", ephemeral, role, took)
+		}
+	}
+}
