crocus-entry: kinds of tasks do not stay in memory

Callers saw: an instance beyond its memory. 80 clients with ten submissions each, of 1,000 tasks with kinds of their own. All are refused, as the tasks cannot end before the deadline. Cause: the prediction of a run time made a model of the team's kind and kept it for good, also for a submission that is refused. Where a group of endpoints names no kinds it serves all, so the names are the callers'.

--- a/pkg/dispatch/admission.go
+++ b/pkg/dispatch/admission.go
@@ -81,7 +81,7 @@
 	}
 	var longest time.Duration
 	for i := range s.Tasks {
-		longest = max(longest, c.runTimeModel(s.Team, s.Tasks[i].Kind).Predict(s.Tasks[i].DeclaredRunTime))
+		longest = max(longest, c.home.runTimes.predict(s.Team, s.Tasks[i].Kind, s.Tasks[i].DeclaredRunTime))
 	}
 	fastest := time.Duration(float64(longest) / c.fastest())
 	if wait+fastest > time.Duration(float64(s.Deadline.Sub(c.now))*maxExpectedShare) {
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"crocusseam/pkg/document"
-	"crocusseam/pkg/routing"
 	"crocusseam/pkg/storage"
 	"crocusseam/pkg/submission"
 	"crocusseam/pkg/table"
@@ -106,8 +105,8 @@
 	byHandle          map[Handle]*job
 	attempts          *table.Table[uint64, *attempt]
 	backoffs          *table.Table[uint64, *attempt]
-	models            *table.Table[string, *routing.RunTimeModel] // by team and kind
-	acks              *table.Table[PeerID, []uint64]              // results to acknowledge, by holder
+	runTimes          runTimes
+	acks              *table.Table[PeerID, []uint64] // results to acknowledge, by holder
 	ackDue            time.Time
 	openJobs          int   // jobs that are not finished
 	memory            int64 // of all jobs
@@ -152,7 +151,7 @@
 		byHandle: make(map[Handle]*job),
 		attempts: table.New[uint64, *attempt](),
 		backoffs: table.New[uint64, *attempt](),
-		models:   table.New[string, *routing.RunTimeModel](),
+		runTimes: newRunTimes(),
 		acks:     table.New[PeerID, []uint64](),
 		followed: table.New[*job, struct{}](),
 		forwards: make(map[Handle]forwardedRequest),
@@ -227,7 +226,7 @@
 	j.tasks, j.unfinishedTasks = make([]taskState, len(s.Tasks)), len(s.Tasks)
 	for i := range s.Tasks {
 		t := &s.Tasks[i]
-		j.tasks[i].work = c.runTimeModel(s.Team, t.Kind).Predict(t.DeclaredRunTime)
+		j.tasks[i].work = c.home.runTimes.predict(s.Team, t.Kind, t.DeclaredRunTime)
 	}
 	c.setMemory(j, estimateMemory(s))
 	c.home.byDeadline.push(j)
@@ -251,18 +250,6 @@
 	return fmt.Sprintf("%s.%d.%s", c.self.Instance, c.self.Incarnation, hex.EncodeToString(b[:]))
 }
 
-// runTimeModel returns the model that predicts run times of a team's tasks of one
-// kind.
-func (c *Control) runTimeModel(team, kind string) *routing.RunTimeModel {
-	key := team + "/" + kind
-	m, ok := c.home.models.Get(key)
-	if !ok {
-		m = &routing.RunTimeModel{}
-		c.home.models.Put(key, m)
-	}
-	return m
-}
-
 // attachCaller lets a request wait for the answer of a job that this instance
 // knows. It refuses a request with a different body, and answers at once if the job
 // has finished.
--- a/pkg/dispatch/tasks.go
+++ b/pkg/dispatch/tasks.go
@@ -302,7 +302,7 @@
 	case Done:
 		declared := j.sub.Tasks[a.task].DeclaredRunTime
 		if m.SpeedLearned {
-			c.runTimeModel(j.key.Team, j.sub.Tasks[a.task].Kind).Observe(declared, m.RunTime, m.Speed)
+			c.home.runTimes.observe(j.key.Team, j.sub.Tasks[a.task].Kind, declared, m.RunTime, m.Speed)
 		}
 		c.completeTask(j, a.task, m.Output)
 	case NotStarted:
