Outcomes are removed page by page, and all of them

Callers saw: an instance beyond its memory with nobody connected, because of what a crowd's stored jobs had left in the store. Cause: to remove old outcomes an instance read all of a partition at once, all its partitions at a time, and again for each 50 that it removed. The stand-in of the store finds rows by binary search: it went over all rows for each page.

--- a/pkg/model/store.go
+++ b/pkg/model/store.go
@@ -1,9 +1,11 @@
 package model
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -24,8 +26,8 @@
 	UnreadablePrefix string
 	// AnswerDelay is added to the time of every answer.
 	AnswerDelay time.Duration
-	// RowsRead counts the rows that scans have returned.
-	RowsRead int
+	// RowsRead counts the rows that scans have returned, MostRows is the most that one has.
+	RowsRead, MostRows int
 
 	world    *World
 	memory   *storage.Memory
@@ -96,10 +98,17 @@
 	var rows []storage.Row
 	var err error
 	if m.Last != "" {
-		rows, err = s.memory.ScanRange(context.Background(), m.Prefix, m.Last, scanLimit)
+		rows, err = s.memory.ScanRange(context.Background(), m.Prefix, m.Last, cmp.Or(m.Limit, scanLimit))
 	} else {
 		rows, err = s.memory.Scan(context.Background(), m.Prefix, scanLimit)
 	}
 	s.RowsRead += len(rows)
+	s.MostRows = max(s.MostRows, len(rows))
 	n.later(2*s.world.Config.ToStore+s.AnswerDelay, func() { n.deliver(placement.ScanDone{ID: m.ID, Rows: rows, Err: err}) })
 }
+
+// Count returns how many rows have a key that begins with a prefix.
+func (s *Store) Count(prefix string) int {
+	rows, _ := s.memory.Scan(context.Background(), prefix, math.MaxInt) // it never fails
+	return len(rows)
+}
--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -18,14 +18,12 @@
 // home were stopped there, and has received the outcomes that were not recorded.
 type adoption struct {
 	unknownHomes map[instance.ID]time.Time // homes that are not members -> when first seen
-	marks        map[string][]mark         // partition -> marks of its outcomes, oldest first
 	unsettled    map[string]time.Time      // partition -> time from which a scan of it settles it, see unsettle
 	inProgress   map[workload.JobID]bool   // adoptions that this instance has begun and not finished
 	lostAt       time.Time                 // when an instance was last found to be lost
 	behind       bool                      // adopting, as of the last heartbeats
 	scannedAt    map[string]time.Time      // partition -> start of the last scan whose jobs were all adopted
 	nextScan     time.Time
-	nextSweep    time.Time
 	inquiry      *inquiry
 	sequence     uint64 // of the last inquiry
 	nextInquiry  time.Time
@@ -44,8 +42,6 @@
 const (
 	adoptPeriod   = 3 * time.Second        // between scans for jobs whose home is gone, if stored jobs exist
 	adoptDelay    = 20 * time.Millisecond  // from the loss of an instance to the scan for its jobs
-	sweepPeriod   = 20 * time.Second       // between removals of old outcomes
-	maxSweep      = storage.MaxEntries / 2 // rows removed by one commit; each takes a condition and a removal
 	inquiryPeriod = 150 * time.Millisecond // between inquiries; a stopped run has ended after 50 ms
 	// homeValidity is how long the home of a stored job may place tasks after it sent a
 	// write that showed that it is the home, and maxStoredQueueTime how long such a task
@@ -92,12 +88,7 @@
 		a.nextScan = c.now.Add(adoptPeriod)
 		c.scanOpenJobs()
 	}
-	if !c.now.Before(a.nextSweep) {
-		a.nextSweep = c.now.Add(sweepPeriod)
-		for _, part := range c.ownPartitions() {
-			c.sweepPartition(part)
-		}
-	}
+	c.runSweep()
 }
 
 // storedExist reports whether some instance has ever accepted stored jobs.
@@ -393,60 +384,6 @@
 	return r
 }
 
-// mark records that all rows up to a version existed at a time.
-type mark struct {
-	at      time.Time
-	version storage.Version
-}
-
-// sweepPartition removes the outcomes of jobs whose retention is over: those that
-// existed at a mark that is older than the retention.
-func (c *Control) sweepPartition(part string) {
-	scanStart := c.now
-	c.scan(partitionPrefix(endedTable, part), func(m ScanDone) {
-		if m.Err != nil {
-			return
-		}
-		old := c.adoption.addMark(part, scanStart, c.config.Retention, newestVersion(m.Rows))
-		var writes []storage.Write
-		for i := range m.Rows {
-			if m.Rows[i].Version <= old && len(writes) < maxSweep {
-				writes = append(writes, storage.Write{Key: m.Rows[i].Key, Delete: true, Expect: m.Rows[i].Version})
-			}
-		}
-		if len(writes) == 0 {
-			return
-		}
-		c.commit(Commit{Writes: writes}, func(m CommitDone) {
-			c.logEvent("old outcomes removed", zap.String("Part", part), zap.Int("Jobs", len(writes)), zap.Uint64("UptoVersion", uint64(old)), zap.Error(m.Err))
-			if m.Err == nil && len(writes) == maxSweep {
-				c.sweepPartition(part)
-			}
-		})
-	})
-}
-
-func newestVersion(rows []storage.Row) storage.Version {
-	var v storage.Version
-	for i := range rows {
-		v = max(v, rows[i].Version)
-	}
-	return v
-}
-
-// addMark adds a mark to a partition and returns the version of the newest mark that
-// is older than the retention, or 0 without such a mark.
-func (a *adoption) addMark(part string, now time.Time, retention time.Duration, version storage.Version) storage.Version {
-	var old storage.Version
-	marks := append(a.marks[part], mark{now, version})
-	for len(marks) > 0 && now.Sub(marks[0].at) >= retention {
-		old = marks[0].version
-		marks = marks[1:]
-	}
-	a.marks[part] = marks
-	return old
-}
-
 // jobsWithUnknownRuns returns the jobs of this home of which runs may exist that it
 // does not know of: open stored jobs with a lost task, and ephemeral jobs with a start
 // order that may still be carried out.
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -182,6 +182,7 @@
 	keptOutcomes  keptOutcomes
 	endpointList  endpointList
 	cancelNotices cancelNotices
+	sweep         sweep
 	overload      overload
 	stop          stopState
 	stopStartedAt time.Time
@@ -228,7 +229,7 @@
 	c.endpointList = newEndpointList()
 	c.cancelNotices = newCancelNotices()
 	c.overload = newOverload()
-	c.adoption.unknownHomes, c.adoption.marks, c.adoption.unsettled = make(map[instance.ID]time.Time), make(map[string][]mark), make(map[string]time.Time)
+	c.adoption.unknownHomes, c.adoption.unsettled, c.sweep.marks = make(map[instance.ID]time.Time), make(map[string]time.Time), make(map[string][]mark)
 	c.adoption.inProgress, c.adoption.scannedAt = make(map[workload.JobID]bool), make(map[string]time.Time)
 	return c
 }
@@ -450,9 +451,14 @@
 
 // scanRange reads the rows of a partition from the first to the last key.
 func (c *Control) scanRange(first, last string, done func(ScanDone)) {
+	c.scanPage(first, last, 0, done)
+}
+
+// scanPage reads rows of a partition from the first to the last key. It may stop when it has the limit.
+func (c *Control) scanPage(first, last string, limit int, done func(ScanDone)) {
 	c.nextID++
 	c.scans[c.nextID] = done
-	c.emit(Scan{ID: c.nextID, Prefix: first, Last: last})
+	c.emit(Scan{ID: c.nextID, Prefix: first, Last: last, Limit: limit})
 }
 
 func (c *Control) beginStop() {
--- a/pkg/placement/messages.go
+++ b/pkg/placement/messages.go
@@ -309,11 +309,12 @@
 }
 
 // Scan reads the rows of the store whose keys begin with Prefix or, with Last, those of one partition
-// from the key Prefix to the key Last.
+// from the key Prefix to the key Last, and not many more than Limit if that is above 0.
 type Scan struct {
 	ID     uint64
 	Prefix string
 	Last   string
+	Limit  int
 }
 
 // Send sends a message to a peer.
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -196,7 +197,8 @@
 		limit = maxPageRows
 	}
 	prefix := platform.RowName{Table: q.Get("table"), Part: q.Get("part")}
-	all, _ := p.memory.Scan(r.Context(), prefix.String(), math.MaxInt)
+	last := prefix.String() + cmp.Or(q.Get("to"), "\xff") // no key has that byte
+	all, _ := p.memory.ScanRange(r.Context(), prefix.String()+q.Get("from"), last, limit+1)
 	if prefix.String() == platform.EndpointPrefix {
 		all = p.entries()
 	}
--- a/pkg/storage/memory.go
+++ b/pkg/storage/memory.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 )
@@ -14,6 +14,7 @@
 	mu      sync.Mutex
 	version Version
 	rows    map[string]Row
+	keys    []string // of the rows, in order
 	objects map[string][]byte
 }
 
@@ -38,28 +39,23 @@
 
 // Scan returns the rows whose keys begin with prefix, in key order.
 func (m *Memory) Scan(_ context.Context, prefix string, limit int) ([]Row, error) {
-	return m.scan(func(key string) bool { return strings.HasPrefix(key, prefix) }, limit)
+	return m.scan(prefix, func(key string) bool { return strings.HasPrefix(key, prefix) }, limit), nil
 }
 
 // ScanRange returns the rows from the first to the last key, in key order.
 func (m *Memory) ScanRange(_ context.Context, first, last string, limit int) ([]Row, error) {
-	return m.scan(func(key string) bool { return first <= key && key <= last }, limit)
+	return m.scan(first, func(key string) bool { return key <= last }, limit), nil
 }
 
-func (m *Memory) scan(wanted func(key string) bool, limit int) ([]Row, error) {
+// scan returns the rows from the first key on while their keys are wanted.
+func (m *Memory) scan(first string, wanted func(key string) bool, limit int) []Row {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var found []Row
-	for k, r := range m.rows {
-		if wanted(k) {
-			found = append(found, r)
-		}
-	}
-	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	if len(found) > limit {
-		found = found[:limit]
+	for i, _ := slices.BinarySearch(m.keys, first); i < len(m.keys) && len(found) < limit && wanted(m.keys[i]); i++ {
+		found = append(found, m.rows[m.keys[i]])
 	}
-	return found, nil
+	return found
 }
 
 // Commit applies all writes, or none and returns *ErrConflict.
@@ -85,8 +81,14 @@
 		}
 		if w.Delete {
 			delete(m.rows, w.Key)
+			if i, found := slices.BinarySearch(m.keys, w.Key); found {
+				m.keys = slices.Delete(m.keys, i, i+1)
+			}
 			continue
 		}
+		if i, found := slices.BinarySearch(m.keys, w.Key); !found {
+			m.keys = slices.Insert(m.keys, i, w.Key)
+		}
 		m.rows[w.Key] = Row{Key: w.Key, Value: w.Value, Version: m.version}
 	}
 	return m.version, nil
--- a/service/gate/server.go
+++ b/service/gate/server.go
@@ -3,6 +3,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -375,7 +376,7 @@
 		var rows []storage.Row
 		var err error
 		if m.Last != "" {
-			rows, err = s.config.Store.ScanRange(ctx, m.Prefix, m.Last, scanLimit)
+			rows, err = s.config.Store.ScanRange(ctx, m.Prefix, m.Last, cmp.Or(m.Limit, scanLimit))
 		} else {
 			rows, err = s.config.Store.Scan(ctx, m.Prefix, scanLimit)
 		}
