The own capacity is computed once for all waiting tasks

Callers saw: nothing yet; an instance stood still for seconds when it had adopted thousands of small stored jobs. Cause: each 20 ms a home looks for a better holder for each task that waits at one, and went over all runs that it has as a holder for each of them, to compute its own free capacity and waits. Evidence: a trial with 10,000 stored jobs of one client whose home is killed (model, six instances, 284 MB) had not played two seconds of virtual time after 60 s; 77 % of a processor profile was in moveWaiting. Change: the result is used again until a run is accepted, started or has ended, within one pass over the jobs. Metric: CapacityPasses. It still grows: a home goes over all runs for each job that it places.

--- a/pkg/placement/choice.go
+++ b/pkg/placement/choice.go
@@ -161,6 +161,8 @@
 // Each task that the home places here then reduces the copy, as for other members.
 func (c *Control) refreshOwnCapacity() {
 	own := &c.home.own
+	c.home.ownCapacityFresh = false // the caller may place a task
+	c.counters.CapacityPasses++
 	own.id = c.self
 	own.advert = &Advert{Waits: c.ownWaits(), Total: c.holder.totalCapacity}
 	own.freeCapacity = append(own.freeCapacity[:0], c.ownFreeCapacity()...)
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -574,6 +574,7 @@
 	Starved           int64 // runs started before more urgent ones because they had waited for too long
 	GivenBack         int64 // queued runs given back because they could no longer end in time
 	Unexpected        int64 // recovered panics
+	CapacityPasses    int64 // computations of the own free capacity and waits, each of which goes over all runs here
 	EventsLeftOut     int64 // events that were not logged as there were too many in one step
 	UnshownLives      int64 // orders accepted in a life of their endpoint that the answer did not show
 	Evacuations       int64 // evacuations of failure domains that this instance has learned of
--- a/pkg/placement/home.go
+++ b/pkg/placement/home.go
@@ -61,18 +61,21 @@
 
 // home is the state of this instance as the home of jobs.
 type home struct {
-	jobs           *table.Table[workload.JobID, *job] // changed by addJob and removeJob
-	placed         int                                // tasks with a holder, of all jobs
-	placedMemory   int64                              // of these tasks, see memoryOfRun
-	dropped        int                                // runs in droppedRuns, as of the last forgetDroppedRuns
-	memory         jobMemory
-	byHandle       map[Handle]workload.JobID
-	moveDue        time.Time // when waiting tasks are next considered for a move
-	pendingCancels []delayedLookup
-	lookups        lookupQueue
-	timeouts       map[string]*timeoutCounts // by route
-	lostWaiting    map[string]lostWaiting    // by route
-	waitingNow     map[string]int            // what callers of this step were told, by route
+	jobs         *table.Table[workload.JobID, *job] // changed by addJob and removeJob
+	placed       int                                // tasks with a holder, of all jobs
+	placedMemory int64                              // of these tasks, see memoryOfRun
+	dropped      int                                // runs in droppedRuns, as of the last forgetDroppedRuns
+	memory       jobMemory
+	// ownCapacityFresh says that nothing has changed since refreshOwnCapacity ran in this pass of runHome, which goes over all
+	// runs here.
+	ownCapacityFresh bool
+	byHandle         map[Handle]workload.JobID
+	moveDue          time.Time // when waiting tasks are next considered for a move
+	pendingCancels   []delayedLookup
+	lookups          lookupQueue
+	timeouts         map[string]*timeoutCounts // by route
+	lostWaiting      map[string]lostWaiting    // by route
+	waitingNow       map[string]int            // what callers of this step were told, by route
 	// droppedRuns holds the runs of jobs that were closed before the holders reported the
 	// ends of these runs.
 	droppedRuns *table.Table[workload.JobID, *droppedRuns]
@@ -938,7 +941,7 @@
 	if move {
 		c.home.moveDue = c.now.Add(movePeriod)
 	}
-	c.home.registerDue = time.Time{}
+	c.home.registerDue, c.home.ownCapacityFresh = time.Time{}, false
 	if c.config.OverloadControl {
 		c.advanceByUrgency(move)
 	} else {
@@ -1050,7 +1053,10 @@
 			if t.phase != placed || !t.waiting || t.expectedStart.Sub(c.now) < minMoveGain {
 				continue
 			}
-			c.refreshOwnCapacity()
+			if !c.home.ownCapacityFresh {
+				c.refreshOwnCapacity()
+				c.home.ownCapacityFresh = true
+			}
 			if offer, ok := c.chooseHolder(j, s, t); ok && offer.wait == 0 && offer.member.id != t.holder {
 				t.waiting = false
 				c.send(t.holder, &Drop{Runs: []workload.Run{j.run(s, i)}, OnlyWaiting: true})
--- a/pkg/placement/runs.go
+++ b/pkg/placement/runs.go
@@ -71,6 +71,7 @@
 	}
 	h.runs.Put(id, r)
 	h.runMemory += r.memory
+	c.home.ownCapacityFresh = false
 	// endRun keeps a refusal like any other outcome: if the same request arrives again,
 	// the answer must be the same.
 	if c.stop != serving {
@@ -239,7 +240,7 @@
 	r.state, r.endpoint, r.orderedAt = starting, e, c.now
 	e.runs.Put(r.id, r)
 	e.reserved = e.reserved.Add(r.request.Need)
-	c.holder.capacityStale, c.holder.advertChanged = true, true
+	c.holder.capacityStale, c.holder.advertChanged, c.home.ownCapacityFresh = true, true, false
 	if r.request.Stored {
 		c.acknowledgeIndividually(e)
 	}
@@ -551,7 +552,7 @@
 	if r.endpoint != nil || !c.disabledRules.keptRefusals {
 		h.ended.Put(r.id, r.kept(c.now))
 	}
-	h.capacityStale, h.queueChanged, h.advertChanged = true, true, true
+	h.capacityStale, h.queueChanged, h.advertChanged, c.home.ownCapacityFresh = true, true, true, false
 	c.logRunEnded(r)
 	c.send(r.home, ended)
 	for _, id := range r.otherHomes {
