--- a/pkg/placement/run_memory_test.go
+++ b/pkg/placement/run_memory_test.go
@@ -22,8 +22,13 @@
 		spec, tasks, jobs int
 		work              time.Duration
 	}{
-		{300, 1, 5000, time.Minute}, {4000, 1, 2000, time.Minute}, {4000, 8, 500, time.Minute}, {4000, 1000, 5, time.Minute},
-		{300, 1, 5000, 20 * time.Millisecond}, {4000, 1, 2000, 20 * time.Millisecond}, {4000, 1000, 5, 20 * time.Millisecond},
+		{300, 1, 5000, time.Minute},
+		{4000, 1, 2000, time.Minute},
+		{4000, 8, 500, time.Minute},
+		{4000, 1000, 5, time.Minute},
+		{300, 1, 5000, 20 * time.Millisecond},
+		{4000, 1, 2000, 20 * time.Millisecond},
+		{4000, 1000, 5, 20 * time.Millisecond},
 	} {
 		before, _ := heapOfHolder(t, c.spec, c.tasks, 0, c.work)
 		after, estimate := heapOfHolder(t, c.spec, c.tasks, c.jobs, c.work)
