Adopted jobs are read page by page

Callers saw: nothing yet; an instance that adopts read specifications of other homes' jobs, as many as lie between its own. Cause: a batch of at most 20 jobs read the whole range of keys from its first to its last job. With n instances that is about n times as many rows of up to 5 KB and more, four batches of a partition at a time, uncounted. Evidence: TestAdoptionReadsFewJobsOfOtherHomes fails without this change: 951 rows at once for 40 jobs of 2,000. Change: 100 rows at a time; the next page begins at the next job of the batch. TestAdoptionReadsAJobOnce passes as before.

--- a/pkg/model/store.go
+++ b/pkg/model/store.go
@@ -26,8 +26,9 @@
 	UnreadablePrefix string
 	// AnswerDelay is added to the time of every answer.
 	AnswerDelay time.Duration
-	// RowsRead counts the rows that scans have returned, MostRows is the most that one has.
-	RowsRead, MostRows int
+	// RowsRead counts the rows that scans have returned, MostRows the most of a table in one scan.
+	RowsRead int
+	MostRows map[string]int
 
 	world    *World
 	memory   *storage.Memory
@@ -103,7 +104,8 @@
 		rows, err = s.memory.Scan(context.Background(), m.Prefix, scanLimit)
 	}
 	s.RowsRead += len(rows)
-	s.MostRows = max(s.MostRows, len(rows))
+	name, _, _ := strings.Cut(m.Prefix, ":")
+	s.MostRows[name] = max(s.MostRows[name], len(rows))
 	n.later(2*s.world.Config.ToStore+s.AnswerDelay, func() { n.deliver(placement.ScanDone{ID: m.ID, Rows: rows, Err: err}) })
 }
 
--- a/pkg/model/world.go
+++ b/pkg/model/world.go
@@ -274,7 +274,7 @@
 		Jobs: make(map[workload.JobID]*Outcome), cuts: make(map[[2]string]bool), delayedUntil: make(map[[2]string]time.Time), silent: make(map[[2]string]bool),
 		evacuatedAt: make(map[string]time.Time),
 	}
-	w.Store = &Store{world: w, memory: storage.NewMemory()}
+	w.Store = &Store{world: w, memory: storage.NewMemory(), MostRows: make(map[string]int)}
 	for _, d := range config.Domains {
 		for _, e := range d.Endpoints {
 			w.AddEndpoint(d.Name, e)
--- a/pkg/placement/adoption.go
+++ b/pkg/placement/adoption.go
@@ -313,18 +313,29 @@
 	}
 }
 
+// adoptedPageRows is how many rows of submitted jobs, which have their specifications, a batch reads at a time.
+const adoptedPageRows = 100
+
 // readAdopted reads what was submitted for the adopted jobs, which are in the order of their keys,
-// and calls done when they are open here.
+// and calls done when they are open here. A page may have rows of other homes' jobs, so it may not reach the last one.
 func (c *Control) readAdopted(part string, orphans []orphanJob, version storage.Version, done func(adopted bool)) {
 	first, last := storedKey(jobsTable, orphans[0].id), storedKey(jobsTable, orphans[len(orphans)-1].id)
-	c.scanRange(first, last, func(m ScanDone) {
+	c.scanPage(first, last, adoptedPageRows, func(m ScanDone) {
 		if m.Err != nil {
 			c.adoption.nextScan = earlier(c.adoption.nextScan, c.now.Add(recordRetryPause))
 			c.logEvent("adopted jobs not read", zap.String("Part", part), zap.Int("Jobs", len(orphans)), zap.Error(m.Err))
 			done(false)
 			return
 		}
-		for i := range orphans {
+		n := len(orphans)
+		if len(m.Rows) >= adoptedPageRows {
+			read := m.Rows[len(m.Rows)-1].Key
+			n = slices.IndexFunc(orphans, func(o orphanJob) bool { return storedKey(jobsTable, o.id) > read })
+			if n < 0 {
+				n = len(orphans)
+			}
+		}
+		for i := range orphans[:n] {
 			o := &orphans[i]
 			if c.home.jobs.Has(o.id) {
 				continue
@@ -342,6 +353,10 @@
 				c.logEvent("row of a job not understood", jobField(o.id), zap.Error(err))
 			}
 		}
+		if n < len(orphans) {
+			c.readAdopted(part, orphans[n:], version, done)
+			return
+		}
 		done(true)
 	})
 }
--- a/pkg/placement/adoption_test.go
+++ b/pkg/placement/adoption_test.go
@@ -59,6 +59,31 @@
 	}
 }
 
+// Guards against adoptions that read the jobs of all other homes between those of the lost one at once.
+func TestAdoptionReadsFewJobsOfOtherHomes(t *testing.T) {
+	const jobs, page = 2000, 100
+	w := model.New(deployment(1))
+	w.Run(4 * time.Second)
+	route := workload.Route{Name: "job", Service: w.Config.Service, MaxAttempts: 3, Stretch: 3, Slack: time.Minute}
+	for i := range jobs {
+		home := w.Nodes[1+i%5]
+		if i%50 == 0 {
+			home = w.Nodes[0]
+		}
+		w.Submit(home, &workload.Job{ID: workload.JobID(fmt.Sprintf("a%015x", i)), Steps: []workload.Step{{
+			Count: 1, Need: workload.Resources{MilliCPU: 32000}, Estimate: 2 * time.Second,
+		}}}, route, 5*time.Second)
+	}
+	w.Run(time.Second)
+	w.Nodes[0].Kill()
+	w.Run(2 * time.Minute)
+	assert.Check(t, w.Store.MostRows["jobs"] <= page, "%d rows of jobs were read at once", w.Store.MostRows["jobs"])
+	for id, o := range w.Jobs {
+		assert.Check(t, o.AllDone(), "job %s", id)
+	}
+	assert.Check(t, len(w.Breaches) == 0, "%v", w.Breaches)
+}
+
 // Guards against adoptions that exceed the memory of an instance: each batch of jobs read all jobs
 // of the partition.
 func TestAdoptionReadsAJobOnce(t *testing.T) {
--- a/pkg/placement/control.go
+++ b/pkg/placement/control.go
@@ -449,12 +449,7 @@
 	c.emit(Scan{ID: c.nextID, Prefix: prefix})
 }
 
-// scanRange reads the rows of a partition from the first to the last key.
-func (c *Control) scanRange(first, last string, done func(ScanDone)) {
-	c.scanPage(first, last, 0, done)
-}
-
-// scanPage reads rows of a partition from the first to the last key. It may stop when it has the limit.
+// scanPage reads rows of a partition from the first to the last key, in their order, until it has the limit or a few more.
 func (c *Control) scanPage(first, last string, limit int, done func(ScanDone)) {
 	c.nextID++
 	c.scans[c.nextID] = done
--- a/pkg/placement/sweep_test.go
+++ b/pkg/placement/sweep_test.go
@@ -27,10 +27,9 @@
 	}
 	w.Run(5 * time.Second)
 	checkAllRan(t, w, jobs)
-	w.Store.MostRows = 0
 	w.Run(config.Retention - 5*time.Second)
 	assert.Equal(t, w.Store.Count("ended:a/"), jobs)
 	w.Run(time.Minute)
 	assert.Equal(t, w.Store.Count("ended:a/"), 0)
-	assert.Check(t, w.Store.MostRows <= page, "%d rows were read at once", w.Store.MostRows)
+	assert.Check(t, w.Store.MostRows["ended"] <= page, "%d rows were read at once", w.Store.MostRows["ended"])
 }
